--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,154 @@
+// Package fault defines the errors that cross package boundaries. Each error
+// carries a code, the step and the peer at which it arose, and what became of
+// the request that met it.
+package fault
+
+import (
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Outcome states whether a request ran on an upstream.
+type Outcome string
+
+// Outcomes of a request.
+const (
+	// NotRun is reported only when no byte of the request can have reached an
+	// upstream, or when the upstream proves that it did not start it.
+	NotRun Outcome = "not-run"
+	// Ran means the upstream completed the request.
+	Ran Outcome = "ran"
+	// Unknown covers everything else.
+	Unknown Outcome = "unknown"
+)
+
+// Code identifies a kind of error to callers and operators.
+type Code string
+
+// Codes that callers and operators see.
+const (
+	BadRequest          Code = "bad_request"
+	Unauthorized        Code = "unauthorized"
+	NotFound            Code = "not_found"
+	BodyTooLarge        Code = "body_too_large"
+	HeaderTooLarge      Code = "header_too_large"
+	RateLimited         Code = "rate_limited"
+	QueueFull           Code = "queue_full"
+	QueueTimeout        Code = "queue_timeout"
+	TooManyStreams      Code = "too_many_streams"
+	NoUpstream          Code = "no_upstream"
+	UpstreamUnreachable Code = "upstream_unreachable"
+	UpstreamFailed      Code = "upstream_failed"
+	UpstreamTruncated   Code = "upstream_truncated"
+	DeadlineExceeded    Code = "deadline_exceeded"
+	Quarantined         Code = "quarantined"
+	KeyConflict         Code = "idempotency_key_conflict"
+	KeyExpired          Code = "idempotency_key_expired"
+	OutcomeLost         Code = "outcome_lost"
+	ClaimUnavailable    Code = "claim_unavailable"
+	Draining            Code = "draining"
+	Conflict            Code = "conflict"
+	Invalid             Code = "invalid"
+	Unavailable         Code = "unavailable"
+	Internal            Code = "internal"
+)
+
+// statuses maps each code to the HTTP status that callers see.
+var statuses = map[Code]int{
+	BadRequest:          http.StatusBadRequest,
+	Unauthorized:        http.StatusUnauthorized,
+	NotFound:            http.StatusNotFound,
+	BodyTooLarge:        http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:      http.StatusRequestHeaderFieldsTooLarge,
+	RateLimited:         http.StatusTooManyRequests,
+	QueueFull:           http.StatusServiceUnavailable,
+	QueueTimeout:        http.StatusServiceUnavailable,
+	TooManyStreams:      http.StatusTooManyRequests,
+	NoUpstream:          http.StatusServiceUnavailable,
+	UpstreamUnreachable: http.StatusBadGateway,
+	UpstreamFailed:      http.StatusBadGateway,
+	UpstreamTruncated:   http.StatusBadGateway,
+	DeadlineExceeded:    http.StatusGatewayTimeout,
+	Quarantined:         http.StatusUnprocessableEntity,
+	KeyConflict:         http.StatusConflict,
+	KeyExpired:          http.StatusConflict,
+	OutcomeLost:         http.StatusConflict,
+	ClaimUnavailable:    http.StatusServiceUnavailable,
+	Draining:            http.StatusServiceUnavailable,
+	Conflict:            http.StatusConflict,
+	Invalid:             http.StatusUnprocessableEntity,
+	Unavailable:         http.StatusServiceUnavailable,
+	Internal:            http.StatusInternalServerError,
+}
+
+type contextKey int
+
+const (
+	codeKey contextKey = iota
+	stepKey
+	peerKey
+	outcomeKey
+)
+
+// At locates an error: the step of processing and the peer it concerned. Peer
+// is empty for a step that involves no other process.
+type At struct {
+	Step string
+	Peer string
+}
+
+// New returns an error with a code, a location and an outcome.
+func New(code Code, at At, outcome Outcome, message string) error {
+	return merry.New(message, details(code, at, outcome)...)
+}
+
+// Wrap adds a code, a location and an outcome to err. It returns nil for nil.
+func Wrap(err error, code Code, at At, outcome Outcome) error {
+	if err == nil {
+		return nil
+	}
+	return merry.Wrap(err, details(code, at, outcome)...)
+}
+
+func details(code Code, at At, outcome Outcome) []merry.Wrapper {
+	return []merry.Wrapper{
+		merry.NoCaptureStack(),
+		merry.WithHTTPCode(Status(code)),
+		merry.WithValue(codeKey, code),
+		merry.WithValue(stepKey, at.Step),
+		merry.WithValue(peerKey, at.Peer),
+		merry.WithValue(outcomeKey, outcome),
+	}
+}
+
+// Status returns the HTTP status for a code, 500 for an unlisted one.
+func Status(code Code) int {
+	if status, ok := statuses[code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// CodeOf returns the code of err, Internal when it has none.
+func CodeOf(err error) Code {
+	if code, ok := merry.Value(err, codeKey).(Code); ok {
+		return code
+	}
+	return Internal
+}
+
+// OutcomeOf returns the outcome of err, Unknown when it has none.
+func OutcomeOf(err error) Outcome {
+	if outcome, ok := merry.Value(err, outcomeKey).(Outcome); ok {
+		return outcome
+	}
+	return Unknown
+}
+
+// Location returns the step and the peer at which err arose.
+func Location(err error) At {
+	step, _ := merry.Value(err, stepKey).(string)
+	peer, _ := merry.Value(err, peerKey).(string)
+	return At{Step: step, Peer: peer}
+}
--- /dev/null
+++ b/internal/sse/sse_test.go
@@ -0,0 +1,47 @@
+package sse
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a truncated event being taken for a whole one.
+func TestReadFaults(t *testing.T) {
+	cases := []struct {
+		name, in string
+		want     error
+	}{
+		{"empty", "", io.EOF},
+		{"ends inside a line", "data: a", io.ErrUnexpectedEOF},
+		{"ends before the blank line", "data: a\n", io.ErrUnexpectedEOF},
+		{"comment only", ": ping\n\n", io.EOF},
+		{"too large", "data: " + strings.Repeat("x", 100) + "\n\n", ErrEventTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var e Event
+			require.ErrorIs(t, NewReader(strings.NewReader(c.in), 64).Read(&e), c.want)
+		})
+	}
+}
+
+// Guards against fields lost or joined wrongly between writing and reading.
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := Event{
+			Name:     rapid.StringMatching(`[a-z]{0,6}`).Draw(t, "name"),
+			Position: rapid.Int64Min(-1).Draw(t, "position"),
+			Data:     []byte(rapid.StringMatching(`[ -~]{1,20}(\n[ -~]{1,20})?`).Draw(t, "data")),
+		}
+		var out Event
+		r := NewReader(bytes.NewReader(Append(nil, &in)), 1<<10)
+		require.NoError(t, r.Read(&out))
+		require.Equal(t, in, out)
+		require.ErrorIs(t, r.Read(&out), io.EOF)
+	})
+}
