Serve a streamed answer from an announced engine through one daemon

Cause: there was no path from a caller to an upstream. Before: none. Conclusion: admission, routing, claims and settings can replace the single-daemon directory behind the interfaces of the caller edge.

--- /dev/null
+++ b/internal/edge/caller/handler.go
@@ -0,0 +1,329 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/membership"
+)
+
+// chatPath is the OpenAI chat completions route.
+const chatPath = "/v1/chat/completions"
+
+// defaultTokens estimates an answer whose request sets no max_tokens.
+const defaultTokens = 256
+
+// Options of a Handler.
+type Options struct {
+	Deps
+	Logger *zap.Logger
+	Tracer trace.Tracer
+	// Observe is told of each finished request; nil is allowed.
+	Observe func(Finished)
+}
+
+// Finished describes a request that ended.
+type Finished struct {
+	RequestID string
+	Account   Account
+	Service   string
+	Upstream  string
+	Status    int
+	Outcome   fault.Outcome
+	Attempts  int
+	Duration  time.Duration
+	// FirstByte is the time to the first byte of the answer, 0 if there was
+	// none.
+	FirstByte time.Duration
+	Tokens    int
+	Err       error
+}
+
+// Handler serves callers.
+type Handler struct {
+	Options
+	draining atomic.Bool
+	mu       sync.Mutex
+	inFlight int
+	idle     chan struct{}
+}
+
+// NewHandler returns a handler for callers.
+func NewHandler(o Options) *Handler {
+	if o.Observe == nil {
+		o.Observe = func(Finished) {}
+	}
+	return &Handler{Options: o}
+}
+
+// exchange is one request and its response.
+type exchange struct {
+	*Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	work     Work
+	body     []byte
+	chat     chatRequest
+	started  time.Time
+	finished Finished
+	tried    []string
+	attempt  int
+	// wrote is set once response headers are sent.
+	wrote bool
+}
+
+// chatRequest is the part of a chat completion request that the entry reads.
+type chatRequest struct {
+	Model               string `json:"model"`
+	Stream              bool   `json:"stream"`
+	MaxTokens           int    `json:"max_tokens"`
+	MaxCompletionTokens int    `json:"max_completion_tokens"`
+	Messages            []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	requestID := newRequestID()
+	if !h.enter() {
+		err := fault.New(fault.Draining, fault.At{Step: StepRead}, fault.NotRun, "this entry instance is stopping")
+		w.Header().Set("Connection", "close")
+		writeError(w, requestID, err)
+		return
+	}
+	defer h.leave()
+	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := h.Tracer.Start(ctx, "caller", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("request.id", requestID), attribute.String("http.path", r.URL.Path)))
+	defer span.End()
+	x := &exchange{Handler: h, w: w, r: r.WithContext(ctx), started: time.Now()}
+	x.work.RequestID = requestID
+	x.finished = Finished{RequestID: requestID, Outcome: fault.Ran}
+	defer x.finish(span)
+	if err := x.serve(ctx); err != nil {
+		x.fail(err)
+	}
+}
+
+// Drain makes the handler refuse new requests and returns a channel that is
+// closed when the last request has ended.
+func (h *Handler) Drain() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.draining.Store(true)
+	if h.idle == nil {
+		h.idle = make(chan struct{})
+		if h.inFlight == 0 {
+			close(h.idle)
+		}
+	}
+	return h.idle
+}
+
+// InFlight returns the number of requests being served.
+func (h *Handler) InFlight() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.inFlight
+}
+
+func (h *Handler) enter() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.draining.Load() {
+		return false
+	}
+	h.inFlight++
+	return true
+}
+
+func (h *Handler) leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.inFlight--
+	if h.inFlight == 0 && h.idle != nil {
+		close(h.idle)
+	}
+}
+
+// serve answers the request or returns the error to answer with.
+func (x *exchange) serve(ctx context.Context) error {
+	if err := x.authenticate(); err != nil {
+		return err
+	}
+	if err := x.read(); err != nil {
+		return err
+	}
+	if err := x.route(); err != nil {
+		return err
+	}
+	if err := x.Quarantine.Check(&x.work); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.work.Deadline)
+	defer cancel()
+	if !x.work.Route.Idempotent {
+		return x.serveOnce(ctx)
+	}
+	if x.work.Route.Kind == membership.ModelEngine && x.chat.Stream {
+		return x.serveStream(ctx)
+	}
+	return x.serveWhole(ctx)
+}
+
+func (x *exchange) authenticate() error {
+	key, _ := strings.CutPrefix(x.r.Header.Get("Authorization"), "Bearer ")
+	account, err := x.Policy.Account(key)
+	if err != nil {
+		return fault.Wrap(err, fault.Unauthorized, fault.At{Step: StepAuthenticate}, fault.NotRun)
+	}
+	x.work.Account = account
+	x.finished.Account = account
+	return nil
+}
+
+func (x *exchange) read() error {
+	limit := x.Policy.MaxBodyBytes()
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	at := fault.At{Step: StepRead}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return fault.New(fault.BodyTooLarge, at, fault.NotRun, fmt.Sprintf("the body exceeds %d bytes", limit))
+	}
+	if err != nil {
+		return fault.Wrap(err, fault.BadRequest, at, fault.NotRun)
+	}
+	x.body = body
+	if x.r.URL.Path == chatPath {
+		return x.readChat()
+	}
+	return nil
+}
+
+func (x *exchange) readChat() error {
+	if err := json.Unmarshal(x.body, &x.chat); err != nil {
+		return fault.Wrap(err, fault.BadRequest, fault.At{Step: StepRead}, fault.NotRun)
+	}
+	x.work.Model = x.chat.Model
+	x.work.Tokens = defaultTokens
+	if n := max(x.chat.MaxTokens, x.chat.MaxCompletionTokens); n > 0 {
+		x.work.Tokens = n
+	}
+	var prompt strings.Builder
+	for _, m := range x.chat.Messages {
+		prompt.WriteString(m.Role)
+		prompt.WriteByte('\n')
+		prompt.Write(m.Content)
+	}
+	x.work.Prompt = prompt.String()
+	return nil
+}
+
+func (x *exchange) route() error {
+	at := fault.At{Step: StepRoute}
+	route, err := x.Policy.Route(x.work.Account, x.r.Method, x.r.URL.Path, x.work.Model)
+	if err != nil {
+		return fault.Wrap(err, fault.NotFound, at, fault.NotRun)
+	}
+	if int64(len(x.body)) > route.MaxBodyBytes {
+		return fault.New(fault.BodyTooLarge, at, fault.NotRun, fmt.Sprintf("the body exceeds %d bytes", route.MaxBodyBytes))
+	}
+	if n := headerBytes(x.r.Header); n > route.MaxHeaderBytes {
+		return fault.New(fault.HeaderTooLarge, at, fault.NotRun, fmt.Sprintf("the headers exceed %d bytes", route.MaxHeaderBytes))
+	}
+	x.work.Route = route
+	x.work.Deadline = x.started.Add(route.Timeout)
+	x.work.Digest = digest(x.work.Account.ID, route.Service, x.r.Method, x.r.URL.RequestURI(), x.body)
+	x.finished.Service = route.Service
+	return nil
+}
+
+// digest identifies a request by what it asks for, whatever its request id.
+func digest(account, service, method, uri string, body []byte) [32]byte {
+	sum := sha256.New()
+	for _, part := range []string{account, service, method, uri} {
+		fmt.Fprintf(sum, "%d:%s,", len(part), part)
+	}
+	sum.Write(body)
+	return [32]byte(sum.Sum(nil))
+}
+
+func headerBytes(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// fail answers with err, or breaks the connection when a response has begun.
+func (x *exchange) fail(err error) {
+	x.finished.Err = err
+	x.finished.Outcome = fault.OutcomeOf(err)
+	x.finished.Status = fault.Status(fault.CodeOf(err))
+	if !x.wrote {
+		writeError(x.w, x.work.RequestID, err)
+		x.wrote = true
+		return
+	}
+	if x.chat.Stream {
+		_, _ = x.w.Write(errorEvent(x.work.RequestID, err))
+		_ = http.NewResponseController(x.w).Flush()
+	}
+	x.abort()
+}
+
+// abort marks the response as broken: without it a truncated chunked answer
+// would end like a whole one.
+func (x *exchange) abort() { panic(http.ErrAbortHandler) }
+
+func (x *exchange) finish(span trace.Span) {
+	f := &x.finished
+	f.Attempts = x.attempt
+	f.Duration = time.Since(x.started)
+	span.SetAttributes(attribute.String("account", f.Account.ID), attribute.String("service", f.Service),
+		attribute.String("upstream", f.Upstream), attribute.String("outcome", string(f.Outcome)))
+	fields := []zap.Field{
+		zap.String("request", f.RequestID), zap.String("account", f.Account.ID), zap.String("service", f.Service),
+		zap.String("upstream", f.Upstream), zap.String("outcome", string(f.Outcome)), zap.Int("status", f.Status),
+		zap.Int("attempts", f.Attempts), zap.Duration("duration", f.Duration),
+	}
+	if f.Err != nil {
+		at := fault.Location(f.Err)
+		span.SetStatus(codes.Error, f.Err.Error())
+		x.Logger.Info("request failed", append(fields, zap.Error(f.Err), zap.String("step", at.Step), zap.String("peer", at.Peer))...)
+	} else {
+		x.Logger.Debug("request served", fields...)
+	}
+	x.Observe(*f)
+}
+
+func newRequestID() string {
+	var id [16]byte
+	// crypto/rand.Read never returns an error.
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
--- /dev/null
+++ b/internal/edge/caller/stream.go
@@ -0,0 +1,216 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/internal/sse"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// noPosition is the position before the first event.
+const noPosition = -1
+
+// errGap is returned when events are missing from a stream.
+var errGap = errors.New("events are missing from the stream")
+
+// errNotResumable is returned when a broken stream cannot go on.
+var errNotResumable = errors.New("the stream broke and the upstream cannot resume it")
+
+// stream is the state of a streamed answer across its attempts.
+type stream struct {
+	*exchange
+	slot Slot
+	// delivered is the position of the last event sent to the caller.
+	delivered int64
+	token     string
+	buf       []byte
+}
+
+// serveStream answers a streamed chat completion. A stream that breaks or is
+// preempted is resumed after the last delivered event where engines can.
+func (x *exchange) serveStream(ctx context.Context) error {
+	s := &stream{exchange: x, delivered: noPosition}
+	x.Retrier.First(&x.work)
+	var last error
+	for {
+		err := s.run(ctx)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, errPreempted) {
+			continue
+		}
+		last = earlier(last, err)
+		if ctx.Err() != nil || s.delivered != noPosition && s.token == "" {
+			return last
+		}
+		if err := x.retry(ctx, last); err != nil {
+			return err
+		}
+	}
+}
+
+// run admits the request and makes one attempt.
+func (s *stream) run(ctx context.Context) error {
+	slot, err := s.admit(ctx)
+	if err != nil {
+		return s.afterStart(err)
+	}
+	before := s.delivered
+	defer func() { slot.Release(Usage{Tokens: int(s.delivered - before)}) }()
+	s.slot = slot
+	t, err := s.send(ctx, s.resume(), false)
+	if err != nil {
+		return s.afterStart(err)
+	}
+	return s.relayEvents(t)
+}
+
+// afterStart corrects the outcome of an error that arose after events had been
+// delivered: the request has run in part.
+func (s *stream) afterStart(err error) error {
+	if s.delivered == noPosition {
+		return err
+	}
+	return fault.Wrap(err, fault.CodeOf(err), fault.Location(err), fault.Unknown)
+}
+
+func (s *stream) resume() *upstream.Resume {
+	if s.delivered == noPosition {
+		return nil
+	}
+	return &upstream.Resume{Token: s.token, Position: s.delivered}
+}
+
+// relayEvents passes events on until the stream ends or breaks.
+func (s *stream) relayEvents(t *try) error {
+	if !strings.HasPrefix(t.resp.Header.Get("Content-Type"), "text/event-stream") {
+		return s.relayRefusal(t)
+	}
+	if t.choice.CanResume() {
+		s.token = t.resp.Header.Get(upstream.HeaderResumeToken)
+	} else {
+		s.token = ""
+	}
+	stop := s.watchPreemption(t)
+	defer stop()
+	idle := s.work.Route.IdleTimeout
+	stalled := time.AfterFunc(idle, func() { t.cancel(errStalled) })
+	defer stalled.Stop()
+	in := sse.NewReader(t.resp.Body, maxEventBytes)
+	out := http.NewResponseController(s.w)
+	var e sse.Event
+	for {
+		if err := in.Read(&e); err != nil {
+			return s.broken(t, fault.UpstreamTruncated, err)
+		}
+		stalled.Reset(idle)
+		if e.IsDone() {
+			return s.done(t, out)
+		}
+		if e.Name == "error" {
+			return s.broken(t, fault.UpstreamProtocol, fmt.Errorf("the engine reported %s", e.Data))
+		}
+		if err := s.deliver(t, &e); err != nil {
+			return err
+		}
+		if err := out.Flush(); err != nil {
+			return t.fail(callerGone(err))
+		}
+	}
+}
+
+// deliver sends an event to the caller unless it was sent before.
+func (s *stream) deliver(t *try, e *sse.Event) error {
+	switch {
+	case e.Position < 0:
+		return s.broken(t, fault.UpstreamProtocol, errors.New("a stream event carries no position"))
+	case e.Position <= s.delivered:
+		return nil
+	case e.Position > s.delivered+1:
+		return s.broken(t, fault.UpstreamProtocol, errGap)
+	}
+	if !s.wrote {
+		s.writeHead(t.resp.StatusCode, t.resp.Header)
+	}
+	s.buf = sse.Append(s.buf[:0], e)
+	if _, err := s.w.Write(s.buf); err != nil {
+		return t.fail(callerGone(err))
+	}
+	s.delivered = e.Position
+	s.finished.Tokens = int(s.delivered) + 1
+	return nil
+}
+
+func (s *stream) done(t *try, out *http.ResponseController) error {
+	if !s.wrote {
+		s.writeHead(t.resp.StatusCode, t.resp.Header)
+	}
+	t.end(Result{OK: true})
+	_, _ = s.w.Write([]byte("data: [DONE]\n\n"))
+	_ = out.Flush()
+	return nil
+}
+
+// broken ends an attempt whose stream did not finish.
+func (s *stream) broken(t *try, code fault.Code, err error) error {
+	switch cause := context.Cause(t.ctx); {
+	case errors.Is(cause, errPreempted):
+		t.end(Result{Cancelled: true})
+		return errPreempted
+	case errors.Is(cause, errStalled):
+		code, err = fault.DeadlineExceeded, errStalled
+	case errors.Is(err, io.EOF):
+		err = io.ErrUnexpectedEOF
+	}
+	at := fault.At{Step: StepRelay, Peer: t.choice.Target().ID}
+	err = t.fail(fault.Wrap(err, code, at, fault.Unknown))
+	if s.delivered != noPosition && s.token == "" {
+		return fault.Wrap(errNotResumable, fault.UpstreamTruncated, fault.Location(err), fault.Unknown)
+	}
+	return err
+}
+
+// relayRefusal passes on an answer that is not a stream, such as an error of
+// the engine about the request itself.
+func (s *stream) relayRefusal(t *try) error {
+	body, err := io.ReadAll(io.LimitReader(t.resp.Body, spoolBytes))
+	if err != nil || s.wrote {
+		return s.broken(t, fault.UpstreamProtocol, errors.Join(err, fmt.Errorf("the engine answered %s", t.resp.Status)))
+	}
+	t.end(Result{OK: true})
+	s.writeAnswer(t.resp.StatusCode, t.resp.Header, body)
+	return nil
+}
+
+// watchPreemption cancels the attempt when paying work needs its place and the
+// engine neither orders its batch by priority nor would lose the stream.
+func (s *stream) watchPreemption(t *try) (stop func()) {
+	if t.choice.HonoursPriority() || s.token == "" {
+		return func() {}
+	}
+	quit := make(chan struct{})
+	preempted := s.slot.Preempted()
+	go func() {
+		select {
+		case <-preempted:
+			t.cancel(errPreempted)
+		case <-quit:
+		}
+	}()
+	return func() { close(quit) }
+}
+
+func callerGone(err error) error {
+	return fault.Wrap(err, fault.Unavailable, fault.At{Step: StepRelay, Peer: "caller"}, fault.Unknown)
+}
--- /dev/null
+++ b/internal/edge/upstream/client.go
@@ -0,0 +1,198 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/membership"
+)
+
+// Steps named in errors.
+const (
+	StepDispatch = "dispatch"
+	StepOrder    = "order"
+	StepProbe    = "probe"
+)
+
+const (
+	dialTimeout        = time.Second
+	idleConnTimeout    = 60 * time.Second
+	maxIdlePerUpstream = 64
+	maxReplyBytes      = 64 << 10
+)
+
+// Target is an upstream that a request is sent to. Group is set when the
+// upstream answers for a replica group.
+type Target struct {
+	ID      string
+	Address string
+	Group   membership.GroupRef
+}
+
+// Resume asks an engine to continue a stream.
+type Resume struct {
+	Token string
+	// Position is the last position that was delivered to the caller.
+	Position int64
+}
+
+// Dispatch is one attempt of a request at one upstream.
+type Dispatch struct {
+	Target    Target
+	Method    string
+	URI       string
+	Header    http.Header
+	Body      []byte
+	RequestID string
+	Attempt   int
+	Priority  string
+	Resume    *Resume
+	// Once forbids every automatic resend: the attempt uses a connection of
+	// its own, because the transport resends on a broken reused connection.
+	Once bool
+}
+
+// Client sends requests, orders and probes to upstreams.
+type Client struct {
+	pooled *http.Transport
+	once   *http.Transport
+}
+
+// NewClient returns a client with its own connection pool.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	pooled := &http.Transport{
+		DialContext:         dialTracked(dialer.DialContext),
+		MaxIdleConnsPerHost: maxIdlePerUpstream,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+	once := pooled.Clone()
+	once.DisableKeepAlives = true
+	return &Client{pooled: pooled, once: once}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.once.CloseIdleConnections()
+}
+
+// Do sends one attempt and returns the response headers with an open body. An
+// error carries the outcome NotRun only when no byte can have been sent.
+func (c *Client) Do(ctx context.Context, d Dispatch) (*http.Response, error) {
+	at := fault.At{Step: StepDispatch, Peer: d.Target.ID}
+	proof := &sendProof{}
+	req, err := d.request(proof.trace(ctx))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadRequest, at, fault.NotRun)
+	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	resp, err := c.transport(d).RoundTrip(req)
+	if err == nil {
+		return resp, nil
+	}
+	if proof.notSent() {
+		return nil, fault.Wrap(err, fault.UpstreamUnreachable, at, fault.NotRun)
+	}
+	return nil, fault.Wrap(err, failureCode(err), at, fault.Unknown)
+}
+
+func failureCode(err error) fault.Code {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fault.DeadlineExceeded
+	}
+	return fault.UpstreamFailed
+}
+
+func (c *Client) transport(d Dispatch) *http.Transport {
+	if d.Once {
+		return c.once
+	}
+	return c.pooled
+}
+
+// request builds the HTTP request. GetBody stays nil, so that the transport
+// cannot replay the body by itself.
+func (d *Dispatch) request(ctx context.Context) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, d.Method, "http://"+d.Target.Address+d.URI, bytes.NewReader(d.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	if len(d.Body) == 0 {
+		req.Body = http.NoBody
+	}
+	if d.Header != nil {
+		req.Header = d.Header.Clone()
+	}
+	h := req.Header
+	h.Set(HeaderRequestID, d.RequestID)
+	h.Set(HeaderAttempt, strconv.Itoa(d.Attempt))
+	if d.Priority != "" {
+		h.Set(HeaderPriority, d.Priority)
+	}
+	if d.Target.Group.Group != "" {
+		h.Set(HeaderGroup, d.Target.Group.Group)
+		h.Set(HeaderEpoch, strconv.FormatUint(d.Target.Group.Epoch, 10))
+	}
+	if d.Resume != nil {
+		h.Set(HeaderResumeToken, d.Resume.Token)
+		h.Set(HeaderResumePosition, strconv.FormatInt(d.Resume.Position, 10))
+	}
+	return req, nil
+}
+
+// Order sends an order to a model engine. A refused epoch is fault.Conflict.
+func (c *Client) Order(ctx context.Context, target Target, bearer string, order Order) (OrderResult, error) {
+	var result OrderResult
+	at := fault.At{Step: StepOrder, Peer: target.ID}
+	body, err := json.Marshal(order)
+	if err != nil {
+		return result, fault.Wrap(err, fault.Internal, at, fault.NotRun)
+	}
+	// An order must not reach the engine after its bound, so it never waits in
+	// a resend of the transport.
+	d := Dispatch{Target: target, Method: http.MethodPost, URI: PathOrders, Body: body, RequestID: order.ID, Attempt: 1, Once: true}
+	if bearer != "" {
+		d.Header = http.Header{"Authorization": {"Bearer " + bearer}}
+	}
+	return result, c.call(ctx, d, at, &result)
+}
+
+// State asks an upstream for its own state.
+func (c *Client) State(ctx context.Context, target Target) (StateReply, error) {
+	var reply StateReply
+	at := fault.At{Step: StepProbe, Peer: target.ID}
+	d := Dispatch{Target: target, Method: http.MethodGet, URI: PathState, Attempt: 1}
+	return reply, c.call(ctx, d, at, &reply)
+}
+
+// call sends d and decodes the JSON reply.
+func (c *Client) call(ctx context.Context, d Dispatch, at fault.At, reply any) error {
+	resp, err := c.Do(ctx, d)
+	if err != nil {
+		return fault.Wrap(err, fault.CodeOf(err), at, fault.OutcomeOf(err))
+	}
+	defer resp.Body.Close()
+	body := io.LimitReader(resp.Body, maxReplyBytes)
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return fault.New(fault.Conflict, at, fault.NotRun, "the upstream rejected the epoch")
+	case resp.StatusCode != http.StatusOK:
+		return fault.New(fault.UpstreamFailed, at, fault.Unknown, fmt.Sprintf("the upstream answered %s", resp.Status))
+	}
+	return fault.Wrap(json.NewDecoder(body).Decode(reply), fault.UpstreamFailed, at, fault.Unknown)
+}
--- /dev/null
+++ b/internal/fake/engine.go
@@ -0,0 +1,268 @@
+// Package fake provides a model engine and a plain service that speak the
+// upstream protocol, with faults that can be switched on. Tests, the demo, the
+// development mode and the experiments use them in place of real upstreams.
+package fake
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
+	"github.com/bluebellfield/bluebellfield/internal/sse"
+	"github.com/bluebellfield/bluebellfield/membership"
+)
+
+const (
+	defaultTokens = 16
+	maxBodyBytes  = 1 << 20
+)
+
+// EngineConfig describes a fake model engine.
+type EngineConfig struct {
+	Upstream
+	// TokenDelay is the time to generate one token.
+	TokenDelay time.Duration
+	// IgnoreFencing makes the engine obey orders with old epochs.
+	IgnoreFencing bool
+}
+
+// Engine is a fake model engine. Its answers are a function of the request, so
+// that any engine can resume the stream of another and tests can check that a
+// caller got the whole answer to its own request.
+type Engine struct {
+	*Server
+	cfg EngineConfig
+}
+
+// StartEngine starts an engine on a free loopback port.
+func StartEngine(cfg EngineConfig) (*Engine, error) {
+	cfg.Kind = membership.ModelEngine
+	e := &Engine{cfg: cfg}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.completions)
+	mux.HandleFunc("POST "+upstream.PathOrders, e.order)
+	server, err := startServer(cfg.Upstream, mux)
+	if err != nil {
+		return nil, err
+	}
+	e.Server = server
+	return e, nil
+}
+
+// chatRequest is the part of an OpenAI chat completion request that the engine
+// reads.
+type chatRequest struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+	Messages  []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+func (r *chatRequest) prompt() string {
+	if len(r.Messages) == 0 {
+		return ""
+	}
+	return r.Messages[len(r.Messages)-1].Content
+}
+
+func (r *chatRequest) tokens() int {
+	if r.MaxTokens <= 0 {
+		return defaultTokens
+	}
+	return r.MaxTokens
+}
+
+// Token returns the token at a position of the answer to a prompt.
+func Token(prompt string, position int) string {
+	word, _, _ := strings.Cut(prompt, " ")
+	return fmt.Sprintf("%s-%d ", word, position)
+}
+
+// Answer returns the whole answer to a prompt.
+func Answer(prompt string, tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(Token(prompt, i))
+	}
+	return b.String()
+}
+
+func (e *Engine) completions(w http.ResponseWriter, r *http.Request) {
+	var req chatRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !e.inForce(r) {
+		w.Header().Set(upstream.HeaderNotStarted, "true")
+		http.Error(w, "the group or epoch is not in force", http.StatusConflict)
+		return
+	}
+	faults := e.Faults()
+	if faults.CrashOn != "" && strings.Contains(req.prompt(), faults.CrashOn) {
+		e.Kill()
+		panic(http.ErrAbortHandler)
+	}
+	if !e.begin(r, req.prompt()) {
+		return
+	}
+	defer e.end()
+	e.echo(w, r, faults)
+	if req.Stream {
+		e.stream(w, r, &req, faults)
+		return
+	}
+	e.whole(w, r, &req, faults)
+}
+
+// inForce reports whether the group that the request names is the engine's.
+func (e *Engine) inForce(r *http.Request) bool {
+	group := r.Header.Get(upstream.HeaderGroup)
+	if group == "" {
+		return true
+	}
+	epoch, _ := strconv.ParseUint(r.Header.Get(upstream.HeaderEpoch), 10, 64)
+	current := e.InForce()
+	return current.Group == group && current.Epoch == epoch
+}
+
+func (e *Engine) echo(w http.ResponseWriter, r *http.Request, faults Faults) {
+	id := r.Header.Get(upstream.HeaderRequestID)
+	if faults.WrongEcho {
+		id = "other-" + id
+	}
+	w.Header().Set(upstream.HeaderRequestID, id)
+	w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
+}
+
+// completion is the OpenAI shape of a whole answer or of one stream event.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+func (e *Engine) whole(w http.ResponseWriter, r *http.Request, req *chatRequest, faults Faults) {
+	if !e.wait(r, e.cfg.TokenDelay*time.Duration(req.tokens())) {
+		return
+	}
+	stop := "stop"
+	prompt := len(strings.Fields(req.prompt()))
+	body, _ := json.Marshal(completion{
+		ID: r.Header.Get(upstream.HeaderRequestID), Object: "chat.completion", Model: req.Model,
+		Choices: []choice{{Message: &message{Role: "assistant", Content: Answer(req.prompt(), req.tokens())}, FinishReason: &stop}},
+		Usage:   &usage{prompt, req.tokens(), prompt + req.tokens()},
+	})
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if faults.TruncateAfter > 0 {
+		_, _ = w.Write(body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(body)
+}
+
+// resumeState is the content of a resume token.
+type resumeState struct {
+	Prompt string `json:"prompt"`
+	Tokens int    `json:"tokens"`
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, req *chatRequest, faults Faults) {
+	state, first, err := resumePoint(r, req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	token, _ := json.Marshal(state)
+	w.Header().Set(upstream.HeaderResumeToken, base64.RawURLEncoding.EncodeToString(token))
+	w.Header().Set("Content-Type", "text/event-stream")
+	out := http.NewResponseController(w)
+	var buf []byte
+	for i := first; i < state.Tokens; i++ {
+		if !e.wait(r, e.cfg.TokenDelay) {
+			return
+		}
+		if faults.TruncateAfter > 0 && i-first >= faults.TruncateAfter {
+			if faults.CleanTruncate {
+				return
+			}
+			panic(http.ErrAbortHandler)
+		}
+		buf = e.event(buf[:0], r, req.Model, state, i)
+		if faults.DuplicateEvents && i > first {
+			buf = e.event(buf, r, req.Model, state, i-1)
+		}
+		if _, err := w.Write(buf); err != nil {
+			return
+		}
+		_ = out.Flush()
+		e.tokens.Add(1)
+	}
+	_, _ = w.Write([]byte("data: [DONE]\n\n"))
+}
+
+func resumePoint(r *http.Request, req *chatRequest) (resumeState, int, error) {
+	state := resumeState{Prompt: req.prompt(), Tokens: req.tokens()}
+	token := r.Header.Get(upstream.HeaderResumeToken)
+	if token == "" {
+		return state, 0, nil
+	}
+	data, err := base64.RawURLEncoding.DecodeString(token)
+	if err == nil {
+		err = json.Unmarshal(data, &state)
+	}
+	position, parseErr := strconv.Atoi(r.Header.Get(upstream.HeaderResumePosition))
+	return state, position + 1, errors.Join(err, parseErr)
+}
+
+func (e *Engine) event(buf []byte, r *http.Request, model string, state resumeState, position int) []byte {
+	data, _ := json.Marshal(completion{
+		ID: r.Header.Get(upstream.HeaderRequestID), Object: "chat.completion.chunk", Model: model,
+		Choices: []choice{{Delta: &message{Content: Token(state.Prompt, position)}}},
+	})
+	return sse.Append(buf, &sse.Event{Position: int64(position), Data: data})
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var order upstream.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !e.obey(order, e.cfg.Features.Fencing && !e.cfg.IgnoreFencing) {
+		http.Error(w, "the epoch is older than one that was obeyed", http.StatusConflict)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(upstream.OrderResult{InForce: e.InForce()})
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -41,6 +41,7 @@
 	UpstreamUnreachable Code = "upstream_unreachable"
 	UpstreamFailed      Code = "upstream_failed"
 	UpstreamTruncated   Code = "upstream_truncated"
+	UpstreamProtocol    Code = "upstream_protocol_error"
 	DeadlineExceeded    Code = "deadline_exceeded"
 	Quarantined         Code = "quarantined"
 	KeyConflict         Code = "idempotency_key_conflict"
@@ -69,6 +70,7 @@
 	UpstreamUnreachable: http.StatusBadGateway,
 	UpstreamFailed:      http.StatusBadGateway,
 	UpstreamTruncated:   http.StatusBadGateway,
+	UpstreamProtocol:    http.StatusBadGateway,
 	DeadlineExceeded:    http.StatusGatewayTimeout,
 	Quarantined:         http.StatusUnprocessableEntity,
 	KeyConflict:         http.StatusConflict,
