Connect daemons by yamux with protobuf messages

Cause: daemons had no way to talk to each other. Change: internal/peer keeps one session for a pair, a queue for each channel of each peer, and calls whose errors say whether the message can have arrived. Before: none. Conclusion: a stuck or partitioned peer delays nobody else.

--- a/internal/daemon/thin.go
+++ b/internal/daemon/thin.go
@@ -17,7 +17,6 @@
 	self      membership.Registrar
 	mu        sync.Mutex
 	upstreams map[string]membership.Announcement
-	next      int
 }
 
 func (d *directory) lease() membership.Lease {
--- /dev/null
+++ b/internal/peer/network.go
@@ -0,0 +1,357 @@
+// Package peer connects daemons with each other: one TCP connection for a pair,
+// with a yamux stream for each channel and protobuf messages.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+)
+
+const (
+	protocolVersion = 1
+	dialTimeout     = 2 * time.Second
+	helloTimeout    = 2 * time.Second
+	writeTimeout    = 3 * time.Second
+	keepAlive       = 3 * time.Second
+	// maxBackoff keeps a healed peer from waiting long for its first message.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = time.Second
+	// maxFrameBytes bounds one message; the largest is a snapshot.
+	maxFrameBytes = 64 << 20
+)
+
+// StepCall names the step of errors that arise between daemons.
+const StepCall = "peer call"
+
+// Handler serves the messages of a channel. For messages that were sent rather
+// than called its results are dropped.
+type Handler func(ctx context.Context, from string, payload []byte) ([]byte, error)
+
+// Options of a Network.
+type Options struct {
+	// ID of this daemon.
+	ID string
+	// Addresses of all daemons by id.
+	Addresses map[string]string
+	// TLS, when set, is used for both directions; the certificate's common
+	// name must be the daemon's id.
+	TLS *tls.Config
+	// Dial opens a connection; nil means TCP.
+	Dial     func(ctx context.Context, address string) (net.Conn, error)
+	Logger   *zap.Logger
+	Registry metrics.Registry
+}
+
+// Network sends messages between daemons.
+type Network struct {
+	opts     Options
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+
+	handlersMu sync.RWMutex
+	handlers   map[string]Handler
+
+	mu    sync.Mutex
+	links map[string]*link
+	// sessions holds every open session, to close them all at the end.
+	sessions map[*yamux.Session]struct{}
+
+	sentBytes     metrics.Counter
+	receivedBytes metrics.Counter
+	dropped       metrics.Counter
+}
+
+// Status describes the connection to a peer.
+type Status struct {
+	ID        string    `json:"id"`
+	Connected bool      `json:"connected"`
+	Since     time.Time `json:"since"`
+	LastError string    `json:"lastError,omitempty"`
+}
+
+// Listen starts a network on an open listener.
+func Listen(listener net.Listener, o Options) *Network {
+	if o.Dial == nil {
+		dialer := &net.Dialer{Timeout: dialTimeout}
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Network{
+		opts: o, listener: listener, ctx: ctx, cancel: cancel,
+		handlers: map[string]Handler{}, links: map[string]*link{}, sessions: map[*yamux.Session]struct{}{},
+		sentBytes:     metrics.GetOrRegisterCounter("peer.sent_bytes", o.Registry),
+		receivedBytes: metrics.GetOrRegisterCounter("peer.received_bytes", o.Registry),
+		dropped:       metrics.GetOrRegisterCounter("peer.dropped_messages", o.Registry),
+	}
+	n.spawn(n.accept)
+	return n
+}
+
+// Handle sets the handler of a channel.
+func (n *Network) Handle(channel string, h Handler) {
+	n.handlersMu.Lock()
+	defer n.handlersMu.Unlock()
+	n.handlers[channel] = h
+}
+
+func (n *Network) handler(channel string) Handler {
+	n.handlersMu.RLock()
+	defer n.handlersMu.RUnlock()
+	return n.handlers[channel]
+}
+
+// Send queues a message. It never blocks; it reports false when the queue of
+// the peer's channel is full or the peer is unknown.
+func (n *Network) Send(to, channel string, payload []byte) bool {
+	l := n.link(to)
+	if l == nil || !l.queue(channel, payload) {
+		n.dropped.Inc(1)
+		return false
+	}
+	return true
+}
+
+// Call sends a message and waits for the reply. The error's outcome is NotRun
+// only when the message cannot have reached the peer.
+func (n *Network) Call(ctx context.Context, to, channel string, payload []byte) ([]byte, error) {
+	at := fault.At{Step: StepCall, Peer: to}
+	l := n.link(to)
+	if l == nil {
+		return nil, fault.New(fault.Unavailable, at, fault.NotRun, "the peer is unknown")
+	}
+	session, err := l.session(ctx)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, at, fault.NotRun)
+	}
+	reply, err := n.call(ctx, session, channel, payload)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, at, fault.Unknown)
+	}
+	if reply.Error != "" {
+		at.Step = reply.Step
+		return nil, fault.New(fault.Code(reply.Code), at, fault.Outcome(reply.Outcome), reply.Error)
+	}
+	return reply.Payload, nil
+}
+
+// Peers returns the state of each connection.
+func (n *Network) Peers() []Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	all := make([]Status, 0, len(n.links))
+	for _, l := range n.links {
+		all = append(all, l.status())
+	}
+	return all
+}
+
+// Close breaks all connections and waits for the goroutines of the network.
+func (n *Network) Close() error {
+	n.mu.Lock()
+	n.cancel()
+	err := n.listener.Close()
+	for s := range n.sessions {
+		_ = s.Close()
+	}
+	n.mu.Unlock()
+	n.done.Wait()
+	return err
+}
+
+// spawn runs f in a goroutine that Close waits for, unless the network is
+// closed.
+func (n *Network) spawn(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() == nil {
+		n.done.Go(f)
+	}
+}
+
+// link returns the link to a peer, nil for an unknown peer or a closed network.
+func (n *Network) link(to string) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.links[to]; l != nil {
+		return l
+	}
+	address, ok := n.opts.Addresses[to]
+	if !ok || n.ctx.Err() != nil {
+		return nil
+	}
+	l := &link{network: n, id: to, address: address, queues: map[string]chan []byte{}}
+	n.links[to] = l
+	return l
+}
+
+func (n *Network) accept() {
+	for {
+		conn, err := n.listener.Accept()
+		if err != nil {
+			if n.ctx.Err() != nil {
+				return
+			}
+			time.Sleep(minBackoff)
+			continue
+		}
+		n.spawn(func() { n.accepted(conn) })
+	}
+}
+
+func (n *Network) accepted(conn net.Conn) {
+	if n.opts.TLS != nil {
+		conn = tls.Server(conn, n.opts.TLS)
+	}
+	id, err := n.greet(conn, "")
+	if err != nil {
+		_ = conn.Close()
+		n.opts.Logger.Warn("refused a peer connection", zap.Stringer("address", conn.RemoteAddr()), zap.Error(err))
+		return
+	}
+	session, err := yamux.Server(n.counted(conn), yamuxConfig())
+	if err != nil || !n.track(session) {
+		_ = conn.Close()
+		return
+	}
+	if l := n.link(id); l != nil {
+		l.adopt(session)
+	}
+	n.serve(session, id)
+}
+
+// greet exchanges Hello messages and returns the peer's proven id.
+func (n *Network) greet(conn net.Conn, want string) (string, error) {
+	_ = conn.SetDeadline(time.Now().Add(helloTimeout))
+	defer func() { _ = conn.SetDeadline(time.Time{}) }()
+	if err := writeMessage(conn, &Hello{Id: n.opts.ID, Version: protocolVersion}); err != nil {
+		return "", err
+	}
+	var hello Hello
+	if err := readMessage(conn, &hello); err != nil {
+		return "", err
+	}
+	_, known := n.opts.Addresses[hello.Id]
+	switch {
+	case hello.Version != protocolVersion:
+		return "", fmt.Errorf("peer %q speaks protocol version %d, this daemon %d", hello.Id, hello.Version, protocolVersion)
+	case !known || want != "" && hello.Id != want:
+		return "", fmt.Errorf("peer %q is not expected here", hello.Id)
+	}
+	return hello.Id, n.checkCertificate(conn, hello.Id)
+}
+
+func (n *Network) checkCertificate(conn net.Conn, id string) error {
+	secured, ok := conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	certificates := secured.ConnectionState().PeerCertificates
+	if len(certificates) == 0 || certificates[0].Subject.CommonName != id {
+		return fmt.Errorf("the certificate does not belong to peer %q", id)
+	}
+	return nil
+}
+
+// dial opens a session to a peer.
+func (n *Network) dial(ctx context.Context, id, address string) (*yamux.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := n.opts.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if n.opts.TLS != nil {
+		cfg := n.opts.TLS.Clone()
+		cfg.ServerName = id
+		conn = tls.Client(conn, cfg)
+	}
+	if _, err := n.greet(conn, id); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	session, err := yamux.Client(n.counted(conn), yamuxConfig())
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	if !n.track(session) {
+		return nil, net.ErrClosed
+	}
+	n.spawn(func() { n.serve(session, id) })
+	return session, nil
+}
+
+// track remembers an open session and reports false, with the session closed,
+// when the network is closed.
+func (n *Network) track(s *yamux.Session) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() != nil {
+		_ = s.Close()
+		return false
+	}
+	n.sessions[s] = struct{}{}
+	return true
+}
+
+func (n *Network) untrack(s *yamux.Session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.sessions, s)
+}
+
+func (n *Network) counted(conn net.Conn) net.Conn {
+	return &countedConn{Conn: conn, sent: n.sentBytes, received: n.receivedBytes}
+}
+
+func yamuxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.KeepAliveInterval = keepAlive
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.StreamOpenTimeout = writeTimeout
+	cfg.StreamCloseTimeout = time.Minute
+	cfg.LogOutput = nil
+	cfg.Logger = discardLogger{}
+	return cfg
+}
+
+// discardLogger drops yamux's own lines: each broken session is reported by
+// the link that loses it.
+type discardLogger struct{}
+
+func (discardLogger) Print(...any)          {}
+func (discardLogger) Printf(string, ...any) {}
+func (discardLogger) Println(...any)        {}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	sent, received metrics.Counter
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	read, err := c.Conn.Read(p)
+	c.received.Inc(int64(read))
+	return read, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	written, err := c.Conn.Write(p)
+	c.sent.Inc(int64(written))
+	return written, err
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,209 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+)
+
+// testNet is a set of networks on loopback whose connections can be cut.
+type testNet struct {
+	t         *testing.T
+	addresses map[string]string
+	networks  map[string]*Network
+	mu        sync.Mutex
+	cut       bool
+	conns     []net.Conn
+}
+
+func newTestNet(t *testing.T, ids ...string) *testNet {
+	n := &testNet{t: t, addresses: map[string]string{}, networks: map[string]*Network{}}
+	listeners := map[string]net.Listener{}
+	for _, id := range ids {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners[id], n.addresses[id] = l, l.Addr().String()
+	}
+	for _, id := range ids {
+		n.networks[id] = Listen(listeners[id], Options{
+			ID: id, Addresses: n.addresses, Dial: n.dial, Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
+		})
+	}
+	t.Cleanup(func() {
+		for _, network := range n.networks {
+			_ = network.Close()
+		}
+	})
+	return n
+}
+
+func (n *testNet) dial(ctx context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut {
+		return nil, errors.New("partitioned")
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err == nil {
+		n.conns = append(n.conns, conn)
+	}
+	return conn, err
+}
+
+func (n *testNet) setCut(cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+	for _, c := range n.conns {
+		_ = c.Close()
+	}
+	n.conns = nil
+}
+
+func echo(_ context.Context, from string, payload []byte) ([]byte, error) {
+	return []byte(from + ":" + string(payload)), nil
+}
+
+// Guards against messages that are lost, reordered or delivered under another
+// sender's name on a healthy connection.
+func TestSendKeepsOrderAndSender(t *testing.T) {
+	n := newTestNet(t, "a", "b")
+	got := make(chan string, 100)
+	n.networks["b"].Handle("c", func(_ context.Context, from string, p []byte) ([]byte, error) {
+		got <- from + string(p)
+		return nil, nil
+	})
+	for i := range 100 {
+		require.True(t, n.networks["a"].Send("b", "c", fmt.Append(nil, i)))
+	}
+	for i := range 100 {
+		require.Equal(t, fmt.Sprintf("a%d", i), <-got)
+	}
+}
+
+// Guards against a failed call being reported with the wrong outcome.
+func TestCallFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		to      string
+		handler Handler
+		cut     bool
+		code    fault.Code
+		outcome fault.Outcome
+	}{
+		{name: "unknown peer", to: "z", handler: echo, code: fault.Unavailable, outcome: fault.NotRun},
+		{name: "partitioned", to: "b", handler: echo, cut: true, code: fault.Unavailable, outcome: fault.NotRun},
+		{name: "no handler", to: "b", code: fault.NotFound, outcome: fault.NotRun},
+		{name: "handler error keeps its code and outcome", to: "b", handler: func(context.Context, string, []byte) ([]byte, error) {
+			return nil, fault.New(fault.Conflict, fault.At{Step: "apply"}, fault.Ran, "conflict")
+		}, code: fault.Conflict, outcome: fault.Ran},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := newTestNet(t, "a", "b")
+			n.setCut(c.cut)
+			if c.handler != nil {
+				n.networks["b"].Handle("c", c.handler)
+			}
+			_, err := n.networks["a"].Call(t.Context(), c.to, "c", []byte("x"))
+			require.Equal(t, c.code, fault.CodeOf(err))
+			require.Equal(t, c.outcome, fault.OutcomeOf(err))
+		})
+	}
+}
+
+// Guards against a call whose connection broke after it was sent being
+// reported as one that cannot have run.
+func TestCallBrokenInFlightIsUnknown(t *testing.T) {
+	n := newTestNet(t, "a", "b")
+	arrived, release := make(chan struct{}), make(chan struct{})
+	n.networks["b"].Handle("c", func(context.Context, string, []byte) ([]byte, error) {
+		close(arrived)
+		<-release
+		return nil, nil
+	})
+	result := make(chan error)
+	go func() {
+		_, err := n.networks["a"].Call(t.Context(), "b", "c", nil)
+		result <- err
+	}()
+	<-arrived
+	n.setCut(true)
+	require.Equal(t, fault.Unknown, fault.OutcomeOf(<-result))
+	close(release)
+}
+
+// Guards against a peer that stays unreachable after a partition heals.
+func TestReconnectsAfterPartition(t *testing.T) {
+	n := newTestNet(t, "a", "b")
+	n.networks["b"].Handle("c", echo)
+	call := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err := n.networks["a"].Call(ctx, "b", "c", nil)
+		return err
+	}
+	require.NoError(t, call())
+	n.setCut(true)
+	require.Error(t, call())
+	n.setCut(false)
+	require.Eventually(t, func() bool { return call() == nil }, 10*time.Second, 10*time.Millisecond)
+}
+
+// Guards against one peer that does not read delaying the messages to others.
+func TestStuckPeerDelaysNobodyElse(t *testing.T) {
+	n := newTestNet(t, "a", "b", "c")
+	release := make(chan struct{})
+	defer close(release)
+	n.networks["b"].Handle("x", func(context.Context, string, []byte) ([]byte, error) { <-release; return nil, nil })
+	got := make(chan struct{})
+	n.networks["c"].Handle("x", func(context.Context, string, []byte) ([]byte, error) { close(got); return nil, nil })
+	big := make([]byte, 256<<10)
+	accepted := 0
+	for n.networks["a"].Send("b", "x", big) {
+		accepted++
+		require.LessOrEqual(t, accepted, 100*queueLength)
+	}
+	require.True(t, n.networks["a"].Send("c", "x", nil))
+	<-got
+}
+
+// Guards against accepting a connection under a name that is not in the
+// settings.
+func TestRefusesUnexpectedPeer(t *testing.T) {
+	n := newTestNet(t, "a", "b")
+	stranger, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	other := Listen(stranger, Options{ID: "z", Addresses: n.addresses, Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
+	defer other.Close()
+	n.networks["b"].Handle("c", echo)
+	_, err = other.Call(t.Context(), "b", "c", nil)
+	require.Error(t, err)
+}
+
+func BenchmarkCall(b *testing.B) {
+	l1, _ := net.Listen("tcp", "127.0.0.1:0")
+	l2, _ := net.Listen("tcp", "127.0.0.1:0")
+	addresses := map[string]string{"a": l1.Addr().String(), "b": l2.Addr().String()}
+	n1 := Listen(l1, Options{ID: "a", Addresses: addresses, Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
+	n2 := Listen(l2, Options{ID: "b", Addresses: addresses, Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
+	defer n1.Close()
+	defer n2.Close()
+	n2.Handle("c", echo)
+	payload := make([]byte, 200)
+	for b.Loop() {
+		if _, err := n1.Call(b.Context(), "b", "c", payload); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
