--- /dev/null
+++ b/internal/edge/caller/harness_test.go
@@ -0,0 +1,254 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel"
+	"go.uber.org/zap"
+
+	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
+	"github.com/bluebellfield/bluebellfield/internal/fake"
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/internal/sse"
+	"github.com/bluebellfield/bluebellfield/membership"
+)
+
+// harness is a handler in front of fake upstreams, with simple policies in
+// place of the decision packages.
+type harness struct {
+	t       *testing.T
+	url     string
+	handler *Handler
+	engines []*fake.Engine
+	plain   *fake.Plain
+	route   Route
+	maxBody int64
+
+	mu         sync.Mutex
+	dead       []upstream.Target
+	claims     map[string]*fakeClaim
+	failClaim  error
+	quarantine error
+	preempt    []chan struct{}
+	finished   []Finished
+}
+
+type fakeClaim struct {
+	state  ClaimState
+	body   [32]byte
+	answer Answer
+	done   chan struct{}
+}
+
+func newHarness(t *testing.T, engines int) *harness {
+	h := &harness{t: t, claims: map[string]*fakeClaim{}, maxBody: 1 << 20, route: Route{
+		Service: "m", Kind: membership.ModelEngine, Idempotent: true, Timeout: 20 * time.Second, FirstByteTimeout: 20 * time.Second,
+		IdleTimeout: 20 * time.Second, MaxBodyBytes: 1 << 16, MaxResponseBytes: 1 << 20, MaxHeaderBytes: 4 << 10,
+	}}
+	for i := range engines {
+		e, err := fake.StartEngine(fake.EngineConfig{Upstream: fake.Upstream{Announcement: membership.Announcement{
+			ID: fmt.Sprintf("e%d", i), Features: membership.Features{Resume: true},
+		}}})
+		require.NoError(t, err)
+		t.Cleanup(e.Close)
+		h.engines = append(h.engines, e)
+	}
+	plain, err := fake.StartPlain(fake.PlainConfig{Upstream: fake.Upstream{Announcement: membership.Announcement{ID: "p0"}}})
+	require.NoError(t, err)
+	t.Cleanup(plain.Close)
+	h.plain = plain
+	client := upstream.NewClient()
+	t.Cleanup(client.Close)
+	h.handler = NewHandler(Options{
+		Deps:   Deps{Policy: h, Admitter: h, Picker: h, Retrier: h, Quarantine: h, Claimer: h, Client: client},
+		Logger: zap.NewNop(), Tracer: otel.Tracer("test"),
+		Observe: func(f Finished) { h.mu.Lock(); defer h.mu.Unlock(); h.finished = append(h.finished, f) },
+	})
+	server := httptest.NewServer(h.handler)
+	t.Cleanup(server.Close)
+	h.url = server.URL
+	return h
+}
+
+func (h *harness) Account(key string) (Account, error) {
+	if key != "key" {
+		return Account{}, fmt.Errorf("unknown key")
+	}
+	return Account{ID: "acc", Class: Free}, nil
+}
+
+func (h *harness) Route(_ Account, method, path, _ string) (Route, error) {
+	route := h.route
+	if path == chatPath {
+		return route, nil
+	}
+	route.Kind, route.Idempotent = membership.PlainService, method == http.MethodGet
+	return route, nil
+}
+
+func (h *harness) MaxBodyBytes() int64 { return h.maxBody }
+
+func (h *harness) Check(*Work) error { return h.quarantine }
+
+type harnessSlot struct{ preempted chan struct{} }
+
+func (s harnessSlot) Preempted() <-chan struct{} { return s.preempted }
+func (s harnessSlot) Release(Usage)              {}
+
+func (h *harness) Admit(context.Context, *Work) (Slot, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := harnessSlot{make(chan struct{})}
+	h.preempt = append(h.preempt, s.preempted)
+	return s, nil
+}
+
+type harnessChoice struct {
+	target    upstream.Target
+	canResume bool
+}
+
+func (c harnessChoice) Target() upstream.Target { return c.target }
+func (c harnessChoice) HonoursPriority() bool   { return false }
+func (c harnessChoice) CanResume() bool         { return c.canResume }
+func (c harnessChoice) FirstByte()              {}
+func (c harnessChoice) Finish(Result)           {}
+
+func (h *harness) Pick(w *Work, _ int, tried []string) (Choice, error) {
+	var all []harnessChoice
+	for _, dead := range h.dead {
+		all = append(all, harnessChoice{target: dead})
+	}
+	if w.Route.Kind == membership.PlainService {
+		all = append(all, harnessChoice{target: upstream.Target{ID: "p0", Address: h.plain.Announcement().Address}})
+	} else {
+		for _, e := range h.engines {
+			a := e.Announcement()
+			all = append(all, harnessChoice{upstream.Target{ID: a.ID, Address: a.Address}, a.Features.Resume})
+		}
+	}
+	for _, c := range all {
+		if !slices.Contains(tried, c.target.ID) {
+			return c, nil
+		}
+	}
+	if len(all) == 0 {
+		return nil, fault.New(fault.NoUpstream, fault.At{}, fault.NotRun, "none")
+	}
+	return all[len(all)-1], nil
+}
+
+func (h *harness) First(*Work) {}
+
+func (h *harness) Next(_ *Work, attempt int, _ fault.Outcome) (time.Duration, bool) {
+	return 0, attempt < 4
+}
+
+func (h *harness) Claim(_ context.Context, id ClaimID, body [32]byte) (ClaimState, Answer, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failClaim != nil {
+		return 0, Answer{}, h.failClaim
+	}
+	c := h.claims[id.Key]
+	if c == nil {
+		h.claims[id.Key] = &fakeClaim{state: ClaimRunning, body: body, done: make(chan struct{})}
+		return ClaimGranted, Answer{}, nil
+	}
+	if c.body != body {
+		return 0, Answer{}, fault.New(fault.KeyConflict, fault.At{}, fault.NotRun, "another body")
+	}
+	return c.state, c.answer, nil
+}
+
+func (h *harness) Await(ctx context.Context, id ClaimID, _ [32]byte) (ClaimState, Answer, error) {
+	h.mu.Lock()
+	c := h.claims[id.Key]
+	h.mu.Unlock()
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+		return 0, Answer{}, ctx.Err()
+	}
+	return c.state, c.answer, nil
+}
+
+func (h *harness) Complete(id ClaimID, answer *Answer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.claims[id.Key]
+	c.state = ClaimUnknown
+	if answer != nil {
+		c.state, c.answer = ClaimDone, *answer
+	}
+	close(c.done)
+}
+
+func (h *harness) Release(id ClaimID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.claims, id.Key)
+}
+
+// result is what a caller saw.
+type result struct {
+	status  int
+	header  http.Header
+	body    string
+	content string
+	whole   bool
+	err     error
+}
+
+func (h *harness) do(ctx context.Context, method, path, body string, header map[string]string) result {
+	req, err := http.NewRequestWithContext(ctx, method, h.url+path, strings.NewReader(body))
+	require.NoError(h.t, err)
+	req.Header.Set("Authorization", "Bearer key")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	r := result{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+	r.content, r.whole = streamContent(data)
+	return r
+}
+
+func (h *harness) stream(prompt string, tokens int) result {
+	body := fmt.Sprintf(`{"model":"m","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, prompt)
+	return h.do(h.t.Context(), http.MethodPost, chatPath, body, nil)
+}
+
+// streamContent joins the tokens of a stream and reports whether it ended as a
+// whole one.
+func streamContent(data []byte) (string, bool) {
+	var content strings.Builder
+	in := sse.NewReader(bytes.NewReader(data), 1<<20)
+	var e sse.Event
+	for in.Read(&e) == nil {
+		if e.IsDone() {
+			return content.String(), true
+		}
+		_, rest, found := strings.Cut(string(e.Data), `"content":"`)
+		token, _, _ := strings.Cut(rest, `"`)
+		if found {
+			content.WriteString(token)
+		}
+	}
+	return content.String(), false
+}
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -186,6 +186,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if faults.TruncateAfter > 0 {
 		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(body)
--- a/internal/fake/plain.go
+++ b/internal/fake/plain.go
@@ -69,6 +69,7 @@
 	if faults.TruncateAfter > 0 {
 		w.Header().Set("Content-Length", "100000")
 		_, _ = w.Write(reply)
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(reply)
