--- /dev/null
+++ b/internal/fake/partition.go
@@ -0,0 +1,92 @@
+package fake
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+)
+
+// errPartitioned is returned for connections across a partition.
+var errPartitioned = errors.New("partitioned")
+
+// Partition connects processes on loopback and can cut them off from one
+// another.
+type Partition struct {
+	mu sync.Mutex
+	// owners maps an address to the name of its process.
+	owners map[string]string
+	cut    func(from, to string) bool
+	conns  map[*partitionConn]struct{}
+}
+
+// NewPartition returns a network without cuts.
+func NewPartition() *Partition {
+	return &Partition{owners: map[string]string{}, conns: map[*partitionConn]struct{}{}}
+}
+
+// Register names the process that listens on an address.
+func (p *Partition) Register(address, owner string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.owners[address] = owner
+}
+
+// Cut separates the processes for which the function returns true and breaks
+// their connections. Nil heals all.
+func (p *Partition) Cut(cut func(from, to string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = cut
+	for c := range p.conns {
+		if p.isCut(c.from, c.to) {
+			_ = c.Conn.Close()
+			delete(p.conns, c)
+		}
+	}
+}
+
+// Reachable reports whether a process can reach an address.
+func (p *Partition) Reachable(from, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.isCut(from, p.owners[address])
+}
+
+func (p *Partition) isCut(from, to string) bool {
+	return p.cut != nil && (p.cut(from, to) || p.cut(to, from))
+}
+
+// Dialer returns a dial function for a process.
+func (p *Partition) Dialer(from string) func(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		if !p.Reachable(from, address) {
+			return nil, errPartitioned
+		}
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		tracked := &partitionConn{Conn: conn, network: p, from: from, to: p.owners[address]}
+		p.conns[tracked] = struct{}{}
+		return tracked, nil
+	}
+}
+
+// partitionConn is a connection that a cut can break.
+type partitionConn struct {
+	net.Conn
+	network  *Partition
+	from, to string
+}
+
+// Close implements net.Conn.
+func (c *partitionConn) Close() error {
+	c.network.mu.Lock()
+	delete(c.network.conns, c)
+	c.network.mu.Unlock()
+	return c.Conn.Close()
+}
