--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,159 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellfield/bluebellfield/internal/storage"
+)
+
+// journal is a state machine that keeps the commands it applied.
+type journal struct {
+	mu       sync.Mutex
+	commands []string
+}
+
+func (j *journal) Apply(_ uint64, command []byte) []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = append(j.commands, string(command))
+	return []byte(fmt.Sprintf("%s is number %d", command, len(j.commands)))
+}
+
+func (j *journal) Snapshot() ([]byte, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return json.Marshal(j.commands)
+}
+
+func (j *journal) Restore(data []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.commands = nil
+	return json.Unmarshal(data, &j.commands)
+}
+
+func (j *journal) list() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.commands...)
+}
+
+// network delivers messages in memory and drops those from and to instances
+// that are cut off or stopped.
+type network struct {
+	mu       sync.Mutex
+	replicas map[string]*Replica
+	cut      map[string]bool
+}
+
+func newNetwork() *network {
+	return &network{replicas: map[string]*Replica{}, cut: map[string]bool{}}
+}
+
+func (n *network) find(from, to string) *Replica {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[from] || n.cut[to] {
+		return nil
+	}
+	return n.replicas[to]
+}
+
+type endpoint struct {
+	n    *network
+	from string
+}
+
+func (e endpoint) Send(to, _ string, message []byte) {
+	if r := e.n.find(e.from, to); r != nil {
+		r.Receive(e.from, message)
+	}
+}
+
+func (e endpoint) forward(ctx context.Context, leader, _ string, request []byte) ([]byte, error) {
+	r := e.n.find(e.from, leader)
+	if r == nil {
+		return nil, ErrNotProposed
+	}
+	return r.HandleForward(ctx, request), nil
+}
+
+func (n *network) setCut(id string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[id] = cut
+}
+
+// member is one instance of a test with its directory and state machine.
+type member struct {
+	*Replica
+	machine *journal
+	dir     *storage.Dir
+}
+
+// startMember opens a replica in a directory; an empty path means no disk.
+func startMember(t testing.TB, n *network, id, path string, fs storage.FS, adjust func(*Options)) *member {
+	t.Helper()
+	m := &member{machine: &journal{}}
+	o := Options{Log: "global", ID: id, Voters: []string{"a", "b", "c"}, Transport: endpoint{n, id},
+		Forward: endpoint{n, id}.forward, Machine: m.machine, LeaderWait: time.Minute}
+	var err error
+	if path != "" {
+		m.dir, err = storage.OpenDir(fs, path)
+		require.NoError(t, err)
+		o.Dir = m.dir
+	}
+	if adjust != nil {
+		adjust(&o)
+	}
+	m.Replica, err = Open(o)
+	require.NoError(t, err)
+	n.mu.Lock()
+	n.replicas[id] = m.Replica
+	n.mu.Unlock()
+	t.Cleanup(func() { m.stop(n) })
+	return m
+}
+
+func (m *member) stop(n *network) {
+	n.mu.Lock()
+	if n.replicas[m.o.ID] == m.Replica {
+		delete(n.replicas, m.o.ID)
+	}
+	n.mu.Unlock()
+	_ = m.Replica.Close()
+	if m.dir != nil {
+		_ = m.dir.Close()
+		m.dir = nil
+	}
+}
+
+func testContext(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func soleVoter(o *Options) { o.Voters = []string{o.ID} }
+
+// Guards against a sole voter that cannot create its log, loses what it
+// acknowledged at a restart, or answers with another command's result.
+func TestSoleVoterKeepsItsLogOverARestart(t *testing.T) {
+	n, path, ctx := newNetwork(), t.TempDir(), testContext(t)
+	m := startMember(t, n, "a", path, storage.OS{}, soleVoter)
+	result, err := m.Propose(ctx, []byte("one"))
+	require.NoError(t, err)
+	require.Equal(t, "one is number 1", string(result))
+	m.stop(n)
+
+	m = startMember(t, n, "a", path, storage.OS{}, soleVoter)
+	require.NoError(t, m.Barrier(ctx))
+	require.Equal(t, []string{"one"}, m.machine.list())
+}
