--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -254,8 +254,11 @@
 // change.
 func (r *Replica) publish() {
 	s := &Status{Status: r.node.Status(), StorageError: r.storageErr}
-	for instance, id := range r.strangers {
-		s.Strangers = append(s.Strangers, consensus.NodeID{Instance: instance, Storage: id})
+	for instance, stored := range r.strangers {
+		id := consensus.NodeID{Instance: instance, Storage: stored}
+		if !slices.Contains(s.Members.Voters, id) && !slices.Contains(s.Members.Learners, id) {
+			s.Strangers = append(s.Strangers, id)
+		}
 	}
 	slices.SortFunc(s.Strangers, func(a, b consensus.NodeID) int { return strings.Compare(a.Instance, b.Instance) })
 	old := r.status.Swap(s)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -126,7 +126,7 @@
 }
 
 // Leads reports whether this replica is the leader.
-func (s *Status) Leads() bool { return s.Role == consensus.Leader }
+func (s Status) Leads() bool { return s.Role == consensus.Leader }
 
 // Replica is one member of a replicated log. Its methods are safe for
 // concurrent use.
