--- a/consensus/commands.go
+++ b/consensus/commands.go
@@ -63,7 +63,11 @@
 			return nil, err
 		}
 	}
-	n.term = max(n.term, n.log.lastTerm())
+	if n.log.lastTerm() > n.term {
+		// A snapshot is stored before the hard state that comes with it. The
+		// vote belongs to the earlier term.
+		n.term, n.vote = n.log.lastTerm(), NodeID{}
+	}
 	n.log.stable = n.log.last()
 	// A restart must not reuse the ids of reads whose answers may still arrive.
 	n.nextRead = ReadID(n.rng.Uint64() >> 1)
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -229,7 +229,6 @@
 		payload = resetRecord(l.last)
 	}
 	if out.HardChanged {
-		l.hard = out.Hard
 		payload = appendRecord(payload, recordHard, encodeHard(out.Hard))
 	}
 	for _, e := range out.Entries {
@@ -244,6 +243,11 @@
 			return err
 		}
 	}
+	// A new segment starts with the former hard state: the commit index of this
+	// one may cover entries of this frame, and the two must appear together.
+	if out.HardChanged {
+		l.hard = out.Hard
+	}
 	return l.write(appendFrame(make([]byte, 0, len(payload)+frameHeaderSize), payload))
 }
 
