--- a/claim/claim.go
+++ b/claim/claim.go
@@ -22,10 +22,13 @@
 	// MaxKeyAge is the age at which a key that encodes its time of creation,
 	// and has no record, is refused.
 	MaxKeyAge = 24 * time.Hour
-	// MaxRecords bounds the records of all accounts, tombstones included.
-	MaxRecords = 400_000
+	// MaxLive bounds the records of all accounts without tombstones: a record
+	// takes up to 360 bytes of heap, a tombstone 120.
+	MaxLive = 100_000
+	// MaxRecords bounds the records of all accounts with tombstones.
+	MaxRecords = 200_000
 	// MaxStoredBytes bounds the stored answers of all accounts.
-	MaxStoredBytes = 64 << 20
+	MaxStoredBytes = 16 << 20
 	// MaxLateness is how much older than the machine's clock a claim command
 	// may be. A later one may follow its own release.
 	MaxLateness = 10 * time.Minute
@@ -89,7 +92,7 @@
 
 // DefaultLimits returns the limits that the settings schema has as defaults.
 func DefaultLimits() Limits {
-	return Limits{Answers: 24 * time.Hour, Tombstones: 30 * 24 * time.Hour, MaxRecords: 100_000, MaxStoredBytes: 16 << 20}
+	return Limits{Answers: 24 * time.Hour, Tombstones: 30 * 24 * time.Hour, MaxRecords: 50_000, MaxStoredBytes: 4 << 20}
 }
 
 // Command is one of Claim, Complete, Release, Abandon and Expire.
--- a/claim/commands.go
+++ b/claim/commands.go
@@ -136,7 +136,7 @@
 	switch {
 	case use != nil && use.records >= m.limits(c.Account).MaxRecords:
 		return Result{Code: AccountFull}
-	case m.Len() >= MaxRecords:
+	case len(m.records) >= MaxLive || m.Len() >= MaxRecords:
 		return Result{Code: Full}
 	case use == nil:
 		use = &usage{account: c.Account}
--- /dev/null
+++ b/claim/machine_test.go
@@ -0,0 +1,406 @@
+package claim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var (
+	start      = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	testLimits = Limits{Answers: 2 * time.Hour, Tombstones: 48 * time.Hour, MaxRecords: 100, MaxStoredBytes: 1 << 20}
+)
+
+func newMachine() *Machine { return New(func(string) Limits { return testLimits }) }
+
+// history drives a machine and keeps what an outside observer knows of it.
+type history struct {
+	t       *rapid.T
+	m       *Machine
+	now     time.Time
+	log     []Command
+	request int
+	// incarnations and fenced are by entry.
+	incarnations map[string]uint64
+	fenced       map[string]uint64
+	// open holds, by key, the granted requests that were not released, and
+	// when the last was granted.
+	open    map[Key]map[Holder]bool
+	granted map[Key]time.Time
+	// gone holds requests that sent a release that was answered.
+	gone map[Holder]bool
+	// delayed holds claims that were sent and have not arrived.
+	delayed []Claim
+}
+
+// apply applies an encoded and decoded command, and checks that a command of
+// another holder changes nothing.
+func (h *history) apply(c Command) Result {
+	decoded, err := Decode(Encode(c))
+	require.NoError(h.t, err)
+	require.Equal(h.t, c, decoded)
+	h.log = append(h.log, c)
+	var before Record
+	key, holder, targeted := target(c)
+	if targeted {
+		before, _ = h.m.Lookup(key)
+	}
+	r := h.m.Apply(c)
+	encoded, err := DecodeResult(EncodeResult(r))
+	require.NoError(h.t, err)
+	require.Equal(h.t, r, encoded)
+	if after, _ := h.m.Lookup(key); targeted && before.Holder != holder {
+		require.Equal(h.t, before, after, "a command of another holder changed the record")
+		require.NotContains(h.t, []Code{Completed}, r.Code)
+	}
+	return r
+}
+
+func target(c Command) (Key, Holder, bool) {
+	switch c := c.(type) {
+	case Complete:
+		return c.Key, c.Holder, true
+	case Release:
+		return c.Key, c.Holder, true
+	}
+	return Key{}, Holder{}, false
+}
+
+func (h *history) claim(c Claim) {
+	r := h.apply(c)
+	if r.Code != Granted {
+		return
+	}
+	require.False(h.t, h.gone[c.Holder], "granted to a request that released its claim")
+	require.GreaterOrEqual(h.t, c.Holder.Incarnation, h.fenced[c.Holder.Entry], "granted to an abandoned run")
+	if len(h.open[c.Key]) > 0 && !h.open[c.Key][c.Holder] {
+		age := h.m.Clock().Sub(h.granted[c.Key])
+		require.Greater(h.t, age, testLimits.Tombstones, "granted twice")
+		require.True(h.t, c.KeyTime.IsZero(), "an old key was granted twice")
+		h.open[c.Key] = nil
+	}
+	if h.open[c.Key] == nil {
+		h.open[c.Key] = map[Holder]bool{}
+	}
+	if !h.open[c.Key][c.Holder] {
+		h.granted[c.Key] = h.m.Clock()
+	}
+	h.open[c.Key][c.Holder] = true
+}
+
+func (h *history) release(c Release) {
+	code := h.apply(c).Code
+	if code == Released || code == NotHolder {
+		h.gone[c.Holder] = true
+	}
+	if code == Released {
+		delete(h.open[c.Key], c.Holder)
+	}
+}
+
+// fresh draws a claim of a new request. Odd keys encode their time.
+func (h *history) fresh() Claim {
+	key := rapid.IntRange(0, 3).Draw(h.t, "key")
+	entry := rapid.SampledFrom([]string{"e1", "e2"}).Draw(h.t, "entry")
+	h.request++
+	c := Claim{
+		Key: Key{byte(key)}, Account: fmt.Sprint("a", key%2), Holder: Holder{entry, h.incarnations[entry], fmt.Sprint("r", h.request)},
+		Deadline: h.now.Add(time.Minute), At: h.now,
+	}
+	if key%2 == 1 {
+		c.KeyTime = start.Add(-time.Hour)
+	}
+	return c
+}
+
+// claims returns the claims sent so far.
+func (h *history) claims() []Claim {
+	var out []Claim
+	for _, c := range h.log {
+		if c, ok := c.(Claim); ok {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (h *history) step() {
+	switch action := rapid.IntRange(0, 12).Draw(h.t, "action"); action {
+	case 0, 1, 2:
+		h.claim(h.fresh())
+	case 3, 4, 5, 6:
+		sent := h.claims()
+		if len(sent) == 0 {
+			return
+		}
+		c := rapid.SampledFrom(sent).Draw(h.t, "sent")
+		switch {
+		case action == 3:
+			h.claim(c)
+		case action == 4 && !h.gone[c.Holder]:
+			h.apply(Complete{Key: c.Key, Holder: c.Holder, Answer: Answer{Status: 200, Body: []byte(c.Holder.Request)}, At: h.now})
+		case action == 5:
+			h.apply(Complete{Key: c.Key, Holder: c.Holder, Lost: true, At: h.now})
+		case action == 6:
+			h.release(Release{Key: c.Key, Holder: c.Holder, At: h.now})
+		}
+	case 7:
+		// The release may overtake its claim.
+		h.delayed = append(h.delayed, h.fresh())
+		if c := h.delayed[len(h.delayed)-1]; rapid.Bool().Draw(h.t, "release") {
+			h.release(Release{Key: c.Key, Holder: c.Holder, At: h.now})
+		}
+	case 10:
+		if len(h.delayed) > 0 {
+			h.claim(h.delayed[0])
+			h.delayed = h.delayed[1:]
+		}
+	case 8:
+		entry := rapid.SampledFrom([]string{"e1", "e2"}).Draw(h.t, "entry")
+		h.incarnations[entry]++
+		h.fenced[entry] = h.incarnations[entry]
+		h.apply(Abandon{Entry: entry, Before: h.incarnations[entry], At: h.now})
+	case 9:
+		data := h.m.Snapshot()
+		h.m = newMachine()
+		require.NoError(h.t, h.m.Restore(data))
+		require.Equal(h.t, data, h.m.Snapshot())
+	default:
+		h.pass(rapid.SampledFrom([]time.Duration{time.Second, 2 * time.Minute, 3 * time.Hour, 51 * time.Hour}).Draw(h.t, "pass"))
+	}
+}
+
+// pass lets the leader send Expire for a while.
+func (h *history) pass(d time.Duration) {
+	end := h.now.Add(d)
+	for h.now.Before(end) {
+		h.now = h.now.Add(min(maxStep, end.Sub(h.now)))
+		c := Expire{At: h.now}
+		h.log = append(h.log, c)
+		h.m.Apply(c)
+	}
+}
+
+// Guards against a key that is granted twice, a released claim that comes back
+// or is not free, a claim that is changed by another request, and a snapshot
+// that differs from the replay.
+func TestMachineProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{t: t, m: newMachine(), now: start, incarnations: map[string]uint64{}, fenced: map[string]uint64{},
+			open: map[Key]map[Holder]bool{}, granted: map[Key]time.Time{}, gone: map[Holder]bool{}}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			h.step()
+			h.check()
+		}
+		replay := newMachine()
+		for _, c := range h.log {
+			replay.Apply(c)
+		}
+		require.Equal(t, replay.Snapshot(), h.m.Snapshot())
+	})
+}
+
+func (h *history) check() {
+	total, stored := int64(0), int64(0)
+	for _, account := range []string{"a0", "a1"} {
+		records, bytes := h.m.AccountUsage(account)
+		total += records
+		stored += bytes
+	}
+	require.Equal(h.t, int64(h.m.Len()), total)
+	require.Equal(h.t, h.m.Stats().StoredBytes, stored)
+	for key, open := range h.open {
+		record, found := h.m.Lookup(key)
+		if len(open) > 0 && h.m.Clock().Sub(h.granted[key]) < MaxKeyAge-time.Hour {
+			require.True(h.t, found, "the record of a granted key is lost")
+		}
+		if len(open) == 0 && found {
+			require.NotContains(h.t, []State{StateRunning, StateDone}, record.State, "a released key has a record")
+		}
+	}
+}
+
+// scenario steps are applied in turn to one machine.
+type step struct {
+	c    Command
+	want Code
+}
+
+func aClaim(request string, change func(*Claim)) Claim {
+	c := Claim{Key: Key{1}, Account: "a", Holder: Holder{"e", 1, request}, Deadline: start.Add(time.Minute), At: start}
+	if change != nil {
+		change(&c)
+	}
+	return c
+}
+
+// Guards against a wrong answer in each case of the contract, also when the
+// machine restarts from a snapshot after each step.
+func TestMachineFaults(t *testing.T) {
+	first := aClaim("1", nil)
+	second := aClaim("2", nil)
+	done := Complete{Key: Key{1}, Holder: first.Holder, Answer: Answer{Status: 201, Body: []byte("ok")}, At: start}
+	release := Release{Key: Key{1}, Holder: first.Holder, At: start}
+	expire := func(after time.Duration) []step {
+		var out []step
+		for at := time.Duration(0); at < after; at += maxStep {
+			out = append(out, step{Expire{At: start.Add(at + maxStep)}, Expired})
+		}
+		return out
+	}
+	later := func(c Claim, after time.Duration) Claim {
+		c.At = start.Add(after)
+		return c
+	}
+	other := aClaim("3", func(c *Claim) { c.Body = [32]byte{9} })
+	cases := map[string][]step{
+		"running":                   {{first, Granted}, {second, Running}, {first, Granted}},
+		"done":                      {{first, Granted}, {done, Completed}, {second, Done}, {first, Done}},
+		"other body":                {{first, Granted}, {other, BodyConflict}, {done, Completed}, {other, BodyConflict}},
+		"lost":                      {{first, Granted}, {Complete{Key: Key{1}, Holder: first.Holder, Lost: true}, Completed}, {second, Unknown}, {done, Completed}, {second, Done}},
+		"lost after done":           {{first, Granted}, {done, Completed}, {Complete{Key: Key{1}, Holder: first.Holder, Lost: true}, Completed}, {second, Done}},
+		"release":                   {{first, Granted}, {release, Released}, {second, Granted}, {release, NotHolder}, {first, Running}},
+		"released claim repeated":   {{first, Granted}, {release, Released}, {first, Fenced}, {second, Granted}},
+		"release overtakes":         {{release, Released}, {first, Fenced}, {second, Granted}},
+		"release of a done claim":   {{first, Granted}, {done, Completed}, {release, NotReleasable}, {second, Done}},
+		"release by another":        {{first, Granted}, {Release{Key: Key{1}, Holder: second.Holder}, NotHolder}, {second, Running}, {release, Released}, {second, Fenced}},
+		"complete by another":       {{first, Granted}, {Complete{Key: Key{1}, Holder: second.Holder}, NotHolder}, {second, Running}},
+		"complete without claim":    {{done, NotHolder}},
+		"abandon":                   {{first, Granted}, {Abandon{Entry: "e", Before: 2, At: start}, Abandoned}, {second, Unknown}, {done, Completed}, {second, Done}},
+		"abandon of another entry":  {{first, Granted}, {Abandon{Entry: "f", Before: 2, At: start}, Abandoned}, {second, Running}},
+		"claim of an abandoned run": {{Abandon{Entry: "e", Before: 2, At: start}, Abandoned}, {first, Fenced}},
+		"deadline passes":           append(append([]step{{first, Granted}}, expire(3*time.Minute)...), step{later(second, 3*time.Minute), Unknown}),
+		"answer expires":            append(append([]step{{first, Granted}, {done, Completed}}, expire(3*time.Hour)...), step{later(second, 3*time.Hour), KeyUsed}),
+		"late claim":                append(expire(11*time.Minute), step{first, Late}),
+		"one wrong clock":           {{first, Granted}, {Expire{At: start.AddDate(1, 0, 0)}, Expired}, {second, Running}},
+		"old key after its answer": append(append(append(append([]step{{oldKey("1", 0), Granted}, {done, Completed}}, expire(125*time.Minute)...),
+			step{oldKey("2", 125*time.Minute), KeyUsed}), expire(160*time.Minute)...), step{oldKey("3", 160*time.Minute), KeyExpired}),
+		"old key":                      {{aClaim("1", func(c *Claim) { c.KeyTime = start.Add(-25 * time.Hour) }), KeyExpired}},
+		"young key":                    {{aClaim("1", func(c *Claim) { c.KeyTime = start.Add(-23 * time.Hour) }), Granted}},
+		"key of the future":            {{aClaim("1", func(c *Claim) { c.KeyTime = start.Add(time.Hour) }), Granted}},
+		"no request id":                {{aClaim("", nil), Malformed}},
+		"long account":                 {{aClaim("1", func(c *Claim) { c.Account = fmt.Sprintf("%065d", 1) }), Malformed}},
+		"release without entry":        {{Release{Key: Key{1}}, Malformed}},
+		"account full, another is not": accountFull(),
+	}
+	for name, steps := range cases {
+		t.Run(name, func(t *testing.T) {
+			m, restored := newMachine(), newMachine()
+			for i, s := range steps {
+				require.Equal(t, s.want.String(), m.Apply(s.c).Code.String(), "step %d: %+v", i, s.c)
+				require.Equal(t, s.want.String(), restored.Apply(s.c).Code.String(), "step %d after a restart: %+v", i, s.c)
+				data := restored.Snapshot()
+				restored = newMachine()
+				require.NoError(t, restored.Restore(data))
+			}
+		})
+	}
+}
+
+// oldKey returns a claim whose key is 24 h old 150 minutes after the start.
+func oldKey(request string, after time.Duration) Claim {
+	return aClaim(request, func(c *Claim) {
+		c.At = start.Add(after)
+		c.KeyTime = start.Add(150*time.Minute - MaxKeyAge)
+	})
+}
+
+func accountFull() []step {
+	var steps []step
+	for i := range testLimits.MaxRecords {
+		steps = append(steps, step{aClaim("1", func(c *Claim) { c.Key = Key{2, byte(i)} }), Granted})
+	}
+	return append(steps, step{aClaim("1", nil), AccountFull}, step{aClaim("1", func(c *Claim) { c.Account = "b" }), Granted})
+}
+
+// Guards against live records without bound when no account has a bound of its
+// own.
+func TestTotalBound(t *testing.T) {
+	m := New(func(string) Limits { return Limits{MaxRecords: 1 << 40} })
+	claim := func(i int) Code {
+		return m.Apply(aClaim("1", func(c *Claim) { c.Key = Key{byte(i), byte(i >> 8), byte(i >> 16)} })).Code
+	}
+	for i := range MaxLive {
+		require.Equal(t, Granted, claim(i))
+	}
+	require.Equal(t, Full, claim(MaxLive))
+}
+
+// Guards against answers that exceed the bounds of memory, and against a resend
+// that does not learn that the request ran when its body was not stored.
+func TestStoredAnswers(t *testing.T) {
+	m := newMachine()
+	put := func(key byte, a Answer) Result {
+		c := aClaim("1", func(c *Claim) { c.Key = Key{key} })
+		require.Equal(t, Granted, m.Apply(c).Code)
+		return m.Apply(Complete{Key: c.Key, Holder: c.Holder, Answer: a, At: start})
+	}
+	header := []Field{{"Content-Type", "text/plain"}}
+	require.True(t, put(0, Answer{Status: 200, Header: header, Body: make([]byte, MaxAnswerBytes-22)}).BodyStored)
+	require.False(t, put(1, Answer{Status: 200, Header: header, Body: make([]byte, MaxAnswerBytes)}).BodyStored)
+	r := m.Apply(aClaim("2", func(c *Claim) { c.Key = Key{1} }))
+	require.Equal(t, &Answer{Status: 200, Header: header, BodyOmitted: true}, r.Answer)
+	stored := 1
+	for i := byte(2); i < 30; i++ {
+		if put(i, Answer{Status: 200, Body: make([]byte, MaxAnswerBytes)}).BodyStored {
+			stored++
+		}
+	}
+	_, bytes := m.AccountUsage("a")
+	// The headers of answer 1 take the place of a 16th body.
+	require.Equal(t, 15, stored)
+	require.LessOrEqual(t, bytes, testLimits.MaxStoredBytes)
+}
+
+// Guards against keys that are read as a time when they encode none.
+func TestKeyTime(t *testing.T) {
+	for key, want := range map[string]time.Time{
+		"017f22e2-79b0-7cc3-98c4-dc0c0c07398f":  time.Date(2022, 2, 22, 19, 22, 22, 0, time.UTC),
+		"01ARZ3NDEKTSV4RRFFQ69G5FAV":            time.Date(2016, 7, 30, 23, 54, 10, 259e6, time.UTC),
+		"01arz3ndektsv4rrffq69g5fav":            time.Date(2016, 7, 30, 23, 54, 10, 259e6, time.UTC),
+		"017f22e2-79b0-4cc3-98c4-dc0c0c07398f":  {},
+		"017f22e2-79b0-7cc3-18c4-dc0c0c07398f":  {},
+		"017f22e2-79b0-7cc3-98c4-dc0c0c07398g":  {},
+		"00000000-0000-7000-8000-000000000000":  {},
+		"81ARZ3NDEKTSV4RRFFQ69G5FAV":            {},
+		"01ARZ3NDEKTSV4RRFFQ69G5FAU":            {},
+		"00000000000000000000000000":            {},
+		"order-7":                               {},
+		"":                                      {},
+		"é17f22e2-79b0-7cc3-98c4-dc0c0c07398f7": {},
+	} {
+		require.Equal(t, want, KeyTime(key), key)
+	}
+}
+
+// Guards against a panic or a partial restore on damaged bytes.
+func TestDamagedEncodings(t *testing.T) {
+	m := newMachine()
+	c := aClaim("1", nil)
+	m.Apply(c)
+	m.Apply(Complete{Key: c.Key, Holder: c.Holder, Answer: Answer{Status: 200, Header: []Field{{"A", "b"}}, Body: []byte("x")}, At: start})
+	m.Apply(aClaim("2", func(c *Claim) { c.Key = Key{2} }))
+	m.Apply(Release{Key: Key{3}, Holder: c.Holder, At: start})
+	m.Apply(Abandon{Entry: "e", Before: 1, At: start})
+	want := m.Snapshot()
+	for n := range len(want) {
+		require.Error(t, m.Restore(want[:n]), "%d bytes", n)
+	}
+	require.Error(t, m.Restore(append([]byte{9}, want...)))
+	require.Equal(t, want, m.Snapshot())
+	for n, data := 0, Encode(c); n < len(data); n++ {
+		_, err := Decode(data[:n])
+		require.Error(t, err, "%d bytes", n)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		data := rapid.SliceOf(rapid.Byte()).Draw(t, "data")
+		if c, err := Decode(data); err == nil {
+			newMachine().Apply(c)
+		}
+		_, _ = DecodeResult(data)
+		_ = newMachine().Restore(data)
+	})
+}
