--- a/membership/membership.go
+++ b/membership/membership.go
@@ -49,6 +49,9 @@
 	Cancel     bool `json:"cancel,omitempty"`
 	KVTransfer bool `json:"kvTransfer,omitempty"`
 	OrderAuth  bool `json:"orderAuth,omitempty"`
+	// Echo says that heartbeats return the echo of the last lease. The age of
+	// information then counts from a time that no delay can make too late.
+	Echo bool `json:"echo,omitempty"`
 }
 
 // Announcement is what an upstream says of itself when it starts, when its
@@ -68,6 +71,11 @@
 	// MaxConcurrent is the number of requests that the upstream batches at once.
 	MaxConcurrent int   `json:"maxConcurrent"`
 	State         State `json:"state"`
+	// Sequence is taken from the same counter as the sequence of heartbeats, so
+	// that a late announcement does not undo a newer report.
+	Sequence uint64 `json:"sequence,omitempty"`
+	// Avoid lists registrars that the upstream cannot reach.
+	Avoid []string `json:"avoid,omitempty"`
 }
 
 // GroupRef names a replica group membership that an upstream has in force.
@@ -89,6 +97,10 @@
 	KVUse       float64  `json:"kvUse"`
 	TokensPerS  float64  `json:"tokensPerSecond"`
 	InForce     GroupRef `json:"inForce"`
+	// Echo is the echo of the last lease from the registrar that this heartbeat
+	// goes to, and EchoAgeMillis the time since that lease arrived.
+	Echo          string `json:"echo,omitempty"`
+	EchoAgeMillis int64  `json:"echoAgeMillis,omitempty"`
 }
 
 // Registrar is a daemon that holds an upstream's lease.
@@ -105,4 +117,6 @@
 	// Announce asks the upstream to announce itself again, because the
 	// registrar does not know this incarnation.
 	Announce bool `json:"announce,omitempty"`
+	// Echo is an opaque mark of the registrar's clock for the next heartbeat.
+	Echo string `json:"echo,omitempty"`
 }
