--- a/membership/registry.go
+++ b/membership/registry.go
@@ -191,9 +191,6 @@
 	if s.sequence != o.sequence {
 		return s.sequence > o.sequence
 	}
-	if s.last != o.last {
-		return s.last > o.last
-	}
 	return s.from < o.from
 }
 
