Add the admission controller of one entry

Paying work first with start-time fair queueing among accounts of a class, free work in all slots that are left, bounded queues with deadlines, token buckets and concurrency limits per account and per account at a service, preemption of running free work where upstreams honour no priorities. Rules that change apply to queued requests too.

--- /dev/null
+++ b/admission/controller_test.go
@@ -0,0 +1,259 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func rules(class Class, weight float64) Rules {
+	return Rules{Class: class, Weight: weight, Account: Unlimited(), AtService: Unlimited()}
+}
+
+func request(account string, r Rules) Request {
+	return Request{Account: account, Service: "s", Rules: r, Tokens: 1}
+}
+
+// oneEntry is the capacity of an entry that has a number of slots to itself.
+func oneEntry(slots int, priorities bool) Capacity {
+	return Capacity{Slots: slots, Load: slots, Entries: 1, Share: float64(slots), Priorities: priorities}
+}
+
+// Guards against free work going before paying work, and against idle slots
+// while work of any class waits.
+func TestClassesShareSlots(t *testing.T) {
+	for _, test := range []struct {
+		name                        string
+		slots, paying, free         int
+		admittedPaying, admittedAll int
+	}{
+		{"paying alone", 4, 6, 0, 4, 4},
+		{"free alone takes everything", 4, 0, 6, 0, 4},
+		{"free takes what paying leaves", 4, 1, 6, 1, 4},
+		{"no slots", 0, 2, 2, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := New(Options{})
+			for range test.free {
+				require.Equal(t, Queued, c.Submit(start, request("f", rules(Free, 1))).Verdict)
+			}
+			for range test.paying {
+				require.Equal(t, Queued, c.Submit(start, request("p", rules(Paying, 1))).Verdict)
+			}
+			c.SetCapacity("s", oneEntry(test.slots, false))
+			admitted := c.Next(start, "s")
+			require.Len(t, admitted, test.admittedAll)
+			paying, _ := c.Demand("s")
+			require.Equal(t, test.admittedPaying, paying.Running)
+			for _, id := range admitted {
+				c.Done(start, id, Usage{Tokens: -1})
+			}
+		})
+	}
+}
+
+// Guards against refusals without the reason and the time that callers need.
+func TestRefusals(t *testing.T) {
+	limited := func(change func(*Limits)) Rules {
+		r := rules(Paying, 1)
+		change(&r.Account)
+		return r
+	}
+	small := ServiceRules{QueueSize: 2, AccountQueueSize: 1, MaxQueue: time.Second}
+	for _, test := range []struct {
+		name    string
+		opts    Options
+		before  []Request
+		request Request
+		reason  Reason
+		retry   time.Duration
+	}{
+		{name: "rate", before: []Request{request("a", limited(func(l *Limits) { l.RequestsPerSecond = 0.5 }))},
+			request: request("a", limited(func(l *Limits) { l.RequestsPerSecond = 0.5 })), reason: RateLimited, retry: 2 * time.Second},
+		{name: "rate zero", request: request("a", limited(func(l *Limits) { l.RequestsPerSecond = 0 })), reason: RateLimited, retry: maxRetryAfter},
+		{name: "tokens", before: []Request{{Account: "a", Service: "s", Tokens: 60, Rules: limited(func(l *Limits) { l.TokensPerMinute = 60 })}},
+			request: Request{Account: "a", Service: "s", Tokens: 3, Rules: limited(func(l *Limits) { l.TokensPerMinute = 60 })}, reason: RateLimited, retry: 3 * time.Second},
+		{name: "account's queue", opts: Options{Service: small}, before: []Request{request("a", rules(Free, 1))},
+			request: request("a", rules(Free, 1)), reason: QueueFull, retry: minRetryAfter},
+		{name: "class's queue", opts: Options{Service: small}, before: []Request{request("a", rules(Free, 1)), request("b", rules(Free, 1))},
+			request: request("c", rules(Free, 1)), reason: QueueFull, retry: minRetryAfter},
+		{name: "streams", opts: Options{MaxStreams: 1}, before: []Request{request("a", rules(Paying, 1))},
+			request: request("b", rules(Paying, 1)), reason: TooManyStreams, retry: minRetryAfter},
+		{name: "deadline that cannot be met", request: Request{Account: "a", Service: "s", Rules: rules(Paying, 1),
+			Deadline: start.Add(time.Second), Expected: 2 * time.Second}, reason: DeadlineExceeded},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := New(test.opts)
+			for _, r := range test.before {
+				require.NotEqual(t, RejectedNow, c.Submit(start, r).Verdict)
+			}
+			d := c.Submit(start, test.request)
+			require.Equal(t, RejectedNow, d.Verdict)
+			require.Equal(t, test.reason, d.Reason)
+			require.Equal(t, test.retry, d.RetryAfter)
+		})
+	}
+}
+
+// Guards against paying work that is refused because free work holds the
+// entry's streams.
+func TestPayingTakesStreamOfQueuedFree(t *testing.T) {
+	c := New(Options{MaxStreams: 2})
+	c.Submit(start, request("f", rules(Free, 1)))
+	newest := c.Submit(start, request("f", rules(Free, 1)))
+	d := c.Submit(start, request("p", rules(Paying, 1)))
+	require.Equal(t, Queued, d.Verdict)
+	require.Len(t, d.Dropped, 1)
+	require.Equal(t, newest.Ticket, d.Dropped[0].Ticket)
+}
+
+// Guards against a full queue that refuses new work while it holds requests
+// whose deadline can no longer be met.
+func TestFullQueueDropsUnusableDeadlineFirst(t *testing.T) {
+	c := New(Options{Service: ServiceRules{QueueSize: 2, AccountQueueSize: 2}})
+	for _, deadline := range []time.Duration{3 * time.Second, 2 * time.Second} {
+		r := request("a", rules(Paying, 1))
+		r.ID, r.Deadline = deadline.String(), start.Add(deadline)
+		c.Submit(start, r)
+	}
+	d := c.Submit(start.Add(2500*time.Millisecond), request("a", rules(Paying, 1)))
+	require.Equal(t, Queued, d.Verdict)
+	require.Len(t, d.Dropped, 1)
+	require.Equal(t, "2s", d.Dropped[0].ID)
+	require.Equal(t, QueueTimeout, d.Dropped[0].Reason)
+}
+
+// Guards against preempting more than is needed, work near its end, or the same
+// request without bound.
+func TestPreempt(t *testing.T) {
+	c := New(Options{MaxPreemptions: 1})
+	c.SetCapacity("s", oneEntry(3, false))
+	free := request("f", rules(Free, 1))
+	free.Expected = 10 * time.Second
+	var tickets []Ticket
+	for range 3 {
+		tickets = append(tickets, c.Submit(start, free).Ticket)
+	}
+	now := start.Add(time.Second)
+	require.Empty(t, c.Preempt(now), "nothing paying waits")
+	paying := c.Submit(now, request("p", rules(Paying, 1)))
+	require.Equal(t, Queued, paying.Verdict)
+	require.Equal(t, tickets[2:], c.Preempt(now), "the latest dispatched, and only one")
+	require.Empty(t, c.Preempt(now), "one is already giving way")
+	c.Yielded(now, tickets[2])
+	require.Equal(t, []Ticket{paying.Ticket}, c.Next(now, "s"))
+	c.Done(now, paying.Ticket, Usage{Tokens: -1})
+	require.Equal(t, tickets[2:], c.Next(now, "s"), "the preempted request resumes")
+
+	c.Submit(now, request("p", rules(Paying, 1)))
+	require.Equal(t, tickets[1:2], c.Preempt(now), "a request that gave way once keeps its slot")
+	c.Submit(now, request("p", rules(Paying, 1)))
+	require.Empty(t, c.Preempt(start.Add(9800*time.Millisecond)), "the last candidate is close to its end")
+}
+
+// Guards against settings that apply only to requests submitted later.
+func TestSettingsReachQueuedRequests(t *testing.T) {
+	setup := func() (*Controller, []Ticket) {
+		c := New(Options{})
+		var tickets []Ticket
+		for range 4 {
+			tickets = append(tickets, c.Submit(start, request("a", rules(Free, 1))).Ticket)
+		}
+		return c, tickets
+	}
+	ids := func(rejected []Rejected) (out []Ticket) {
+		for _, r := range rejected {
+			out = append(out, r.Ticket)
+		}
+		return out
+	}
+	limited := func(l Limits) Rules { return Rules{Class: Free, Weight: 1, Account: l, AtService: Unlimited()} }
+
+	t.Run("class", func(t *testing.T) {
+		c, tickets := setup()
+		c.Submit(start, request("b", rules(Paying, 1)))
+		c.Update(start, "a", "s", rules(Paying, 1))
+		c.SetCapacity("s", oneEntry(2, false))
+		require.Contains(t, c.Next(start, "s"), tickets[0])
+	})
+	t.Run("concurrency", func(t *testing.T) {
+		c, tickets := setup()
+		c.Update(start, "a", "s", limited(Limits{RequestsPerSecond: -1, Concurrent: 1, TokensPerMinute: -1}))
+		c.SetCapacity("s", oneEntry(4, false))
+		require.Equal(t, tickets[:1], c.Next(start, "s"))
+		c.Done(start, tickets[0], Usage{})
+		require.Equal(t, tickets[1:2], c.Next(start, "s"))
+	})
+	t.Run("rate", func(t *testing.T) {
+		c, tickets := setup()
+		c.Update(start, "a", "s", limited(Limits{RequestsPerSecond: 2, Concurrent: -1, TokensPerMinute: -1}))
+		c.SetCapacity("s", oneEntry(4, false))
+		require.Equal(t, tickets[:2], c.Next(start, "s"))
+		require.Equal(t, start.Add(500*time.Millisecond), c.NextDeadline())
+		require.Equal(t, tickets[2:3], c.Next(c.NextDeadline(), "s"))
+	})
+	t.Run("rate zero", func(t *testing.T) {
+		c, tickets := setup()
+		require.Equal(t, tickets, ids(c.Update(start, "a", "s", limited(Limits{Concurrent: -1, TokensPerMinute: -1}))))
+	})
+	t.Run("queue size", func(t *testing.T) {
+		c, tickets := setup()
+		require.Equal(t, []Ticket{tickets[3], tickets[2]}, ids(c.SetService(start, "s", ServiceRules{QueueSize: 2, AccountQueueSize: 9})))
+	})
+	t.Run("time in queue", func(t *testing.T) {
+		c, tickets := setup()
+		c.SetService(start, "s", ServiceRules{QueueSize: 9, AccountQueueSize: 9, MaxQueue: time.Second})
+		require.Equal(t, tickets, ids(c.Expire(start.Add(time.Second))))
+	})
+	t.Run("account removed", func(t *testing.T) {
+		c, tickets := setup()
+		require.Equal(t, tickets, ids(c.RemoveAccount(start, "a")))
+		require.Zero(t, c.Open())
+	})
+}
+
+// Guards against shares of paying accounts that differ from their weights by
+// more than one request while all of them have work queued.
+func TestWeightedSharesInFluidLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(Options{Service: ServiceRules{QueueSize: 1 << 20, AccountQueueSize: 1 << 20}})
+		weights := rapid.SliceOfN(rapid.IntRange(1, 8), 2, 5).Draw(t, "weights")
+		cost := rapid.SliceOfN(rapid.IntRange(1, 20), len(weights), len(weights)).Draw(t, "cost")
+		total, served := 0, make([]float64, len(weights))
+		for i, w := range weights {
+			total += w
+			r := request(fmt.Sprint(i), rules(Paying, float64(w)))
+			r.Tokens = cost[i]
+			for range 600 {
+				c.Submit(start, r)
+			}
+		}
+		c.SetCapacity("s", oneEntry(1, false))
+		sum := 0.0
+		for range 500 {
+			next := c.Next(start, "s")
+			require.Len(t, next, 1)
+			r, _ := c.Request(next[0])
+			var i int
+			fmt.Sscan(r.Account, &i)
+			served[i] += float64(r.Tokens)
+			sum += float64(r.Tokens)
+			c.Done(start, next[0], Usage{Tokens: -1})
+		}
+		// Start-time fair queueing keeps any two backlogged accounts within one
+		// request of each in normalised service.
+		for i, w := range weights {
+			want := sum * float64(w) / float64(total)
+			tolerance := float64(cost[i])
+			for j := range weights {
+				tolerance += float64(cost[j]) * float64(w) / float64(weights[j])
+			}
+			require.InDelta(t, want, served[i], tolerance)
+		}
+	})
+}
