--- /dev/null
+++ b/internal/bench/admissionload/admissionload_test.go
@@ -0,0 +1,51 @@
+package admissionload
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func short(load float64) Options {
+	return Options{Seed: 1, Load: load, Warmup: 20 * time.Second, Duration: 20 * time.Second}
+}
+
+// Guards against results that differ between runs of one seed, and against
+// fields that JSON cannot hold.
+func TestSameSeedSameResult(t *testing.T) {
+	first, err := json.Marshal(Run(short(2)))
+	require.NoError(t, err)
+	second, err := json.Marshal(Run(short(2)))
+	require.NoError(t, err)
+	require.Equal(t, string(first), string(second))
+}
+
+// BenchmarkExperiment reports the worst of five seeds for each load. Run it
+// with -benchtime 1x: an iteration is the whole experiment.
+func BenchmarkExperiment(b *testing.B) {
+	for _, ignore := range []bool{false, true} {
+		for _, load := range []float64{0.5, 1, 2, 5} {
+			b.Run(fmt.Sprintf("fifo=%v/load=%v", ignore, load), func(b *testing.B) {
+				for range b.N {
+					worst := map[string]float64{"goodput": 1, "used": 2}
+					for seed := range int64(5) {
+						r := Run(Options{Seed: seed + 1, Load: load, IgnorePriorities: ignore, SkipBaselines: true})
+						worst["goodput"] = min(worst["goodput"], r.GoodputRatio)
+						worst["used"] = min(worst["used"], r.RemainingUsed)
+						worst["p99ratio"] = max(worst["p99ratio"], r.P99Ratio)
+						worst["wait99ms"] = max(worst["wait99ms"], float64(r.Admission.Paying.WaitP99.Milliseconds()))
+						worst["idle‰"] = max(worst["idle‰"], 1000*r.Admission.IdleWhileWaiting)
+						worst["entryidle‰"] = max(worst["entryidle‰"], 1000*r.Admission.IdleEntryWaits)
+						worst["wasted‰"] = max(worst["wasted‰"], 1000*r.Admission.WastedSeconds/r.Admission.Capacity)
+					}
+					for name, value := range worst {
+						b.ReportMetric(value, name)
+					}
+				}
+			})
+		}
+	}
+}
