Send the next request to the upstream that just finished one

Cause: with all slots in use an entry knows exactly one idle slot, the one that its own request just left; two random choices over lagging load rarely find it. Change: the request that a completion admits goes to that upstream.

--- a/internal/bench/admissionload/entry.go
+++ b/internal/bench/admissionload/entry.go
@@ -205,9 +205,11 @@
 func (e *entry) finished(j *job) {
 	e.sights[j.engine.index].change(e.m.now, -1)
 	if e.control != nil {
+		e.freed = append(e.freed, j.engine)
 		e.control.Done(e.time(), admission.Ticket(j.ticket), admission.Usage{Tokens: -1})
 		delete(e.jobs, admission.Ticket(j.ticket))
 		e.serve()
+		e.freed = e.freed[:0]
 	}
 }
 
