Choose among upstreams that seem to have an idle slot

Cause: two random choices among all upstreams often meet two full ones, and work then queues inside an upstream while slots elsewhere are idle. Change: where priorities are not honoured, the two choices are taken among upstreams whose estimated load is under their slots, if there are any.

--- a/internal/bench/admissionload/entry.go
+++ b/internal/bench/admissionload/entry.go
@@ -62,7 +62,9 @@
 	control *admission.Controller
 	node    *share.Node
 	jobs    map[admission.Ticket]*job
-	freed   []*engine // slots that preempted work has left
+	freed   []*engine // with a slot that this entry's work has just left
+	// candidates is reused between picks.
+	candidates []int
 }
 
 func newEntry(m *model, index int) *entry {
@@ -191,14 +193,30 @@
 		e.freed = e.freed[:n-1]
 		return target
 	}
-	a, b := e.rng.Intn(len(engines)), e.rng.Intn(len(engines)-1)
-	if b >= a {
-		b++
+	return engines[e.better()]
+}
+
+// better takes two random choices among the engines that seem to have an idle
+// slot, or among all when there is none. Where priorities are honoured an idle
+// slot is no advantage to paying work, and old reports of idle slots would draw
+// the paying work of all entries to the same engines.
+func (e *entry) better() int {
+	e.candidates = e.candidates[:0]
+	for i := range e.sights {
+		if !e.m.priorities && e.sights[i].estimate() < e.m.opts.Slots {
+			e.candidates = append(e.candidates, i)
+		}
+	}
+	if len(e.candidates) == 0 {
+		for i := range e.sights {
+			e.candidates = append(e.candidates, i)
+		}
 	}
+	a, b := e.candidates[e.rng.Intn(len(e.candidates))], e.candidates[e.rng.Intn(len(e.candidates))]
 	if e.sights[b].estimate() < e.sights[a].estimate() {
-		a = b
+		return b
 	}
-	return engines[a]
+	return a
 }
 
 // finished is called when the answer has arrived.
