Move requests that have not started to upstreams with an idle slot

Cause: at the critical load the number of requests equals the number of slots, and a difference of one request between upstreams leaves a slot idle while a request waits inside another upstream. Change: when a request ends and its entry has nothing queued, the entry moves its oldest request that has not started elsewhere to that upstream. Where priorities are honoured only free work is moved.

--- a/internal/bench/admissionload/entry.go
+++ b/internal/bench/admissionload/entry.go
@@ -30,7 +30,7 @@
 	by int
 }
 
-func (s *sight) change(at time.Duration, by int) {
+func (s *sight) change(at time.Duration, j *job, by int) {
 	s.own += by
 	s.delta += by
 	s.changes = append(s.changes, change{at, by})
@@ -54,15 +54,16 @@
 
 // entry receives jobs from the load balancer and dispatches them.
 type entry struct {
-	m       *model
-	index   int
-	rng     *rand.Rand
-	sights  []sight
-	next    int // round robin
-	control *admission.Controller
-	node    *share.Node
-	jobs    map[admission.Ticket]*job
-	freed   []*engine // with a slot that this entry's work has just left
+	m         *model
+	index     int
+	rng       *rand.Rand
+	sights    []sight
+	next      int // round robin
+	control   *admission.Controller
+	node      *share.Node
+	jobs      map[admission.Ticket]*job
+	freed     []*engine // with a slot that this entry's work has just left
+	unstarted []*job
 	// candidates is reused between picks.
 	candidates []int
 }
@@ -145,7 +146,7 @@
 			j.evictions++
 			from.fill()
 			e.m.after(e.m.opts.Latency, func() {
-				e.sights[from.index].change(e.m.now, -1)
+				e.sights[from.index].change(e.m.now, j, -1)
 				if j.state != atEntry {
 					return
 				}
@@ -159,8 +160,14 @@
 }
 
 func (e *entry) dispatch(j *job) {
-	target := e.pick()
-	e.sights[target.index].change(e.m.now, 1)
+	e.sendTo(j, e.pick(j))
+}
+
+func (e *entry) sendTo(j *job, target *engine) {
+	if e.m.policy == Admission && j.first < 0 {
+		e.unstarted = append(e.unstarted, j)
+	}
+	e.sights[target.index].change(e.m.now, j, 1)
 	e.m.setState(j, inTransit)
 	j.engine = target
 	e.m.after(e.m.opts.Latency, func() {
@@ -170,7 +177,7 @@
 	})
 }
 
-func (e *entry) pick() *engine {
+func (e *entry) pick(j *job) *engine {
 	engines := e.m.engines
 	switch e.m.policy {
 	case Random:
@@ -193,14 +200,14 @@
 		e.freed = e.freed[:n-1]
 		return target
 	}
-	return engines[e.better()]
+	return engines[e.better(j)]
 }
 
 // better takes two random choices among the engines that seem to have an idle
 // slot, or among all when there is none. Where priorities are honoured an idle
 // slot is no advantage to paying work, and old reports of idle slots would draw
 // the paying work of all entries to the same engines.
-func (e *entry) better() int {
+func (e *entry) better(j *job) int {
 	e.candidates = e.candidates[:0]
 	for i := range e.sights {
 		if !e.m.priorities && e.sights[i].estimate() < e.m.opts.Slots {
@@ -213,7 +220,8 @@
 		}
 	}
 	a, b := e.candidates[e.rng.Intn(len(e.candidates))], e.candidates[e.rng.Intn(len(e.candidates))]
-	if e.sights[b].estimate() < e.sights[a].estimate() {
+	x, y := &e.sights[a], &e.sights[b]
+	if y.estimate() < x.estimate() {
 		return b
 	}
 	return a
@@ -221,20 +229,53 @@
 
 // finished is called when the answer has arrived.
 func (e *entry) finished(j *job) {
-	e.sights[j.engine.index].change(e.m.now, -1)
+	e.sights[j.engine.index].change(e.m.now, j, -1)
 	if e.control != nil {
 		e.freed = append(e.freed, j.engine)
 		e.control.Done(e.time(), admission.Ticket(j.ticket), admission.Usage{Tokens: -1})
 		delete(e.jobs, admission.Ticket(j.ticket))
 		e.serve()
+		for _, idle := range e.freed {
+			e.move(idle)
+		}
 		e.freed = e.freed[:0]
 	}
 }
 
+// move takes a request of this entry that has not started on its engine to an
+// engine that has just lost one, when the entry has nothing queued for it.
+func (e *entry) move(to *engine) {
+	rest := e.unstarted[:0]
+	var moved *job
+	for _, j := range e.unstarted {
+		switch {
+		case j.first >= 0 || j.state == ended:
+			continue
+		case moved == nil && j.state == atEngineQueued && j.engine != to && (j.free || !e.m.priorities):
+			moved = j
+			continue
+		}
+		rest = append(rest, j)
+	}
+	e.unstarted = rest
+	if moved == nil {
+		return
+	}
+	from := moved.engine
+	e.m.after(e.m.opts.Latency, func() {
+		if moved.state != atEngineQueued || moved.engine != from {
+			return
+		}
+		from.cancel(moved)
+		e.sights[from.index].change(e.m.now, moved, -1)
+		e.sendTo(moved, to)
+	})
+}
+
 // abandoned is called when a caller stops waiting.
 func (e *entry) abandoned(j *job) {
 	if j.engine != nil {
-		e.sights[j.engine.index].change(e.m.now, -1)
+		e.sights[j.engine.index].change(e.m.now, j, -1)
 	}
 	if e.control != nil {
 		e.control.Cancel(e.time(), admission.Ticket(j.ticket))
