Place paying work by paying requests in flight

Cause: once queued free work is moved away, the total load no longer shows which upstreams are full of paying work. Change: where priorities are honoured, the two choices for a paying request compare the entry's own paying requests in flight, then the estimated load.

--- a/internal/bench/admissionload/entry.go
+++ b/internal/bench/admissionload/entry.go
@@ -18,11 +18,13 @@
 
 // sight is what an entry knows of one engine.
 type sight struct {
-	load    int // as last reported
-	own     int // this entry's jobs on the engine
-	sampled time.Duration
-	changes []change // of own since the sample
-	delta   int      // sum of changes
+	load int // as last reported
+	own  int // this entry's jobs on the engine
+	// ownPaying counts the paying ones among them.
+	ownPaying int
+	sampled   time.Duration
+	changes   []change // of own since the sample
+	delta     int      // sum of changes
 }
 
 type change struct {
@@ -32,6 +34,9 @@
 
 func (s *sight) change(at time.Duration, j *job, by int) {
 	s.own += by
+	if !j.free {
+		s.ownPaying += by
+	}
 	s.delta += by
 	s.changes = append(s.changes, change{at, by})
 }
@@ -221,6 +226,13 @@
 	}
 	a, b := e.candidates[e.rng.Intn(len(e.candidates))], e.candidates[e.rng.Intn(len(e.candidates))]
 	x, y := &e.sights[a], &e.sights[b]
+	if e.m.priorities && !j.free && x.ownPaying != y.ownPaying {
+		// Free work on an engine is not in the way of paying work.
+		if y.ownPaying < x.ownPaying {
+			return b
+		}
+		return a
+	}
 	if y.estimate() < x.estimate() {
 		return b
 	}
