--- /dev/null
+++ b/quarantine/commands.go
@@ -0,0 +1,235 @@
+package quarantine
+
+import (
+	"sort"
+	"time"
+)
+
+// New returns a book of an entry that knows no other entries.
+func New(cfg Config) *Book {
+	d := DefaultConfig()
+	setDefault(&cfg.Quarantine, d.Quarantine)
+	setDefault(&cfg.Settle, d.Settle)
+	setDefault(&cfg.Linger, d.Linger)
+	setDefault(&cfg.Resend, d.Resend)
+	setDefault(&cfg.Proven, d.Proven)
+	setDefault(&cfg.MaxCrashes, d.MaxCrashes)
+	setDefault(&cfg.MaxDigests, d.MaxDigests)
+	setDefault(&cfg.MaxVerdicts, d.MaxVerdicts)
+	setDefault(&cfg.MaxProven, d.MaxProven)
+	return &Book{
+		cfg: cfg, entries: []string{cfg.Self}, owned: map[string][]string{},
+		crashes: map[Target]*crash{}, suspects: map[Digest][]*crash{},
+		verdicts: map[Digest]time.Time{}, fresh: map[Digest]time.Time{},
+		runs: map[uint64]*run{}, placed: map[Digest][]*run{}, byTarget: map[string][]*run{},
+		proven: map[Digest]time.Time{},
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// SetEntries replaces the list of the entries that are reachable. Reports of
+// other entries are not waited for. Ownership of upstreams changes with it, so
+// SetUpstreams must follow for each service.
+func (b *Book) SetEntries(now time.Time, entries []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := append([]string{b.cfg.Self}, entries...)
+	sort.Strings(all)
+	b.entries = all[:0]
+	for i, e := range all {
+		if i == 0 || e != all[i-1] {
+			b.entries = append(b.entries, e)
+		}
+	}
+	for _, c := range b.order {
+		b.decide(now, c)
+	}
+}
+
+// SetUpstreams replaces the list of the upstreams of a service. An empty list
+// forgets the service.
+func (b *Book) SetUpstreams(service string, ids []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var owned []string
+	for _, id := range ids {
+		if owner(id, b.entries) == b.cfg.Self {
+			owned = append(owned, id)
+		}
+	}
+	sort.Strings(owned)
+	delete(b.owned, service)
+	if len(ids) > 0 {
+		b.owned[service] = owned
+	}
+}
+
+// Start registers a run on the upstream that was picked under a ruling of
+// Admit. Where the ruling has changed since, or the upstream does not comply
+// with it, Start registers nothing and reports false with the present ruling.
+func (b *Book) Start(now time.Time, service string, id uint64, d Digest, t Target) (Ruling, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ruling := b.rule(now, d)
+	switch {
+	case ruling.Action == Wait || ruling.Action == Refuse:
+		return ruling, false
+	case ruling.Pin != "" && ruling.Pin != t.Upstream:
+		return ruling, false
+	case ruling.Action == Isolate && ruling.Pin == "" && !b.mayIsolate(now, service, d, t.Upstream):
+		return ruling, false
+	}
+	r := &run{id: id, digest: d, target: t}
+	b.runs[id] = r
+	b.placed[d] = append(b.placed[d], r)
+	b.byTarget[t.Upstream] = append(b.byTarget[t.Upstream], r)
+	return ruling, true
+}
+
+// Finish ends a run. A completed request is cleared of all crashes known so
+// far.
+func (b *Book) Finish(now time.Time, id uint64, ending Ending) []Message {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.runs[id]
+	if r == nil {
+		return nil // taken by the report of a crash
+	}
+	delete(b.runs, id)
+	if ending == Cancelled || ending == Broken {
+		r.ended = now
+		if ending == Broken {
+			b.unplace(r)
+		}
+		return nil
+	}
+	b.unplace(r)
+	b.removeFromTarget(r)
+	if ending != Completed {
+		return nil
+	}
+	b.prove(now, r.digest)
+	return b.clear(now, r.digest)
+}
+
+// Crashed reports the crash of a target that this entry observed: its
+// connections were reset and it is gone or runs as a newer incarnation. All
+// requests in flight there become suspects. It must be called before any of
+// them is sent again. The message goes to all entries.
+func (b *Book) Crashed(now time.Time, t Target) []Message {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.crash(now, t)
+	b.reportOwn(now, c)
+	for _, r := range append([]*run(nil), b.byTarget[t.Upstream]...) {
+		if r.target != t {
+			continue
+		}
+		delete(b.runs, r.id)
+		b.unplace(r)
+		b.removeFromTarget(r)
+	}
+	b.decide(now, c)
+	return b.sendCrashes(now, []*crash{c})
+}
+
+// Merge takes in a message of another entry. The result goes to all entries.
+func (b *Book) Merge(now time.Time, m Message) []Message {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if m.From == b.cfg.Self {
+		return nil
+	}
+	var answer []*crash
+	for i := range m.Evidence {
+		e := &m.Evidence[i]
+		known := b.crashes[e.Target] != nil
+		c := b.crash(now, e.Target)
+		b.addReport(c, m.From, e.Digests, e.Truncated)
+		for _, d := range e.Cleared {
+			b.addCleared(c, d)
+		}
+		c.sums[m.From] = e.Sum
+		c.elsewhere[m.From] = e.Elsewhere
+		if c.reports[b.cfg.Self] == nil {
+			b.reportOwn(now, c)
+		}
+		b.decide(now, c)
+		if !known {
+			answer = append(answer, c)
+		}
+	}
+	for _, v := range m.Verdicts {
+		b.condemn(now, v)
+	}
+	return b.sendCrashes(now, answer)
+}
+
+// Tick forgets what is old and returns what other entries may lack. It is
+// meant to be called every 50 ms while Busy reports true and every second
+// otherwise.
+func (b *Book) Tick(now time.Time) []Message {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire(now)
+	var due []*crash
+	for _, c := range b.order {
+		changed := c.sum != c.sentSum
+		if changed || (!b.agreed(c) && now.Sub(c.sent) >= b.cfg.Resend && now.Sub(c.known) < b.cfg.Quarantine/2) {
+			due = append(due, c)
+		}
+	}
+	messages := b.sendCrashes(now, due)
+	return append(messages, b.resendVerdicts(now)...)
+}
+
+func (b *Book) resendVerdicts(now time.Time) []Message {
+	if len(b.fresh) == 0 {
+		return nil
+	}
+	m := Message{From: b.cfg.Self}
+	for d, end := range b.fresh {
+		m.Verdicts = append(m.Verdicts, Verdict{d, b.verdicts[d]})
+		if !now.Before(end) {
+			delete(b.fresh, d)
+		}
+	}
+	sortVerdicts(m.Verdicts)
+	return []Message{m}
+}
+
+// expire forgets old crashes, verdicts, lingering runs and completions.
+func (b *Book) expire(now time.Time) {
+	for len(b.order) > 0 && now.Sub(b.order[0].known) >= b.cfg.Quarantine {
+		b.forget(b.order[0])
+	}
+	for d, until := range b.verdicts {
+		if !now.Before(until) {
+			delete(b.verdicts, d)
+			delete(b.fresh, d)
+		}
+	}
+	for _, rs := range b.byTarget {
+		for _, r := range append([]*run(nil), rs...) {
+			if !r.ended.IsZero() && now.Sub(r.ended) >= b.cfg.Linger {
+				b.unplace(r)
+				b.removeFromTarget(r)
+			}
+		}
+	}
+	for len(b.provenLog) > 0 {
+		d := b.provenLog[0]
+		if at, ok := b.proven[d]; ok && now.Sub(at) < b.cfg.Proven && len(b.provenLog) <= b.cfg.MaxProven {
+			break
+		} else if ok && now.Sub(at) >= b.cfg.Proven || len(b.provenLog) > b.cfg.MaxProven {
+			delete(b.proven, d)
+		}
+		b.provenLog = b.provenLog[1:]
+	}
+}
--- /dev/null
+++ b/quarantine/queries.go
@@ -0,0 +1,133 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Admit rules on a request before an upstream is picked for it.
+func (b *Book) Admit(now time.Time, d Digest) Ruling {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rule(now, d)
+}
+
+func (b *Book) rule(now time.Time, d Digest) Ruling {
+	if until, ok := b.verdicts[d]; ok && now.Before(until) {
+		return Ruling{Action: Refuse, Until: until}
+	}
+	ruling := Ruling{Action: Run}
+	for _, c := range b.suspects[d] {
+		ruling.Action = Isolate
+		if until := c.known.Add(b.cfg.Settle); now.Before(until) && !b.agreed(c) {
+			return Ruling{Action: Wait, Until: until}
+		}
+	}
+	if at, ok := b.proven[d]; ok && now.Sub(at) < b.cfg.Proven {
+		return ruling
+	}
+	if placed := b.placed[d]; len(placed) > 0 {
+		ruling.Pin = placed[0].target.Upstream
+	}
+	return ruling
+}
+
+// Isolation returns the function that says on which upstreams of a service a
+// suspect may run now. It is meant for the routing filter; Start checks again.
+func (b *Book) Isolation(now time.Time, service string, d Digest) func(upstream string) bool {
+	return func(upstream string) bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.mayIsolate(now, service, d, upstream)
+	}
+}
+
+// mayIsolate says whether a suspect may run on an upstream: this entry owns the
+// upstream, runs no other suspect there, and no other entry is known to run
+// another suspect of the same crash there. An entry that owns no upstream of
+// the service may use any of them, since a suspect must run somewhere; another
+// entry's suspect can then be on the same upstream, and a crash there proves
+// nothing.
+func (b *Book) mayIsolate(now time.Time, service string, d Digest, upstream string) bool {
+	owned := b.owned[service]
+	if _, mine := slices.BinarySearch(owned, upstream); !mine && len(owned) > 0 {
+		return false
+	}
+	for _, r := range b.byTarget[upstream] {
+		lingers := !r.ended.IsZero() && now.Sub(r.ended) >= b.cfg.Linger
+		if r.digest != d && !lingers && len(b.suspects[r.digest]) > 0 {
+			return false
+		}
+	}
+	for _, c := range b.suspects[d] {
+		for _, ids := range c.elsewhere {
+			if slices.Contains(ids, upstream) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Busy says that messages are due soon, so that Tick should be called every
+// 50 ms.
+func (b *Book) Busy() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.order {
+		if c.sum != c.sentSum || !b.agreed(c) {
+			return true
+		}
+	}
+	return len(b.fresh) > 0
+}
+
+// Snapshot returns a message with all that this entry knows at first hand, for
+// an entry that has just started or become reachable.
+func (b *Book) Snapshot(now time.Time) Message {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := Message{From: b.cfg.Self}
+	if sent := b.sendCrashes(now, b.order); len(sent) > 0 {
+		m = sent[0]
+	}
+	m.Verdicts = b.sortedVerdicts()
+	return m
+}
+
+// Verdicts lists the quarantined requests in the order of their digests.
+func (b *Book) Verdicts(now time.Time) []Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.DeleteFunc(b.sortedVerdicts(), func(v Verdict) bool { return !now.Before(v.Until) })
+}
+
+func (b *Book) sortedVerdicts() []Verdict {
+	all := make([]Verdict, 0, len(b.verdicts))
+	for d, until := range b.verdicts {
+		all = append(all, Verdict{d, until})
+	}
+	sortVerdicts(all)
+	return all
+}
+
+// Suspect says whether a request is accused by a crash, and by how many.
+func (b *Book) Suspect(d Digest) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.suspects[d])
+}
+
+// owner returns the entry from which an upstream takes suspects: the one with
+// the highest hash (rendezvous hashing).
+func owner(upstream string, entries []string) string {
+	best, highest := "", uint64(0)
+	for _, e := range entries {
+		if h := xxhash.Sum64String(e + "\x00" + upstream); best == "" || h > highest {
+			best, highest = e, h
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/routing/filter_exclusion.go
@@ -0,0 +1,17 @@
+package routing
+
+// exclusionFilter keeps a request off the upstreams of its earlier attempts.
+type exclusionFilter struct{}
+
+// Name returns "excluded".
+func (exclusionFilter) Name() string { return "excluded" }
+
+// Admit implements Filter.
+func (exclusionFilter) Admit(q *Query, u *Upstream) bool {
+	for _, id := range q.Excluded {
+		if id == u.ID {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/routing/filter_isolation.go
@@ -0,0 +1,13 @@
+package routing
+
+// isolationFilter keeps a suspect of quarantine off upstreams that run another
+// suspect. It admits every upstream for other requests.
+type isolationFilter struct{}
+
+// Name returns "isolation".
+func (isolationFilter) Name() string { return "isolation" }
+
+// Admit implements Filter.
+func (isolationFilter) Admit(q *Query, u *Upstream) bool {
+	return q.Isolate == nil || q.Isolate(u.ID)
+}
--- /dev/null
+++ b/routing/filter_model.go
@@ -0,0 +1,23 @@
+package routing
+
+// modelFilter admits engines that have the requested model and version loaded, and
+// the adapter where it is required. Empty fields of the request match all.
+type modelFilter struct{}
+
+// Name returns "model".
+func (modelFilter) Name() string { return "model" }
+
+// Admit implements Filter.
+func (modelFilter) Admit(q *Query, u *Upstream) bool {
+	if q.Model == "" && q.Version == "" && (q.Adapter == "" || !q.AdapterRequired) {
+		return true
+	}
+	for i := range u.Models {
+		m := &u.Models[i]
+		if (q.Model == "" || q.Model == m.Name) && (q.Version == "" || q.Version == m.Version) &&
+			(!q.AdapterRequired || q.Adapter == m.Adapter) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/routing/score_adapter.go
@@ -0,0 +1,24 @@
+package routing
+
+// adapterScore charges AdapterLoad seconds where the requested adapter is not
+// loaded.
+type adapterScore struct{}
+
+// Name returns "adapter".
+func (adapterScore) Name() string { return "adapter" }
+
+// Weight implements Score.
+func (adapterScore) Weight(w *Weights) float64 { return w.Adapter }
+
+// Seconds implements Score.
+func (adapterScore) Seconds(q *Query, u *Upstream) float64 {
+	if q.Adapter == "" {
+		return 0
+	}
+	for i := range u.Models {
+		if u.Models[i].Adapter == q.Adapter && (q.Model == "" || u.Models[i].Name == q.Model) {
+			return 0
+		}
+	}
+	return q.cfg.Costs.AdapterLoad
+}
