quarantine: condemn only for isolated runs, test with a model of seven entries

Cause: a request that had ended shortly before a crash counted as in flight, so that an innocent one could be quarantined; and an entry that agreed stopped sending although another one had not received its last message. Change: evidence says how a request was in flight; a verdict needs one isolated run; entries that lack agreement ask for it.

--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -85,7 +85,10 @@
 	case ruling.Action == Isolate && ruling.Pin == "" && !b.mayIsolate(now, service, d, t.Upstream):
 		return ruling, false
 	}
-	r := &run{id: id, digest: d, target: t}
+	r := &run{id: id, digest: d, target: t, isolated: ruling.Action == Isolate}
+	if ruling.Pin != "" {
+		r.isolated = b.placed[d][0].isolated
+	}
 	b.runs[id] = r
 	b.placed[d] = append(b.placed[d], r)
 	b.byTarget[t.Upstream] = append(b.byTarget[t.Upstream], r)
@@ -151,11 +154,15 @@
 		e := &m.Evidence[i]
 		known := b.crashes[e.Target] != nil
 		c := b.crash(now, e.Target)
-		b.addReport(c, m.From, e.Digests, e.Truncated)
+		b.addReport(c, m.From, e.Truncated)
+		for _, a := range e.Requests {
+			b.accuse(c, m.From, a)
+		}
 		for _, d := range e.Cleared {
 			b.addCleared(c, d)
 		}
 		c.sums[m.From] = e.Sum
+		c.asked = c.asked || e.Open
 		c.elsewhere[m.From] = e.Elsewhere
 		if c.reports[b.cfg.Self] == nil {
 			b.reportOwn(now, c)
@@ -180,8 +187,8 @@
 	b.expire(now)
 	var due []*crash
 	for _, c := range b.order {
-		changed := c.sum != c.sentSum
-		if changed || (!b.agreed(c) && now.Sub(c.sent) >= b.cfg.Resend && now.Sub(c.known) < b.cfg.Quarantine/2) {
+		again := (c.asked || !b.agreed(c)) && now.Sub(c.sent) >= b.cfg.Resend && now.Sub(c.known) < b.cfg.Quarantine/2
+		if again || c.sum != c.sentSum {
 			due = append(due, c)
 		}
 	}
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,21 +37,19 @@
 
 // reportOwn adds what this entry has in flight at the target to its report.
 func (b *Book) reportOwn(now time.Time, c *crash) {
-	var digests []Digest
+	b.addReport(c, b.cfg.Self, false)
 	for _, r := range b.byTarget[c.target.Upstream] {
 		if r.target == c.target && (r.ended.IsZero() || now.Sub(r.ended) < b.cfg.Linger) {
-			digests = append(digests, r.digest)
+			b.accuse(c, b.cfg.Self, Accused{r.digest, r.presence()})
 		}
 	}
-	b.addReport(c, b.cfg.Self, digests, false)
 }
 
-// addReport merges a report of an entry: the union of all that the entry has
-// said.
-func (b *Book) addReport(c *crash, from string, digests []Digest, truncated bool) {
+// addReport notes that an entry has reported on a crash.
+func (b *Book) addReport(c *crash, from string, truncated bool) {
 	r := c.reports[from]
 	if r == nil {
-		r = &report{digests: map[Digest]bool{}}
+		r = &report{digests: map[Digest]Presence{}}
 		c.reports[from] = r
 		c.sum ^= fact(from, "report", Digest{})
 	}
@@ -60,26 +57,41 @@
 		r.truncated = true
 		c.sum ^= fact(from, "truncated", Digest{})
 	}
-	for _, d := range digests {
-		if r.digests[d] {
-			continue
-		}
-		if len(r.digests) >= MaxReport {
-			b.addReport(c, from, nil, true)
-			return
-		}
-		r.digests[d] = true
+}
+
+// accuse adds a request to an entry's report, which is the union of all that
+// the entry has said.
+func (b *Book) accuse(c *crash, from string, a Accused) {
+	r, d := c.reports[from], a.Digest
+	before, known := r.digests[d]
+	if !known && len(r.digests) >= MaxReport {
+		b.addReport(c, from, true)
+		return
+	}
+	if !known {
 		b.digests++
-		c.sum ^= fact(from, "in flight", d)
-		if !c.cleared[d] {
-			b.suspect(d, c)
-		}
+	}
+	if a.Presence > before {
+		c.sum ^= presenceFact(from, d, before) ^ presenceFact(from, d, a.Presence)
+		r.digests[d] = a.Presence
+	}
+	if !c.cleared[d] {
+		b.suspect(d, c)
 	}
 	for b.digests > b.cfg.MaxDigests && b.order[0] != c {
 		b.forget(b.order[0])
 	}
 }
 
+// presenceFact is the fact that an entry reported a request with a presence, 0
+// for no report.
+func presenceFact(from string, d Digest, p Presence) uint64 {
+	if p == 0 {
+		return 0
+	}
+	return fact(from, string('0'+rune(p)), d)
+}
+
 func (b *Book) addCleared(c *crash, d Digest) {
 	if c.cleared[d] || len(c.cleared) >= MaxReport {
 		return
@@ -129,19 +141,21 @@
 	return b.sendCrashes(now, accused)
 }
 
-// decide condemns the suspects of a crash that alone explain it and another
-// one. Both need the reports of all entries, since a missing one could name
+// decide condemns the suspects of a crash that are the only ones that it has in
+// common with another one, if they ran apart from other suspects at one of the
+// two. Without that condition, a rack that fails would condemn requests that
+// ran on several of its upstreams at once. Both need the reports of all entries, since a missing one could name
 // another suspect that the crashes have in common.
 func (b *Book) decide(now time.Time, c *crash) {
 	if !b.gathered(c) {
 		return
 	}
 	for _, d := range c.accused() {
-		if _, done := b.verdicts[d]; done {
+		if _, done := b.verdicts[d]; done || c.presence(d) < InFlight {
 			continue
 		}
 		for _, other := range b.suspects[d] {
-			if other != c && b.gathered(other) && onlyCommon(c, other, d) {
+			if other != c && convicts(c.presence(d), other.presence(d)) && b.gathered(other) && onlyCommon(c, other, d) {
 				until := now.Add(b.cfg.Quarantine)
 				b.condemn(now, Verdict{d, until})
 				b.fresh[d] = now.Add(b.cfg.Settle)
@@ -170,68 +184,6 @@
 	b.verdicts[v.Digest] = v.Until
 }
 
-// gathered says that all reachable entries have reported on a crash.
-func (b *Book) gathered(c *crash) bool {
-	for _, e := range b.entries {
-		if r := c.reports[e]; r == nil || r.truncated {
-			return false
-		}
-	}
-	return true
-}
-
-// agreed says that all reachable entries know all that this one knows of a
-// crash.
-func (b *Book) agreed(c *crash) bool {
-	if !b.gathered(c) {
-		return false
-	}
-	for _, e := range b.entries {
-		if e != b.cfg.Self && c.sums[e] != c.sum {
-			return false
-		}
-	}
-	return true
-}
-
-// accused returns the requests in flight that are not cleared, in order.
-func (c *crash) accused() []Digest {
-	var all []Digest
-	for _, r := range c.reports {
-		for d := range r.digests {
-			if !c.cleared[d] {
-				all = append(all, d)
-			}
-		}
-	}
-	sortDigests(all)
-	return slices.Compact(all)
-}
-
-func (c *crash) accuses(d Digest) bool {
-	if c.cleared[d] {
-		return false
-	}
-	for _, r := range c.reports {
-		if r.digests[d] {
-			return true
-		}
-	}
-	return false
-}
-
-// onlyCommon says that d is the only request that both crashes accuse.
-func onlyCommon(a, b *crash, d Digest) bool {
-	for _, r := range a.reports {
-		for other := range r.digests {
-			if other != d && !a.cleared[other] && b.accuses(other) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // sendCrashes returns one message with this entry's evidence of crashes.
 func (b *Book) sendCrashes(now time.Time, crashes []*crash) []Message {
 	if len(crashes) == 0 {
@@ -239,49 +191,20 @@
 	}
 	m := Message{From: b.cfg.Self}
 	for _, c := range crashes {
-		e := Evidence{Target: c.target, Sum: c.sum, Elsewhere: b.elsewhere(c)}
+		e := Evidence{Target: c.target, Sum: c.sum, Elsewhere: b.elsewhere(c), Open: !b.agreed(c)}
 		if own := c.reports[b.cfg.Self]; own != nil {
-			e.Digests, e.Truncated = sortedDigests(own.digests), own.truncated
+			for _, d := range sortedDigests(own.digests) {
+				e.Requests = append(e.Requests, Accused{d, own.digests[d]})
+			}
+			e.Truncated = own.truncated
 		}
 		e.Cleared = sortedDigests(c.cleared)
 		m.Evidence = append(m.Evidence, e)
-		c.sent, c.sentSum = now, c.sum
+		c.sent, c.sentSum, c.asked = now, c.sum, false
 	}
 	return []Message{m}
 }
 
-// elsewhere lists the upstreams on which this entry runs suspects of a crash.
-func (b *Book) elsewhere(c *crash) []string {
-	var ids []string
-	for id, rs := range b.byTarget {
-		for _, r := range rs {
-			if r.target != c.target && c.accuses(r.digest) {
-				ids = append(ids, id)
-				break
-			}
-		}
-	}
-	sort.Strings(ids)
-	return ids
-}
-
-func sortedDigests(set map[Digest]bool) []Digest {
-	all := make([]Digest, 0, len(set))
-	for d := range set {
-		all = append(all, d)
-	}
-	sortDigests(all)
-	return all
-}
-
-func sortDigests(all []Digest) {
-	slices.SortFunc(all, func(a, b Digest) int { return slices.Compare(a[:], b[:]) })
-}
-
-func sortVerdicts(all []Verdict) {
-	slices.SortFunc(all, func(a, b Verdict) int { return slices.Compare(a.Digest[:], b.Digest[:]) })
-}
-
 func (b *Book) prove(now time.Time, d Digest) {
 	if _, known := b.proven[d]; !known {
 		b.provenLog = append(b.provenLog, d)
--- /dev/null
+++ b/quarantine/model_test.go
@@ -0,0 +1,283 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// model drives books of several entries against upstreams that crash on some
+// requests, with messages that are lost, late, repeated and reordered.
+type model struct {
+	now       time.Time
+	random    *rand.Rand
+	names     []string
+	books     []*Book
+	upstreams []*modelUpstream
+	culprits  map[Digest]bool
+	requests  []*modelRequest
+	messages  []modelMessage
+	seen      []modelNotice // crashes that entries are about to notice
+	down      map[[2]int]time.Time
+	next      uint64
+
+	crashes   []modelCrash
+	completed map[Digest]bool
+	refused   map[Digest]int
+	waiting   int
+}
+
+type modelUpstream struct {
+	id          string
+	incarnation uint64
+	backAt      time.Time // zero while it runs
+	running     []*modelRequest
+}
+
+type modelRequest struct {
+	entry    int
+	digest   Digest
+	run      uint64
+	target   Target
+	ends     time.Time // zero before it runs
+	cancelAt time.Time
+	done     bool
+}
+
+type modelMessage struct {
+	to  int
+	at  time.Time
+	msg Message
+}
+
+type modelNotice struct {
+	entry  int
+	at     time.Time
+	target Target
+}
+
+// modelCrash is a crash with what was truly in flight.
+type modelCrash struct {
+	at      time.Time
+	cause   Digest
+	digests map[Digest]bool
+}
+
+const (
+	modelTick = 50 * time.Millisecond
+	// maxDown, the resend time, a tick for each and maxDelay add up to less
+	// than MaxOneWayDelay.
+	maxDown    = 700 * time.Millisecond
+	minUp      = 400 * time.Millisecond
+	maxDelay   = 900 * time.Millisecond
+	modelTask  = "plain"
+	maxCrashIn = time.Second
+)
+
+func newModel(seed uint64, entries, upstreams int) *model {
+	m := &model{
+		now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), culprits: map[Digest]bool{},
+		down: map[[2]int]time.Time{}, completed: map[Digest]bool{}, refused: map[Digest]int{},
+	}
+	var ids []string
+	for i := range upstreams {
+		u := &modelUpstream{id: fmt.Sprintf("u%02d", i), incarnation: 1}
+		m.upstreams, ids = append(m.upstreams, u), append(ids, u.id)
+	}
+	for i := range entries {
+		m.names = append(m.names, fmt.Sprintf("e%d", i))
+	}
+	for i := range entries {
+		b := New(Config{Self: m.names[i]})
+		b.SetEntries(m.now, m.names)
+		b.SetUpstreams(modelTask, ids)
+		m.books = append(m.books, b)
+	}
+	return m
+}
+
+func (m *model) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(m.random.Int64N(int64(high-low)+1))
+}
+
+func (m *model) send(entry int, d Digest, cancelled bool) {
+	r := &modelRequest{entry: entry, digest: d}
+	if cancelled {
+		r.cancelAt = m.now.Add(m.between(0, time.Second))
+	}
+	m.requests = append(m.requests, r)
+}
+
+// broadcast sends messages to all other entries over links that are down for a
+// part of the time.
+func (m *model) broadcast(from int, msgs []Message) {
+	for _, msg := range msgs {
+		for to := range m.books {
+			if to == from {
+				continue
+			}
+			link := [2]int{from, to}
+			if m.down[link].IsZero() || !m.now.Before(m.down[link].Add(maxDown+minUp)) {
+				m.down[link] = m.now.Add(-m.between(0, maxDown))
+			}
+			if m.now.Before(m.down[link].Add(maxDown)) {
+				continue
+			}
+			for range 1 + m.random.IntN(2) {
+				m.messages = append(m.messages, modelMessage{to, m.now.Add(m.between(0, maxDelay)), msg})
+			}
+		}
+	}
+}
+
+func (m *model) step() {
+	m.now = m.now.Add(modelTick)
+	m.runUpstreams()
+	m.seen = slices.DeleteFunc(m.seen, func(n modelNotice) bool {
+		if m.now.Before(n.at) {
+			return false
+		}
+		m.broadcast(n.entry, m.books[n.entry].Crashed(m.now, n.target))
+		return true
+	})
+	var due []modelMessage
+	m.messages = slices.DeleteFunc(m.messages, func(mm modelMessage) bool {
+		if m.now.Before(mm.at) {
+			return false
+		}
+		due = append(due, mm)
+		return true
+	})
+	m.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, mm := range due {
+		m.broadcast(mm.to, m.books[mm.to].Merge(m.now, mm.msg))
+	}
+	for i, b := range m.books {
+		m.broadcast(i, b.Tick(m.now))
+	}
+	m.dispatch()
+}
+
+// runUpstreams ends the requests whose time has come.
+func (m *model) runUpstreams() {
+	for _, u := range m.upstreams {
+		if !u.backAt.IsZero() && !m.now.Before(u.backAt) {
+			u.backAt = time.Time{}
+			u.incarnation++
+		}
+		for _, r := range slices.Clone(u.running) {
+			switch {
+			case !u.backAt.IsZero():
+			case !r.done && !r.cancelAt.IsZero() && !m.now.Before(r.cancelAt):
+				r.done = true
+				m.broadcast(r.entry, m.books[r.entry].Finish(m.now, r.run, Cancelled))
+			case m.now.Before(r.ends):
+			case m.culprits[r.digest]:
+				m.crash(u, r.digest)
+			default:
+				u.running = slices.DeleteFunc(u.running, func(o *modelRequest) bool { return o == r })
+				if !r.done {
+					m.completed[r.digest] = true
+					m.broadcast(r.entry, m.books[r.entry].Finish(m.now, r.run, Completed))
+				}
+				r.done = true
+			}
+		}
+	}
+}
+
+func (m *model) crash(u *modelUpstream, cause Digest) {
+	c := modelCrash{at: m.now, cause: cause, digests: map[Digest]bool{}}
+	entries := map[int]bool{}
+	for _, r := range u.running {
+		c.digests[r.digest] = true
+		if !r.done {
+			entries[r.entry] = true
+			if !m.culprits[r.digest] || m.random.IntN(2) == 0 {
+				m.send(r.entry, r.digest, false) // the entry tries again
+			}
+		}
+		r.done = true
+	}
+	m.crashes = append(m.crashes, c)
+	target := Target{u.id, u.incarnation}
+	for e := range m.books {
+		if entries[e] {
+			// The entry notices before it tries again.
+			m.broadcast(e, m.books[e].Crashed(m.now, target))
+		} else if m.random.IntN(3) == 0 {
+			m.seen = append(m.seen, modelNotice{e, m.now.Add(m.between(0, 300*time.Millisecond)), target})
+		}
+	}
+	u.running, u.backAt = nil, m.now.Add(m.between(200*time.Millisecond, 2*time.Second))
+}
+
+// dispatch starts the requests that may start now.
+func (m *model) dispatch() {
+	m.waiting = 0
+	m.requests = slices.DeleteFunc(m.requests, func(r *modelRequest) bool {
+		b := m.books[r.entry]
+		ruling := b.Admit(m.now, r.digest)
+		if ruling.Action == Refuse {
+			m.refused[r.digest]++
+			return true
+		}
+		m.waiting++
+		if ruling.Action == Wait {
+			return false
+		}
+		isolated := b.Isolation(m.now, modelTask, r.digest)
+		for _, i := range m.random.Perm(len(m.upstreams)) {
+			u := m.upstreams[i]
+			if !u.backAt.IsZero() || (ruling.Pin != "" && ruling.Pin != u.id) ||
+				(ruling.Pin == "" && ruling.Action == Isolate && !isolated(u.id)) {
+				continue
+			}
+			m.next++
+			r.run, r.target = m.next, Target{u.id, u.incarnation}
+			if _, ok := b.Start(m.now, modelTask, r.run, r.digest, r.target); !ok {
+				return false
+			}
+			if ruling.Action == Isolate {
+				r.cancelAt = time.Time{}
+			}
+			r.ends = m.now.Add(m.between(modelTick, maxCrashIn))
+			if !m.culprits[r.digest] {
+				r.ends = m.now.Add(m.between(modelTick, 3*time.Second))
+			}
+			u.running = append(u.running, r)
+			return true
+		}
+		return false
+	})
+}
+
+// quiet says that nothing will happen without further requests.
+func (m *model) quiet() bool {
+	for _, u := range m.upstreams {
+		if len(u.running) > 0 {
+			return false
+		}
+	}
+	return m.waiting+len(m.messages)+len(m.seen) == 0
+}
+
+// explains says whether d is the only request, of those that have not
+// completed, that two crashes have in common.
+func (m *model) explains(d Digest) bool {
+	for i, a := range m.crashes {
+		for _, b := range m.crashes[i+1:] {
+			alone := a.digests[d] && b.digests[d]
+			for other := range a.digests {
+				if other != d && b.digests[other] && !m.completed[other] {
+					alone = false
+				}
+			}
+			if alone {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -56,7 +56,9 @@
 	// answer.
 	Settle time.Duration
 	// Linger is the time for which a request that ended without an answer
-	// still counts as in flight, since the upstream may still be working on it.
+	// still counts as in flight. It covers the time for which the upstream may
+	// still be working on it, and MaxOneWayDelay, after which this entry may
+	// learn of a crash.
 	Linger time.Duration
 	// Resend is the time between sendings of what others lack.
 	Resend time.Duration
@@ -81,7 +83,7 @@
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
-		Quarantine: 10 * time.Minute, Settle: 2 * MaxOneWayDelay, Linger: 2 * time.Second,
+		Quarantine: 10 * time.Minute, Settle: 2 * MaxOneWayDelay, Linger: 2*time.Second + MaxOneWayDelay,
 		Resend: 250 * time.Millisecond, Proven: time.Minute,
 		MaxCrashes: 256, MaxDigests: 1 << 16, MaxVerdicts: 4096, MaxProven: 8192,
 	}
@@ -90,10 +92,11 @@
 // MaxUpstreamsLost returns the most upstreams that a request can crash in one
 // quarantine time if each run of it crashes its upstream, messages between the
 // entries take no longer than MaxOneWayDelay, the entries agree on the list of
-// entries, and each entry owns an upstream of the service: each entry loses one
-// before it knows the request as a suspect, and one to the run that shows that
-// it is the cause.
-func MaxUpstreamsLost(entries int) int { return 2 * entries }
+// entries, and each entry owns an upstream of the service. Each entry loses one
+// before it knows the request as a suspect. Where callers cancelled these runs
+// they accuse but do not condemn; then one entry loses one to an isolated run,
+// and once that is known each can lose another, which condemns.
+func MaxUpstreamsLost(entries int) int { return 2*entries + 1 }
 
 // Action says what to do with a request.
 type Action uint8
@@ -103,6 +106,8 @@
 	// Run allows any upstream, or only the pinned one.
 	Run Action = iota
 	// Isolate allows the upstreams that Isolation admits, or the pinned one.
+	// The run must not be cancelled when the caller leaves, because only a
+	// request that is certainly in flight at a crash can be condemned for it.
 	Isolate
 	// Wait asks to try again shortly, at the latest when Until has come.
 	Wait
@@ -136,11 +141,32 @@
 	Broken
 )
 
+// Presence says in which way a request was in flight at a crash. Of two reports
+// of an entry on a request, the higher presence counts.
+type Presence uint8
+
+// Presences.
+const (
+	// Lingering means that the request had ended without an answer shortly
+	// before, so that the upstream may still have been working on it.
+	Lingering Presence = iota + 1
+	// InFlight means that it was in flight.
+	InFlight
+	// Isolated means that it was in flight as a suspect, apart from others.
+	Isolated
+)
+
+// Accused is a request in flight at a crash.
+type Accused struct {
+	Digest   Digest
+	Presence Presence
+}
+
 // Evidence is what one entry knows of a crash.
 type Evidence struct {
 	Target Target
-	// Digests are the requests that the entry had in flight, in order.
-	Digests []Digest
+	// Requests are what the entry had in flight, in the order of the digests.
+	Requests []Accused
 	// Truncated says that there were more than MaxReport.
 	Truncated bool
 	// Cleared are the requests known to have completed since.
@@ -151,6 +177,9 @@
 	// Sum is a hash over all reports and cleared requests of the crash that
 	// the entry knows.
 	Sum uint64
+	// Open says that the entry does not know yet whether all others know the
+	// same, and asks those who do to say so.
+	Open bool
 }
 
 // Verdict is a quarantined request.
@@ -193,12 +222,14 @@
 	id     uint64
 	digest Digest
 	target Target
-	ended  time.Time // zero while in flight
+	// isolated says that it was started as a suspect.
+	isolated bool
+	ended    time.Time // zero while in flight
 }
 
 // report is what one entry had in flight.
 type report struct {
-	digests   map[Digest]bool
+	digests   map[Digest]Presence
 	truncated bool
 }
 
@@ -208,6 +239,7 @@
 	known     time.Time
 	sent      time.Time
 	sentSum   uint64
+	asked     bool // another entry waits for what was sent to it
 	reports   map[string]*report
 	cleared   map[Digest]bool
 	sums      map[string]uint64   // newest sum of each other entry
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,214 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func digest(name string) Digest { return DigestOf("account", "service", []byte(name)) }
+
+// Guards against a request that crashes more upstreams than stated, against
+// innocent requests being refused or never running, and against a culprit that
+// some entry still lets run, under concurrent resends through all entries.
+func TestCulpritsAreBounded(t *testing.T) {
+	const entries, upstreams = 7, 24
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.Uint64().Draw(t, "seed"), entries, upstreams)
+		culprits := rapid.IntRange(1, 3).Draw(t, "culprits")
+		innocents := rapid.IntRange(0, 40).Draw(t, "innocents")
+		rate := rapid.IntRange(1, 8).Draw(t, "requests per step")
+		resend := rapid.Float64Range(0.05, 0.9).Draw(t, "share of culprits")
+		var all []Digest
+		for i := range culprits + innocents {
+			all = append(all, digest(fmt.Sprint(i)))
+			m.culprits[all[i]] = i < culprits
+		}
+		for range int(3 * time.Second / modelTick) {
+			for range rate {
+				d := all[m.random.IntN(len(all))]
+				if m.random.Float64() < resend {
+					d = all[m.random.IntN(culprits)]
+				}
+				if m.waiting < 20 {
+					m.send(m.random.IntN(entries), d, m.random.IntN(4) == 0)
+				}
+			}
+			m.step()
+		}
+		for range int(30 * time.Second / modelTick) {
+			if m.step(); m.quiet() {
+				break
+			}
+		}
+		lost := map[Digest]int{}
+		for _, c := range m.crashes {
+			lost[c.cause]++
+		}
+		for _, d := range all {
+			if m.culprits[d] {
+				if lost[d] > MaxUpstreamsLost(entries) {
+					t.Fatalf("a request crashed %d upstreams, more than %d", lost[d], MaxUpstreamsLost(entries))
+				}
+				refusing := 0
+				for _, b := range m.books {
+					if b.Admit(m.now, d).Action == Refuse {
+						refusing++
+					}
+				}
+				// More crashes than entries include one of an isolated run.
+				if refusing != entries && (refusing > 0 || lost[d] > entries) {
+					t.Fatalf("%d entries refuse a request that crashed %d upstreams", refusing, lost[d])
+				}
+			} else if m.refused[d] > 0 && !m.explains(d) {
+				t.Fatal("an innocent request was refused")
+			}
+		}
+		if m.waiting > 0 {
+			t.Fatalf("%d requests still wait", m.waiting)
+		}
+	})
+}
+
+// Guards against merges that depend on the order of messages.
+func TestMergeCommutes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		var messages []Message
+		for i := range rapid.IntRange(1, 12).Draw(t, "messages") {
+			e := Evidence{Target: Target{fmt.Sprint("u", rapid.IntRange(0, 2).Draw(t, "upstream")), 1}, Sum: uint64(i)}
+			for range rapid.IntRange(0, 3).Draw(t, "digests") {
+				p := Presence(rapid.IntRange(1, 3).Draw(t, "presence"))
+				e.Requests = append(e.Requests, Accused{digest(fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "digest"))), p})
+			}
+			if rapid.Bool().Draw(t, "cleared") {
+				e.Cleared = []Digest{digest(fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "digest")))}
+			}
+			messages = append(messages, Message{From: fmt.Sprint("e", i%3+1), Evidence: []Evidence{e}})
+		}
+		sums := func(ms []Message) string {
+			b := New(Config{Self: "e0"})
+			for _, m := range ms {
+				b.Merge(now, m)
+				b.Merge(now, m) // a repeated message
+			}
+			out := ""
+			for i := range 3 {
+				if c := b.crashes[Target{fmt.Sprint("u", i), 1}]; c != nil {
+					out += fmt.Sprint(i, c.sum, c.accused(), ";")
+				}
+			}
+			return out
+		}
+		if want, got := sums(messages), sums(rapid.Permutation(messages).Draw(t, "order")); want != got {
+			t.Fatalf("orders differ: %s and %s", want, got)
+		}
+	})
+}
+
+// Guards against a suspect that runs beside another, a completed request that
+// stays a suspect, and a verdict that outlasts its time.
+func TestSuspectLife(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{Self: "e0"})
+	b.SetUpstreams("s", []string{"u1", "u2", "u3"})
+	x, y := digest("x"), digest("y")
+	start := func(id uint64, d Digest, upstream string, incarnation uint64) bool {
+		_, ok := b.Start(now, "s", id, d, Target{upstream, incarnation})
+		return ok
+	}
+	require.True(t, start(1, x, "u1", 1))
+	require.Equal(t, "u1", b.Admit(now, x).Pin, "copies run together")
+	require.True(t, start(2, y, "u1", 1))
+	b.Crashed(now, Target{"u1", 1})
+	require.Equal(t, Isolate, b.Admit(now, x).Action)
+	require.True(t, start(3, x, "u2", 1))
+	require.False(t, start(4, y, "u2", 1), "one suspect per upstream")
+	require.True(t, start(5, y, "u3", 1))
+	b.Finish(now, 5, Completed)
+	require.Equal(t, Run, b.Admit(now, y).Action, "completed requests are cleared")
+	b.Crashed(now, Target{"u2", 1})
+	ruling := b.Admit(now, x)
+	require.Equal(t, Refuse, ruling.Action)
+	require.Equal(t, now.Add(10*time.Minute), ruling.Until)
+	now = ruling.Until
+	b.Tick(now)
+	require.Equal(t, Run, b.Admit(now, x).Action)
+	require.Empty(t, b.Verdicts(now))
+}
+
+// Guards against a verdict on part of the evidence: the missing report may name
+// the true cause.
+func TestVerdictWaitsForAllReports(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{Self: "e0"})
+	b.SetEntries(now, []string{"e1"})
+	b.SetUpstreams("s", []string{"u1", "u2", "u3", "u4", "u5", "u6"})
+	x, y := digest("x"), digest("y")
+	for i, u := range []string{"u1", "u2"} {
+		now = now.Add(time.Minute)
+		b.Start(now, "s", uint64(i), x, Target{u, 1})
+		b.runs[uint64(i)] = &run{id: uint64(i), digest: x, target: Target{u, 1}, isolated: i == 1}
+		b.byTarget[u] = []*run{b.runs[uint64(i)]}
+		b.Crashed(now, Target{u, 1})
+		require.Equal(t, Wait, b.Admit(now, x).Action)
+	}
+	require.NotEqual(t, Refuse, b.Admit(now, x).Action)
+	for _, u := range []string{"u1", "u2"} {
+		b.Merge(now, Message{From: "e1", Evidence: []Evidence{{Target: Target{u, 1}, Requests: []Accused{{y, InFlight}}}}})
+	}
+	require.NotEqual(t, Refuse, b.Admit(now, x).Action, "x and y have both crashes in common")
+	b.Merge(now, Message{From: "e1", Evidence: []Evidence{{Target: Target{"u1", 1}, Cleared: []Digest{y}}}})
+	require.Equal(t, Refuse, b.Admit(now, x).Action, "y has completed since the first crash")
+}
+
+// Guards against memory that grows with crashes, requests and verdicts.
+func TestMemoryIsBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{Self: "e0", MaxCrashes: 4, MaxDigests: 10, MaxVerdicts: 3, MaxProven: 5})
+	for i := range 200 {
+		now = now.Add(time.Second)
+		d := digest(fmt.Sprint(i))
+		u := fmt.Sprint("u", i)
+		b.Start(now, "s", uint64(2*i), d, Target{u, 1})
+		b.Start(now, "s", uint64(2*i+1), digest(fmt.Sprint("done", i)), Target{u, 2})
+		b.Finish(now, uint64(2*i+1), Completed)
+		b.Crashed(now, Target{u, 1})
+		b.Merge(now, Message{From: "e1", Verdicts: []Verdict{{d, now.Add(time.Hour)}}})
+		b.Tick(now)
+	}
+	require.LessOrEqual(t, len(b.crashes), 4)
+	require.LessOrEqual(t, b.digests, 10)
+	require.LessOrEqual(t, len(b.suspects), 10)
+	require.Len(t, b.verdicts, 3)
+	require.LessOrEqual(t, len(b.proven), 5)
+	require.Empty(t, b.placed)
+	require.Empty(t, b.byTarget)
+}
+
+// Guards against two entries that run suspects on the same upstream at a time.
+func TestUpstreamsHaveOneOwner(t *testing.T) {
+	now := time.Unix(1000, 0)
+	entries, owners := []string{"e0", "e1", "e2"}, map[string]int{}
+	var upstreams []string
+	for i := range 30 {
+		upstreams = append(upstreams, fmt.Sprint("u", i))
+	}
+	for _, e := range entries {
+		b := New(Config{Self: e})
+		b.SetEntries(now, entries)
+		b.SetUpstreams("s", upstreams)
+		allowed := b.Isolation(now, "s", digest(e))
+		for _, u := range upstreams {
+			if allowed(u) {
+				owners[u]++
+			}
+		}
+	}
+	for _, u := range upstreams {
+		require.Equal(t, 1, owners[u], u)
+	}
+}
--- a/quarantine/quarantinepb/convert.go
+++ b/quarantine/quarantinepb/convert.go
@@ -16,10 +16,11 @@
 func Encode(m quarantine.Message) ([]byte, error) {
 	out := &Message{From: m.From}
 	for _, e := range m.Evidence {
+		digests, presences := joinAccused(e.Requests)
 		out.Evidence = append(out.Evidence, &Evidence{
 			Upstream: e.Target.Upstream, Incarnation: e.Target.Incarnation,
-			Digests: join(e.Digests), Truncated: e.Truncated, Cleared: join(e.Cleared),
-			Elsewhere: e.Elsewhere, Sum: e.Sum,
+			Digests: digests, Presences: presences, Truncated: e.Truncated, Cleared: join(e.Cleared),
+			Elsewhere: e.Elsewhere, Sum: e.Sum, Open: e.Open,
 		})
 	}
 	for _, v := range m.Verdicts {
@@ -36,7 +37,7 @@
 	}
 	m := quarantine.Message{From: in.From}
 	for _, e := range in.Evidence {
-		digests, err := split(e.Digests)
+		requests, err := splitAccused(e.Digests, e.Presences)
 		if err != nil {
 			return quarantine.Message{}, err
 		}
@@ -45,8 +46,8 @@
 			return quarantine.Message{}, err
 		}
 		m.Evidence = append(m.Evidence, quarantine.Evidence{
-			Target:  quarantine.Target{Upstream: e.Upstream, Incarnation: e.Incarnation},
-			Digests: digests, Truncated: e.Truncated, Cleared: cleared, Elsewhere: e.Elsewhere, Sum: e.Sum,
+			Target:   quarantine.Target{Upstream: e.Upstream, Incarnation: e.Incarnation},
+			Requests: requests, Truncated: e.Truncated, Cleared: cleared, Elsewhere: e.Elsewhere, Sum: e.Sum, Open: e.Open,
 		})
 	}
 	for _, v := range in.Verdicts {
@@ -78,3 +79,30 @@
 	}
 	return out, nil
 }
+
+func joinAccused(requests []quarantine.Accused) (digests, presences []byte) {
+	for _, r := range requests {
+		digests = append(digests, r.Digest[:]...)
+		presences = append(presences, byte(r.Presence))
+	}
+	return digests, presences
+}
+
+func splitAccused(data, presences []byte) ([]quarantine.Accused, error) {
+	digests, err := split(data)
+	if err != nil {
+		return nil, err
+	}
+	if len(digests) != len(presences) {
+		return nil, fmt.Errorf("quarantine message: %d digests with %d presences", len(digests), len(presences))
+	}
+	var out []quarantine.Accused
+	for i, d := range digests {
+		p := quarantine.Presence(presences[i])
+		if p < quarantine.Lingering || p > quarantine.Isolated {
+			return nil, fmt.Errorf("quarantine message: unknown presence %d", p)
+		}
+		out = append(out, quarantine.Accused{Digest: d, Presence: p})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/quarantine/quarantinepb/convert_test.go
@@ -0,0 +1,49 @@
+package quarantinepb
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellfield/bluebellfield/quarantine"
+)
+
+// Guards against a field that is lost between entries.
+func TestRoundTrip(t *testing.T) {
+	x, y := quarantine.DigestOf("a", "s", []byte("x")), quarantine.DigestOf("a", "s", []byte("y"))
+	m := quarantine.Message{
+		From: "e1",
+		Evidence: []quarantine.Evidence{{
+			Target:    quarantine.Target{Upstream: "u1", Incarnation: 3},
+			Requests:  []quarantine.Accused{{Digest: x, Presence: quarantine.Lingering}, {Digest: y, Presence: quarantine.Isolated}},
+			Truncated: true, Cleared: []quarantine.Digest{y}, Elsewhere: []string{"u2"}, Sum: 1 << 63, Open: true,
+		}},
+		Verdicts: []quarantine.Verdict{{Digest: x, Until: time.UnixMilli(1_700_000_000_123)}},
+	}
+	data, err := Encode(m)
+	require.NoError(t, err)
+	got, err := Decode(data)
+	require.NoError(t, err)
+	require.Equal(t, m, got)
+}
+
+// Guards against malformed messages that would be taken for evidence.
+func TestDecodeFaults(t *testing.T) {
+	cases := map[string]*Message{
+		"short digest":     {Evidence: []*Evidence{{Digests: make([]byte, 15)}}},
+		"missing presence": {Evidence: []*Evidence{{Digests: make([]byte, 16)}}},
+		"unknown presence": {Evidence: []*Evidence{{Digests: make([]byte, 16), Presences: []byte{9}}}},
+		"short cleared":    {Evidence: []*Evidence{{Cleared: make([]byte, 17)}}},
+		"short verdict":    {Verdicts: []*Verdict{{Digest: make([]byte, 3)}}},
+	}
+	for name, in := range cases {
+		data, err := proto.Marshal(in)
+		require.NoError(t, err)
+		_, err = Decode(data)
+		require.Error(t, err, name)
+	}
+	_, err := Decode([]byte{0xff})
+	require.Error(t, err)
+}
--- a/quarantine/queries.go
+++ b/quarantine/queries.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -77,7 +78,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range b.order {
-		if c.sum != c.sentSum || !b.agreed(c) {
+		if c.asked || c.sum != c.sentSum || !b.agreed(c) {
 			return true
 		}
 	}
@@ -131,3 +132,123 @@
 	}
 	return best
 }
+
+// gathered says that all reachable entries have reported on a crash.
+func (b *Book) gathered(c *crash) bool {
+	for _, e := range b.entries {
+		if r := c.reports[e]; r == nil || r.truncated {
+			return false
+		}
+	}
+	return true
+}
+
+// agreed says that all reachable entries know all that this one knows of a
+// crash.
+func (b *Book) agreed(c *crash) bool {
+	if !b.gathered(c) {
+		return false
+	}
+	for _, e := range b.entries {
+		if e != b.cfg.Self && c.sums[e] != c.sum {
+			return false
+		}
+	}
+	return true
+}
+
+// accused returns the requests in flight that are not cleared, in order.
+func (c *crash) accused() []Digest {
+	var all []Digest
+	for _, r := range c.reports {
+		for d := range r.digests {
+			if !c.cleared[d] {
+				all = append(all, d)
+			}
+		}
+	}
+	sortDigests(all)
+	return slices.Compact(all)
+}
+
+func (c *crash) accuses(d Digest) bool {
+	if c.cleared[d] {
+		return false
+	}
+	for _, r := range c.reports {
+		if r.digests[d] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// presence returns the highest presence of a request at a crash.
+func (c *crash) presence(d Digest) Presence {
+	highest := Presence(0)
+	for _, r := range c.reports {
+		highest = max(highest, r.digests[d])
+	}
+	return highest
+}
+
+// convicts says whether the presences of a request at two crashes are enough
+// to condemn it: it was in flight at both, and isolated at one.
+func convicts(a, b Presence) bool {
+	return min(a, b) >= InFlight && max(a, b) == Isolated
+}
+
+func (r *run) presence() Presence {
+	switch {
+	case !r.ended.IsZero():
+		return Lingering
+	case r.isolated:
+		return Isolated
+	default:
+		return InFlight
+	}
+}
+
+// onlyCommon says that d is the only request that both crashes accuse.
+func onlyCommon(a, b *crash, d Digest) bool {
+	for _, r := range a.reports {
+		for other := range r.digests {
+			if other != d && !a.cleared[other] && b.accuses(other) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// elsewhere lists the upstreams on which this entry runs suspects of a crash.
+func (b *Book) elsewhere(c *crash) []string {
+	var ids []string
+	for id, rs := range b.byTarget {
+		for _, r := range rs {
+			if r.target != c.target && c.accuses(r.digest) {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func sortedDigests[V any](set map[Digest]V) []Digest {
+	all := make([]Digest, 0, len(set))
+	for d := range set {
+		all = append(all, d)
+	}
+	sortDigests(all)
+	return all
+}
+
+func sortDigests(all []Digest) {
+	slices.SortFunc(all, func(a, b Digest) int { return slices.Compare(a[:], b[:]) })
+}
+
+func sortVerdicts(all []Verdict) {
+	slices.SortFunc(all, func(a, b Verdict) int { return slices.Compare(a.Digest[:], b.Digest[:]) })
+}
