--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -76,6 +76,13 @@
 func (b *Book) Start(now time.Time, service string, id uint64, d Digest, t Target) (Ruling, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for _, r := range b.byTarget[t.Upstream] {
+		if r.target.Incarnation < t.Incarnation {
+			// A planned restart waits for its requests, so this was a crash.
+			b.crashed(now, r.target)
+			break
+		}
+	}
 	ruling := b.rule(now, d)
 	switch {
 	case ruling.Action == Wait || ruling.Action == Refuse:
@@ -122,12 +129,16 @@
 }
 
 // Crashed reports the crash of a target that this entry observed: its
-// connections were reset and it is gone or runs as a newer incarnation. All
-// requests in flight there become suspects. It must be called before any of
-// them is sent again. The message goes to all entries.
+// connections were reset and it is gone, its lease ended, or membership shows a
+// newer incarnation. All requests in flight there become suspects. It must be
+// called before any of them is sent again. The message goes to all entries.
 func (b *Book) Crashed(now time.Time, t Target) []Message {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.sendCrashes(now, []*crash{b.crashed(now, t)})
+}
+
+func (b *Book) crashed(now time.Time, t Target) *crash {
 	c := b.crash(now, t)
 	b.reportOwn(now, c)
 	for _, r := range append([]*run(nil), b.byTarget[t.Upstream]...) {
@@ -139,7 +150,7 @@
 		b.removeFromTarget(r)
 	}
 	b.decide(now, c)
-	return b.sendCrashes(now, []*crash{c})
+	return c
 }
 
 // Merge takes in a message of another entry. The result goes to all entries.
@@ -163,7 +174,7 @@
 		}
 		c.sums[m.From] = e.Sum
 		c.asked = c.asked || e.Open
-		c.elsewhere[m.From] = e.Elsewhere
+		c.elsewhere[m.From] = placement{e.Elsewhere, now}
 		if c.reports[b.cfg.Self] == nil {
 			b.reportOwn(now, c)
 		}
@@ -187,7 +198,7 @@
 	b.expire(now)
 	var due []*crash
 	for _, c := range b.order {
-		again := (c.asked || !b.agreed(c)) && now.Sub(c.sent) >= b.cfg.Resend && now.Sub(c.known) < b.cfg.Quarantine/2
+		again := (c.asked || c.placing || !b.agreed(c)) && now.Sub(c.sent) >= b.cfg.Resend && now.Sub(c.known) < b.cfg.Quarantine/2
 		if again || c.sum != c.sentSum {
 			due = append(due, c)
 		}
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -17,7 +17,7 @@
 	}
 	c := &crash{
 		target: t, known: now, reports: map[string]*report{}, cleared: map[Digest]bool{},
-		sums: map[string]uint64{}, elsewhere: map[string][]string{},
+		sums: map[string]uint64{}, elsewhere: map[string]placement{},
 	}
 	b.crashes[t] = c
 	b.order = append(b.order, c)
@@ -200,7 +200,7 @@
 		}
 		e.Cleared = sortedDigests(c.cleared)
 		m.Evidence = append(m.Evidence, e)
-		c.sent, c.sentSum, c.asked = now, c.sum, false
+		c.sent, c.sentSum, c.asked, c.placing = now, c.sum, false, len(e.Elsewhere) > 0
 	}
 	return []Message{m}
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -233,6 +233,13 @@
 	truncated bool
 }
 
+// placement lists the upstreams on which another entry said that it runs
+// suspects. It is repeated while it is true, and holds for the time of Settle.
+type placement struct {
+	upstreams []string
+	at        time.Time
+}
+
 // crash is the merged knowledge of a crash.
 type crash struct {
 	target    Target
@@ -242,7 +249,8 @@
 	asked     bool // another entry waits for what was sent to it
 	reports   map[string]*report
 	cleared   map[Digest]bool
-	sums      map[string]uint64   // newest sum of each other entry
-	elsewhere map[string][]string // by entry
+	sums      map[string]uint64    // newest sum of each other entry
+	elsewhere map[string]placement // by entry
+	placing   bool                 // the last message sent named upstreams elsewhere
 	sum       uint64
 }
--- a/quarantine/queries.go
+++ b/quarantine/queries.go
@@ -63,8 +63,8 @@
 		}
 	}
 	for _, c := range b.suspects[d] {
-		for _, ids := range c.elsewhere {
-			if slices.Contains(ids, upstream) {
+		for _, p := range c.elsewhere {
+			if now.Sub(p.at) < b.cfg.Settle && slices.Contains(p.upstreams, upstream) {
 				return false
 			}
 		}
@@ -78,7 +78,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range b.order {
-		if c.asked || c.sum != c.sentSum || !b.agreed(c) {
+		if c.asked || c.placing || c.sum != c.sentSum || !b.agreed(c) {
 			return true
 		}
 	}
--- a/routing/commands.go
+++ b/routing/commands.go
@@ -12,6 +12,7 @@
 	index   *PrefixIndex
 	filters []Filter
 	scores  []Score
+	weights []float64 // of the scores
 	table   atomic.Pointer[Table]
 
 	mu       sync.Mutex // serialises Publish
@@ -34,6 +35,9 @@
 		cfg: cfg.withDefaults(), index: index, filters: Filters(), scores: Scores(),
 		counters: map[string]*incarnationCounters{},
 	}
+	for _, score := range r.scores {
+		r.weights = append(r.weights, score.Weight(&r.cfg.Weights))
+	}
 	r.queries.New = func() any { return &Query{} }
 	r.table.Store(buildTable(&r.cfg, time.Time{}, nil, nil))
 	return r
--- a/routing/filter.go
+++ b/routing/filter.go
@@ -15,6 +15,9 @@
 	pool    *pool
 	matches [maxMatches]Match
 	matched int
+	// fill is the estimated load of the upstream under consideration as a
+	// multiple of its batch size.
+	fill float64
 }
 
 // Filters returns the filters in the order in which they run. The capacity
--- a/routing/filter_capacity.go
+++ b/routing/filter_capacity.go
@@ -10,5 +10,5 @@
 
 // Admit implements Filter.
 func (capacityFilter) Admit(q *Query, u *Upstream) bool {
-	return u.fill() < q.cfg.QueueFactor && u.exhaustedUntil.Load() <= q.now
+	return q.fill < q.cfg.QueueFactor && u.exhaustedUntil.Load() <= q.now
 }
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,143 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a corrected load that misses this entry's own requests or
+// counts those that the report already includes.
+func TestLoadIsCorrectedByOwnRequests(t *testing.T) {
+	r := New(Config{}, nil)
+	c := fleet(1, benchTime)[0]
+	at := func(ms int) time.Time { return benchTime.Add(time.Duration(ms) * time.Millisecond) }
+	u := r.Publish(at(0), []Candidate{c}).Upstream(c.ID)
+	r.Begin(at(0), u, nil)
+	r.Begin(at(100), u, nil)
+	c.Load = Load{Running: 7, At: at(500)} // includes both
+	r.Begin(at(900), u, nil)
+	u = r.Publish(at(1000), []Candidate{c}).Upstream(c.ID)
+	require.Equal(t, 8.0, u.EstimatedLoad())
+	r.Done(at(1100), u, Observation{})
+	r.Done(at(1200), u, Observation{})
+	require.Equal(t, 6.0, u.EstimatedLoad())
+	c.Load = Load{Running: 5, At: at(1500)}
+	u = r.Publish(at(2000), []Candidate{c}).Upstream(c.ID)
+	require.Equal(t, 5.0, u.EstimatedLoad())
+	c.Incarnation, c.Load = 2, Load{At: at(2500)}
+	u = r.Publish(at(2600), []Candidate{c}).Upstream(c.ID)
+	require.Equal(t, 0.0, u.EstimatedLoad(), "another incarnation starts without requests")
+}
+
+// Guards against a pick of an upstream that a filter must remove, whatever the
+// size of the set and however few are left, and against missing the only one.
+func TestPickFindsWhatTheFiltersLeave(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 400).Draw(t, "upstreams")
+		all := fleet(n, benchTime)
+		ready := rapid.IntRange(0, n-1).Draw(t, "the only ready one")
+		none := rapid.Bool().Draw(t, "none ready")
+		for i := range all {
+			if i != ready || none {
+				all[i].State = Draining
+			}
+		}
+		r := New(Config{FailureDomain: "d0", Region: "r0"}, nil)
+		r.Publish(benchTime, all)
+		choice, err := r.Pick(benchTime, NewSource(rapid.Uint64().Draw(t, "seed")), &Request{Service: "chat", Model: "m"})
+		if none {
+			if err != ErrNoUpstream {
+				t.Fatalf("got %v", err)
+			}
+		} else if err != nil || choice.Upstream.ID != all[ready].ID {
+			t.Fatalf("got %v, %v", choice, err)
+		}
+	})
+}
+
+// Guards against errors that tell the caller not to wait where waiting helps,
+// and the reverse.
+func TestPickErrors(t *testing.T) {
+	r := New(Config{}, nil)
+	all := fleet(2, benchTime)
+	r.Publish(benchTime, all)
+	_, err := r.Pick(benchTime, NewSource(1), &Request{Service: "other"})
+	require.ErrorIs(t, err, ErrUnknownService)
+	_, err = r.Pick(benchTime, NewSource(1), &Request{Service: "chat", NeedsGroup: true})
+	require.ErrorIs(t, err, ErrNoUpstream)
+	_, err = r.Pick(benchTime.Add(time.Minute), NewSource(1), &Request{Service: "chat"})
+	require.ErrorIs(t, err, ErrNoUpstream, "all reports are old")
+	all[0].Load.Running, all[1].State = 64, Leaving
+	r.Publish(benchTime, all)
+	_, err = r.Pick(benchTime, NewSource(1), &Request{Service: "chat"})
+	require.ErrorIs(t, err, ErrExhausted)
+	all[0].Load.Running = 0
+	r.Publish(benchTime, all)
+	r.SetShare(all[0].ID, 1, 0)
+	choice, explanation, err := r.Explain(benchTime, NewSource(1), &Request{Service: "chat"})
+	require.NoError(t, err, "an ejected upstream is better than none")
+	require.Equal(t, all[0].ID, choice.Upstream.ID)
+	require.True(t, explanation.EjectionIgnored)
+	require.Equal(t, []Removal{{"ejected", []string{all[0].ID}}, {"state", []string{all[1].ID}}}, explanation.Removed)
+	require.Len(t, explanation.Finalists[0].Scores, len(Scores()))
+}
+
+// Guards against a cached prefix that attracts requests past the balance
+// margin, and against one that is not used within it.
+func TestStickyChoiceKeepsBalance(t *testing.T) {
+	for _, n := range []int{20, 400} {
+		r := New(Config{FailureDomain: "d0", Region: "r0"}, nil)
+		all := fleet(n, benchTime)
+		for i := range all {
+			all[i].Load.Running = 4
+		}
+		r.Publish(benchTime, all)
+		prefix := []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20}
+		holder := r.Table().Service("chat")[n-5]
+		r.Begin(benchTime, holder, prefix)
+		req := &Request{Service: "chat", Prefix: prefix}
+		choice, err := r.Pick(benchTime, NewSource(1), req)
+		require.NoError(t, err)
+		require.Equal(t, holder, choice.Upstream)
+		require.Equal(t, len(prefix), choice.Blocks)
+		for range 40 {
+			r.Begin(benchTime, holder, nil)
+		}
+		choice, err = r.Pick(benchTime, NewSource(1), req)
+		require.NoError(t, err)
+		require.NotEqual(t, holder, choice.Upstream)
+	}
+}
+
+// Guards against allocations of a pick that grow with the number of upstreams.
+func TestPickDoesNotAllocate(t *testing.T) {
+	for _, n := range []int{65, 2100} {
+		r := New(Config{FailureDomain: "d0", Region: "r0"}, nil)
+		r.Publish(benchTime, fleet(n, benchTime))
+		source, req := NewSource(1), &Request{Service: "chat", Prefix: []uint64{1, 2, 3}}
+		allocations := testing.AllocsPerRun(200, func() { _, _ = r.Pick(benchTime, source, req) })
+		require.Less(t, allocations, 1.0, n)
+	}
+}
+
+// Guards against a published list that leaves counters, slots or cached blocks
+// of upstreams that are gone.
+func TestPublishForgets(t *testing.T) {
+	r := New(Config{}, nil)
+	for i := range 50 {
+		all := fleet(3, benchTime)
+		for j := range all {
+			all[j].ID = fmt.Sprint(i, "-", j)
+		}
+		t1 := r.Publish(benchTime, all)
+		r.Begin(benchTime, t1.Upstream(all[0].ID), []uint64{uint64(i)})
+	}
+	require.Len(t, r.counters, 3)
+	require.Len(t, r.index.slots, 3)
+	require.LessOrEqual(t, len(r.index.caches), 6)
+	require.Equal(t, 1, r.index.Blocks())
+}
--- a/routing/score_load.go
+++ b/routing/score_load.go
@@ -11,10 +11,9 @@
 func (loadScore) Weight(w *Weights) float64 { return w.Load }
 
 // Seconds implements Score.
-func (loadScore) Seconds(q *Query, u *Upstream) float64 {
-	fill := u.fill()
-	if fill <= 1 {
-		return fill * q.cfg.Costs.FullLoad
+func (loadScore) Seconds(q *Query, _ *Upstream) float64 {
+	if q.fill <= 1 {
+		return q.fill * q.cfg.Costs.FullLoad
 	}
-	return q.cfg.Costs.FullLoad + (fill-1)*q.cfg.Costs.Waiting
+	return q.cfg.Costs.FullLoad + (q.fill-1)*q.cfg.Costs.Waiting
 }
--- a/routing/score_priority.go
+++ b/routing/score_priority.go
@@ -15,5 +15,5 @@
 	if !q.Paying || u.Priorities {
 		return 0
 	}
-	return min(u.fill(), 1) * q.cfg.Costs.NoPriority
+	return min(q.fill, 1) * q.cfg.Costs.NoPriority
 }
--- a/routing/selection.go
+++ b/routing/selection.go
@@ -120,7 +120,7 @@
 	}
 	cost := s.cost(u)
 	s.scored++
-	s.loads += u.fill()
+	s.loads += s.q.fill
 	if s.n < s.r.cfg.Finalists {
 		s.n++
 	} else if cost >= s.best[s.n-1].cost {
@@ -158,7 +158,9 @@
 	return false
 }
 
+// admit runs the filters and leaves the upstream's load in the query.
 func (s *selection) admit(u *Upstream) bool {
+	s.q.fill = u.fill()
 	for _, f := range s.r.filters {
 		if f.Admit(s.q, u) {
 			continue
@@ -182,9 +184,8 @@
 
 func (s *selection) cost(u *Upstream) float64 {
 	total := 0.0
-	w := &s.r.cfg.Weights
-	for _, score := range s.r.scores {
-		total += score.Weight(w) * score.Seconds(s.q, u)
+	for i, score := range s.r.scores {
+		total += s.r.weights[i] * score.Seconds(s.q, u)
 	}
 	return total
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -15,9 +15,9 @@
 	// report includes, so that base plus the requests in flight is the
 	// corrected load.
 	base     float64
-	capacity float64
-	at       int64 // send time of the load report, Unix nanoseconds
-	grouped  int64 // time of the group's confirmation, Unix nanoseconds
+	perSlot  float64 // 1 / MaxConcurrent
+	at       int64   // send time of the load report, Unix nanoseconds
+	grouped  int64   // time of the group's confirmation, Unix nanoseconds
 	distance distance
 }
 
@@ -29,7 +29,7 @@
 }
 
 // fill returns the estimated load as a multiple of the batch size.
-func (u *Upstream) fill() float64 { return u.EstimatedLoad() / u.capacity }
+func (u *Upstream) fill() float64 { return u.EstimatedLoad() * u.perSlot }
 
 // tableKey selects a pool. Pools of grouped hold only rank 0 of groups, which
 // are the ones that receive requests; a group of eight would otherwise leave a
@@ -79,7 +79,7 @@
 		shared, slot := counters(&c)
 		u := &Upstream{
 			Candidate: c, Counters: shared, slot: slot,
-			capacity: float64(max(c.MaxConcurrent, 1)),
+			perSlot:  1 / float64(max(c.MaxConcurrent, 1)),
 			at:       c.Load.At.UnixNano(),
 			grouped:  c.Group.ConfirmedAt.UnixNano(),
 			distance: distanceOf(cfg, &c),
