--- a/cmd/bluebellfieldd/main.go
+++ b/cmd/bluebellfieldd/main.go
@@ -44,10 +44,11 @@
 		}
 		return fail(exitUsage, err)
 	}
-	cfg, err := load(&o)
+	cfg, cleanup, err := load(&o)
 	if err != nil {
 		return fail(exitUsage, err)
 	}
+	defer cleanup()
 	if o.Check {
 		fmt.Printf("%s: accepted\n", o.Config)
 		return exitOK
@@ -58,16 +59,17 @@
 	return exitOK
 }
 
-func load(o *options) (*config.Daemon, error) {
+func load(o *options) (*config.Daemon, func(), error) {
 	switch {
 	case o.Dev && o.Config != "":
-		return nil, errors.New("--dev and --config exclude each other")
+		return nil, nil, errors.New("--dev and --config exclude each other")
 	case o.Dev:
 		return devmode.Settings()
 	case o.Config == "":
-		return nil, errors.New("--config or --dev is required; see --help")
+		return nil, nil, errors.New("--config or --dev is required; see --help")
 	}
-	return config.Load(o.Config)
+	cfg, err := config.Load(o.Config)
+	return cfg, func() {}, err
 }
 
 // serve runs the daemon until a signal has stopped it. A second signal ends
@@ -80,7 +82,7 @@
 	defer func() { _ = logger.Sync() }()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	d, err := daemon.Start(cfg, logger)
+	d, err := daemon.Start(cfg, daemon.Options{Logger: logger})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/domainstate/domainstate.go
@@ -0,0 +1,239 @@
+// Package domainstate is the state machine of a domain log: the replica groups
+// of a failure domain, and the copy of the settings from which the daemons of
+// that failure domain put settings in force.
+package domainstate
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/bluebellfield/bluebellfield/group"
+	"github.com/bluebellfield/bluebellfield/settings"
+)
+
+// version is the first byte of every command and snapshot.
+const version = 1
+
+// kind is the second byte of a command.
+type kind byte
+
+const (
+	kindRecords kind = iota + 1
+	kindTree
+	kindGroup
+)
+
+// ErrUnknownCommand is returned for a command of a newer version.
+var ErrUnknownCommand = errors.New("unknown command of the domain log")
+
+// Machine is the state machine. Apply and Restore are called by one goroutine;
+// queries may be called by any.
+type Machine struct {
+	mu     sync.Mutex
+	groups *group.State
+	// published is a copy of groups that queries may keep.
+	published atomic.Pointer[group.State]
+	tree      atomic.Pointer[settings.Tree]
+	// records are the latest settings changes, for followers that are a little
+	// behind. They are not part of the snapshot.
+	records []settings.Record
+}
+
+// maxRecords bounds the records kept in memory.
+const maxRecords = 1000
+
+// New returns the machine of an empty log.
+func New() *Machine {
+	m := &Machine{groups: group.NewState()}
+	m.published.Store(group.NewState())
+	m.tree.Store(settings.Empty())
+	return m
+}
+
+// Tree returns the newest settings that the log holds.
+func (m *Machine) Tree() *settings.Tree { return m.tree.Load() }
+
+// Since returns the settings changes after a revision, and false when they are
+// no longer kept.
+func (m *Machine) Since(revision uint64) ([]settings.Record, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	newest := m.tree.Load().Revision()
+	missing := newest - min(revision, newest)
+	if missing > uint64(len(m.records)) {
+		return nil, false
+	}
+	return slices.Clone(m.records[uint64(len(m.records))-missing:]), true
+}
+
+// Groups returns the replica groups. The result must not be changed.
+func (m *Machine) Groups() *group.State { return m.published.Load() }
+
+// EncodeRecords returns the command that brings settings changes into the log.
+func EncodeRecords(records []settings.Record) ([]byte, error) { return encode(kindRecords, records) }
+
+// EncodeTree returns the command that replaces the settings by a newer tree.
+func EncodeTree(tree *settings.Tree) ([]byte, error) { return encode(kindTree, tree) }
+
+// EncodeGroup returns a command that changes a replica group.
+func EncodeGroup(c group.Command) ([]byte, error) { return encode(kindGroup, c) }
+
+func encode(k kind, payload any) ([]byte, error) {
+	data, err := json.Marshal(payload)
+	if err != nil {
+		return nil, err
+	}
+	return append([]byte{version, byte(k)}, data...), nil
+}
+
+// result answers a command.
+type result struct {
+	Error string        `json:"error,omitempty"`
+	Group *group.Result `json:"group,omitempty"`
+}
+
+// DecodeResult returns the group result of a command, or why the command was
+// not applied.
+func DecodeResult(data []byte) (group.Result, error) {
+	var r result
+	if err := json.Unmarshal(data, &r); err != nil {
+		return group.Result{}, fmt.Errorf("decode result of the domain log: %w", err)
+	}
+	if r.Error != "" {
+		return group.Result{}, errors.New(r.Error)
+	}
+	if r.Group == nil {
+		return group.Result{}, nil
+	}
+	return *r.Group, nil
+}
+
+// Apply executes a committed command.
+func (m *Machine) Apply(_ uint64, command []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, err := m.apply(command)
+	if err != nil {
+		r = result{Error: err.Error()}
+	}
+	// A struct of strings and numbers always encodes.
+	data, _ := json.Marshal(r)
+	return data
+}
+
+func (m *Machine) apply(command []byte) (result, error) {
+	if len(command) < 2 || command[0] != version {
+		return result{}, ErrUnknownCommand
+	}
+	switch payload := command[2:]; kind(command[1]) {
+	case kindRecords:
+		return result{}, m.advance(payload)
+	case kindTree:
+		return result{}, m.replace(payload)
+	case kindGroup:
+		return m.change(payload)
+	}
+	return result{}, ErrUnknownCommand
+}
+
+// advance applies the records that follow the present revision. Older ones are
+// repeats, and a gap refuses the rest, so that the settings never go back and
+// never skip a change.
+func (m *Machine) advance(payload []byte) error {
+	var records []settings.Record
+	if err := json.Unmarshal(payload, &records); err != nil {
+		return err
+	}
+	tree := m.tree.Load()
+	var taken []settings.Record
+	for _, r := range records {
+		if r.Revision <= tree.Revision() {
+			continue
+		}
+		next, err := tree.Advance(r)
+		if err != nil {
+			return err
+		}
+		tree = next
+		taken = append(taken, r)
+	}
+	m.records = append(m.records, taken...)
+	m.records = slices.Delete(m.records, 0, max(len(m.records)-maxRecords, 0))
+	m.tree.Store(tree)
+	return nil
+}
+
+func (m *Machine) replace(payload []byte) error {
+	tree, err := settings.DecodeTree(payload)
+	if err != nil {
+		return err
+	}
+	if tree.Revision() > m.tree.Load().Revision() {
+		m.tree.Store(tree)
+		m.records = nil
+	}
+	return nil
+}
+
+func (m *Machine) change(payload []byte) (result, error) {
+	c, err := group.DecodeCommand(payload)
+	if err != nil {
+		return result{}, err
+	}
+	r := m.groups.Apply(c)
+	if r.Code == group.Applied {
+		m.published.Store(m.groups.Clone())
+	}
+	return result{Group: &r}, nil
+}
+
+// snapshot is the encoded state.
+type snapshot struct {
+	Version int             `json:"version"`
+	Groups  json.RawMessage `json:"groups"`
+	Tree    json.RawMessage `json:"settings"`
+}
+
+// Snapshot encodes the state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	groups, err := m.groups.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	tree, err := json.Marshal(m.tree.Load())
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(snapshot{Version: version, Groups: groups, Tree: tree})
+}
+
+// Restore replaces the state by a snapshot.
+func (m *Machine) Restore(data []byte) error {
+	var s snapshot
+	if err := json.Unmarshal(data, &s); err != nil {
+		return fmt.Errorf("snapshot of the domain log: %w", err)
+	}
+	if s.Version != version {
+		return fmt.Errorf("snapshot of the domain log has version %d, accepted: %d", s.Version, version)
+	}
+	groups := group.NewState()
+	if err := groups.Restore(s.Groups); err != nil {
+		return err
+	}
+	tree, err := settings.DecodeTree(s.Tree)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.groups, m.records = groups, nil
+	m.published.Store(groups.Clone())
+	m.tree.Store(tree)
+	return nil
+}
--- /dev/null
+++ b/domainstate/domainstate_test.go
@@ -0,0 +1,70 @@
+package domainstate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellfield/bluebellfield/settings"
+)
+
+// history returns the records and the tree after each of n changes.
+func history(t require.TestingT, n int) ([]settings.Record, []*settings.Tree) {
+	store := settings.New()
+	trees := []*settings.Tree{store.Tree()}
+	for i := range n {
+		r := store.Apply(settings.Change{ID: fmt.Sprint(i), Base: uint64(i), At: time.Unix(int64(i), 0), Ops: []settings.Op{
+			{Op: settings.OpSet, Path: "/accounts/a", Key: settings.KeyWeight, Value: settings.Number(float64(i + 1))},
+		}})
+		require.Equal(t, settings.Applied, r.Code)
+		trees = append(trees, store.Tree())
+	}
+	return store.History(0), trees
+}
+
+// Guards against settings that go back or skip a change when records and trees
+// arrive late, repeated, out of order or across a restart.
+func TestSettingsNeverRevert(t *testing.T) {
+	records, trees := history(t, 12)
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			before := m.Tree().Revision()
+			var command []byte
+			var err error
+			if rapid.Bool().Draw(t, "whole tree") {
+				command, err = EncodeTree(trees[rapid.IntRange(0, len(trees)-1).Draw(t, "tree")])
+			} else {
+				from := rapid.IntRange(0, len(records)-1).Draw(t, "from")
+				to := rapid.IntRange(from, len(records)).Draw(t, "to")
+				command, err = EncodeRecords(records[from:to])
+			}
+			require.NoError(t, err)
+			m.Apply(1, command)
+			if rapid.Bool().Draw(t, "restart") {
+				data, err := m.Snapshot()
+				require.NoError(t, err)
+				m = New()
+				require.NoError(t, m.Restore(data))
+			}
+			now := m.Tree().Revision()
+			require.GreaterOrEqual(t, now, before)
+			want, got := trees[now], m.Tree()
+			require.Empty(t, settings.Diff(want, got))
+		}
+	})
+}
+
+// Guards against a damaged or newer command ending the process or changing the
+// state.
+func TestUnknownCommands(t *testing.T) {
+	m := New()
+	for _, command := range [][]byte{nil, {1}, {9, 1}, {1, 9}, {1, 1, '{'}, {1, 2, '['}, {1, 3, '['}} {
+		_, err := DecodeResult(m.Apply(1, command))
+		require.Error(t, err)
+	}
+	require.Error(t, m.Restore([]byte(`{"version":9}`)))
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,9 @@
 	TLS               TLS        `json:"tls"`
 	Drain             Drain      `json:"drain"`
 	LogLevel          string     `json:"logLevel"`
+	// OrderToken is the bearer token that engines which authenticate orders
+	// expect.
+	OrderToken string `json:"orderToken"`
 }
 
 // Listen gives the address of each interface, as IP:port.
@@ -74,7 +77,8 @@
 // voters change only through the log itself.
 type Logs struct {
 	Global []string `json:"global"`
-	Domain []string `json:"domain"`
+	// Domains gives the voters of each failure domain's log.
+	Domains map[string][]string `json:"domains"`
 }
 
 // Operator is a person or program that may give operators' orders.
@@ -182,7 +186,9 @@
 	c.address("/listen/peer", d.Listen.Peer, len(d.Peers) > 1)
 	d.checkPeers(c)
 	d.checkVoters(c, "/logs/global", d.Logs.Global)
-	d.checkVoters(c, "/logs/domain", d.Logs.Domain)
+	for domain, voters := range d.Logs.Domains {
+		d.checkVoters(c, "/logs/domains/"+domain, voters)
+	}
 	for i, o := range d.Operators {
 		c.require(fmt.Sprintf("/operators/%d/name", i), o.Name != "", "a non-empty name")
 		c.require(fmt.Sprintf("/operators/%d/tokenSHA256", i), len(o.TokenSHA256) == 64, "64 hex digits")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -16,7 +16,7 @@
     "caller": "127.0.0.1:8080", "upstream": "127.0.0.1:8081",
     "operator": "127.0.0.1:8082", "platform": "127.0.0.1:8083",
   },
-  "logs": {"global": ["a1"], "domain": ["a1"]},
+  "logs": {"global": ["a1"], "domains": {"a": ["a1"]}},
 }`
 
 func TestParse(t *testing.T) {
--- /dev/null
+++ b/internal/daemon/admit.go
@@ -0,0 +1,485 @@
+package daemon
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellfield/bluebellfield/admission"
+	"github.com/bluebellfield/bluebellfield/admission/share"
+	"github.com/bluebellfield/bluebellfield/admission/share/sharepb"
+	"github.com/bluebellfield/bluebellfield/internal/config"
+	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/internal/peer"
+	"github.com/bluebellfield/bluebellfield/settings"
+)
+
+const (
+	channelShares = "shares"
+	// admissionTick bounds how late a change of capacity or a deadline takes
+	// effect on queued requests.
+	admissionTick = 20 * time.Millisecond
+	// demandWindow is the time over which arrivals are averaged for the demand
+	// that is reported to the owners of limits.
+	demandWindow = 2 * time.Second
+	// expectedRun estimates a request's run time until its service has been
+	// measured.
+	expectedRun = 2 * time.Second
+)
+
+// admitter admits requests of this entry by class, account and service, within
+// the shares of the limits that this entry holds.
+type admitter struct {
+	cfg      *config.Daemon
+	network  *peer.Network
+	logger   *zap.Logger
+	tree     func() *settings.Tree
+	live     func() []string
+	capacity func(service string) admission.Capacity
+
+	mu         sync.Mutex
+	controller *admission.Controller
+	shares     *share.Node
+	waiting    map[admission.Ticket]*slot
+	running    map[admission.Ticket]*slot
+	demand     map[accountService]*arrivals
+	revision   uint64
+	entries    int
+}
+
+type accountService struct{ account, service string }
+
+// arrivals averages what an account asks of a service.
+type arrivals struct {
+	at               time.Time
+	requests, tokens float64 // per second
+	class            admission.Class
+	queued, running  int
+}
+
+// add counts one request in an exponentially weighted average.
+func (a *arrivals) add(now time.Time, tokens int) {
+	a.decay(now)
+	a.requests += 1 / demandWindow.Seconds()
+	a.tokens += float64(tokens) / demandWindow.Seconds()
+}
+
+func (a *arrivals) decay(now time.Time) {
+	keep := math.Exp(-now.Sub(a.at).Seconds() / demandWindow.Seconds())
+	a.at, a.requests, a.tokens = now, a.requests*keep, a.tokens*keep
+}
+
+// slot is a request from its admission to its end.
+type slot struct {
+	owner     *admitter
+	ticket    admission.Ticket
+	key       accountService
+	admitted  chan error
+	preempted chan struct{}
+}
+
+func newAdmitter(cfg *config.Daemon, incarnation uint64, network *peer.Network, tree func() *settings.Tree, logger *zap.Logger) *admitter {
+	now := time.Now()
+	a := &admitter{
+		cfg: cfg, network: network, logger: logger, tree: tree,
+		controller: admission.New(admission.Options{}),
+		shares:     share.New(share.Config{ID: cfg.ID, Incarnation: incarnation}, now),
+		waiting:    map[admission.Ticket]*slot{}, running: map[admission.Ticket]*slot{}, demand: map[accountService]*arrivals{},
+	}
+	network.Handle(channelShares, a.receive)
+	return a
+}
+
+// Admit implements caller.Admitter.
+func (a *admitter) Admit(ctx context.Context, w *caller.Work) (caller.Slot, error) {
+	s, err := a.submit(w)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case err := <-s.admitted:
+		if err != nil {
+			return nil, err
+		}
+		return s, nil
+	case <-ctx.Done():
+		s.cancel()
+		return nil, fault.Wrap(ctx.Err(), fault.DeadlineExceeded, fault.At{Step: caller.StepAdmit}, fault.NotRun)
+	}
+}
+
+func (a *admitter) submit(w *caller.Work) (*slot, error) {
+	now := time.Now()
+	tree := a.tree()
+	service, ok := tree.Service(w.Route.Service)
+	account, known := tree.Account(w.Account.ID)
+	if !known {
+		account, known = tree.Global().Anonymous, tree.Global().Anonymous != nil
+	}
+	if !ok || !known {
+		return nil, fault.New(fault.NotFound, fault.At{Step: caller.StepAdmit}, fault.NotRun, "the account or the service was removed")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := &slot{
+		owner: a, key: accountService{account.ID, service.ID}, admitted: make(chan error, 1), preempted: make(chan struct{}),
+	}
+	rules := a.rules(now, tree, account, service)
+	d := a.controller.Submit(now, admission.Request{
+		ID: w.RequestID, Account: account.ID, Service: service.ID, Rules: rules,
+		Tokens: w.Tokens, Deadline: w.Deadline, Expected: expectedRun,
+	})
+	a.count(now, s.key, rules.Class, w.Tokens)
+	a.refuse(d.Dropped)
+	s.ticket = d.Ticket
+	switch d.Verdict {
+	case admission.Admitted:
+		s.admitted <- nil
+		a.running[s.ticket] = s
+		a.arrivals(s.key).running++
+	case admission.Queued:
+		a.waiting[s.ticket] = s
+		a.arrivals(s.key).queued++
+	default:
+		return nil, refusal(d.Reason)
+	}
+	return s, nil
+}
+
+func refusal(reason admission.Reason) error {
+	return fault.New(fault.Code(reason), fault.At{Step: caller.StepAdmit}, fault.NotRun, "the request was not admitted: "+string(reason))
+}
+
+// rules returns the limits of this entry for an account at a service.
+func (a *admitter) rules(now time.Time, tree *settings.Tree, account *settings.Account, service *settings.Service) admission.Rules {
+	effective := tree.Rules(account, service)
+	rules := admission.Rules{
+		Class: admission.Free, Weight: effective.Weight, AtService: admission.Unlimited(),
+		Account: a.shares.LocalLimits(now, account.ID, "", limitsOf(account.Limits)),
+	}
+	if effective.Paying {
+		rules.Class = admission.Paying
+	}
+	if effective.Own || effective.Limits != account.Limits {
+		rules.AtService = a.shares.LocalLimits(now, account.ID, service.ID, limitsOf(effective.Limits))
+	}
+	return rules
+}
+
+// limitsOf converts limits in which zero stands for no limit.
+func limitsOf(l settings.Limits) admission.Limits {
+	limits := admission.Unlimited()
+	if l.RequestsPerSecond > 0 {
+		limits.RequestsPerSecond = l.RequestsPerSecond
+	}
+	if l.Concurrent > 0 {
+		limits.Concurrent = int(l.Concurrent)
+	}
+	if l.TokensPerMinute > 0 {
+		limits.TokensPerMinute = float64(l.TokensPerMinute)
+	}
+	return limits
+}
+
+func (a *admitter) arrivals(key accountService) *arrivals {
+	d := a.demand[key]
+	if d == nil {
+		d = &arrivals{at: time.Now()}
+		a.demand[key] = d
+	}
+	return d
+}
+
+func (a *admitter) count(now time.Time, key accountService, class admission.Class, tokens int) {
+	d := a.arrivals(key)
+	d.class = class
+	d.add(now, tokens)
+}
+
+// Preempted implements caller.Slot.
+func (s *slot) Preempted() <-chan struct{} {
+	s.owner.mu.Lock()
+	defer s.owner.mu.Unlock()
+	return s.preempted
+}
+
+// Yield implements caller.Slot.
+func (s *slot) Yield(ctx context.Context) error {
+	s.yield()
+	select {
+	case err := <-s.admitted:
+		return err
+	case <-ctx.Done():
+		s.cancel()
+		return fault.Wrap(ctx.Err(), fault.DeadlineExceeded, fault.At{Step: caller.StepAdmit}, fault.NotRun)
+	}
+}
+
+func (s *slot) yield() {
+	a := s.owner
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.running[s.ticket] != s {
+		return
+	}
+	now := time.Now()
+	delete(a.running, s.ticket)
+	a.waiting[s.ticket] = s
+	d := a.arrivals(s.key)
+	d.running--
+	d.queued++
+	s.preempted = make(chan struct{})
+	a.controller.Yielded(now, s.ticket)
+	a.admitNext(now, s.key.service)
+}
+
+// Release implements caller.Slot.
+func (s *slot) Release(u caller.Usage) {
+	a := s.owner
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if a.running[s.ticket] != s {
+		return
+	}
+	delete(a.running, s.ticket)
+	a.arrivals(s.key).running--
+	a.controller.Done(now, s.ticket, admission.Usage{Tokens: u.Tokens})
+	a.admitNext(now, s.key.service)
+}
+
+// cancel gives up a request that waits or was admitted meanwhile.
+func (s *slot) cancel() {
+	a := s.owner
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	switch {
+	case a.waiting[s.ticket] == s:
+		delete(a.waiting, s.ticket)
+		a.arrivals(s.key).queued--
+		a.controller.Cancel(now, s.ticket)
+	case a.running[s.ticket] == s:
+		delete(a.running, s.ticket)
+		a.arrivals(s.key).running--
+		a.controller.Done(now, s.ticket, admission.Usage{})
+		a.admitNext(now, s.key.service)
+	}
+}
+
+// admitNext admits what now has room. The caller holds mu.
+func (a *admitter) admitNext(now time.Time, service string) {
+	for _, ticket := range a.controller.Next(now, service) {
+		if s := a.waiting[ticket]; s != nil {
+			delete(a.waiting, ticket)
+			a.running[ticket] = s
+			d := a.arrivals(s.key)
+			d.queued--
+			d.running++
+			s.admitted <- nil
+		}
+	}
+}
+
+// refuse tells queued requests that they will not run. The caller holds mu.
+func (a *admitter) refuse(rejected []admission.Rejected) {
+	for _, r := range rejected {
+		if s := a.waiting[r.Ticket]; s != nil {
+			delete(a.waiting, r.Ticket)
+			a.arrivals(s.key).queued--
+			s.admitted <- refusal(r.Reason)
+		}
+	}
+}
+
+// receive takes a message of the share protocol.
+func (a *admitter) receive(_ context.Context, from string, payload []byte) ([]byte, error) {
+	message, err := sharepb.Decode(payload)
+	if err != nil {
+		return nil, err
+	}
+	a.mu.Lock()
+	out := a.shares.Step(time.Now(), from, message)
+	a.mu.Unlock()
+	a.send(out)
+	return nil, nil
+}
+
+func (a *admitter) send(envelopes []share.Envelope) {
+	for _, e := range envelopes {
+		payload, err := sharepb.Encode(e.Message)
+		if err != nil {
+			a.logger.Error("encode limit shares", zap.Error(err))
+			continue
+		}
+		if e.To == a.cfg.ID {
+			_, _ = a.receive(context.Background(), e.To, payload)
+			continue
+		}
+		a.network.Send(e.To, channelShares, payload)
+	}
+}
+
+// run makes the time of the controller and of the shares pass.
+func (a *admitter) run(ctx context.Context) {
+	ticker := time.NewTicker(admissionTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.tick(time.Now())
+		}
+	}
+}
+
+func (a *admitter) tick(now time.Time) {
+	tree := a.tree()
+	a.mu.Lock()
+	if live := a.live(); tree.Revision() != a.revision || len(live)+1 != a.entries {
+		a.configure(now, tree, live)
+	}
+	services := tree.Services()
+	for _, service := range services {
+		a.offer(now, service)
+	}
+	a.reportDemand(now, tree)
+	a.refuse(a.controller.Expire(now))
+	for _, service := range services {
+		a.admitNext(now, service)
+	}
+	for _, ticket := range a.controller.Preempt(now) {
+		if s := a.running[ticket]; s != nil {
+			close(s.preempted)
+		}
+	}
+	out := a.shares.Tick(now)
+	a.mu.Unlock()
+	a.send(out)
+}
+
+// configure puts settings or a changed set of entries in force.
+func (a *admitter) configure(now time.Time, tree *settings.Tree, live []string) {
+	a.revision, a.entries = tree.Revision(), len(live)+1
+	var entries []string
+	for _, p := range a.cfg.Peers {
+		if p.Has(config.RoleEntry) {
+			entries = append(entries, p.ID)
+		}
+	}
+	if len(entries) == 0 {
+		entries = []string{a.cfg.ID}
+	}
+	a.shares.SetView(now, append([]string{a.cfg.ID}, live...), entries)
+	a.shares.SetLimits(now, a.limits(tree))
+	for _, id := range tree.Services() {
+		s, _ := tree.Service(id)
+		a.refuse(a.controller.SetService(now, id, admission.ServiceRules{
+			QueueSize: s.QueueSize, AccountQueueSize: max(1, s.QueueSize/4), MaxQueue: s.MaxQueue,
+		}))
+	}
+	a.updateRules(now, tree)
+}
+
+// limits lists the limits of the settings that entries share.
+func (a *admitter) limits(tree *settings.Tree) []share.Limit {
+	var all []share.Limit
+	for _, accountID := range tree.Accounts() {
+		account, _ := tree.Account(accountID)
+		all = append(all, share.LimitsOf(accountID, "", limitsOf(account.Limits))...)
+		for _, serviceID := range tree.Services() {
+			service, _ := tree.Service(serviceID)
+			rules := tree.Rules(account, service)
+			if rules.Own || rules.Limits != account.Limits {
+				all = append(all, share.LimitsOf(accountID, serviceID, limitsOf(rules.Limits))...)
+			}
+		}
+	}
+	for _, serviceID := range tree.Services() {
+		slots := a.capacity(serviceID).Slots
+		all = append(all, share.Limit{ID: share.ID(share.Slots, "", serviceID), Kind: share.Slots, Value: float64(slots)})
+	}
+	return all
+}
+
+// updateRules puts changed limits in force for the accounts with work here.
+func (a *admitter) updateRules(now time.Time, tree *settings.Tree) {
+	for key := range a.demand {
+		account, ok := tree.Account(key.account)
+		if !ok {
+			a.refuse(a.controller.RemoveAccount(now, key.account))
+			continue
+		}
+		if service, ok := tree.Service(key.service); ok {
+			a.refuse(a.controller.Update(now, key.account, key.service, a.rules(now, tree, account, service)))
+		}
+	}
+}
+
+// offer tells the controller what the upstreams of a service can take.
+func (a *admitter) offer(now time.Time, service string) {
+	capacity := a.capacity(service)
+	capacity.Entries = a.entries
+	id := share.ID(share.Slots, "", service)
+	a.shares.SetLimit(now, share.Limit{ID: id, Kind: share.Slots, Value: float64(capacity.Slots)})
+	capacity.Share = -1
+	if allowance := a.shares.Local(now, id); allowance.Source == share.Leased {
+		capacity.Share = allowance.Value
+	}
+	a.controller.SetCapacity(service, capacity)
+}
+
+// reportDemand tells the owners of limits what this entry could use, and puts
+// the shares that it was granted in force.
+func (a *admitter) reportDemand(now time.Time, tree *settings.Tree) {
+	perAccount := map[string]*arrivals{}
+	for key, d := range a.demand {
+		d.decay(now)
+		if d.requests < 0.01 && d.queued+d.running == 0 {
+			delete(a.demand, key)
+			a.reportLimits(now, key.account, key.service, &arrivals{})
+			continue
+		}
+		a.reportLimits(now, key.account, key.service, d)
+		sum := perAccount[key.account]
+		if sum == nil {
+			sum = &arrivals{class: d.class}
+			perAccount[key.account] = sum
+		}
+		sum.requests, sum.tokens = sum.requests+d.requests, sum.tokens+d.tokens
+		sum.queued, sum.running = sum.queued+d.queued, sum.running+d.running
+	}
+	for account, sum := range perAccount {
+		a.reportLimits(now, account, "", sum)
+	}
+	for _, service := range tree.Services() {
+		paying, free := a.controller.Demand(service)
+		a.shares.SetDemand(now, share.ID(share.Slots, "", service), share.Demand{
+			Paying: float64(paying.Queued + paying.Running), Free: float64(free.Queued + free.Running),
+			Used: float64(paying.Running + free.Running),
+		})
+	}
+	a.updateRules(now, tree)
+}
+
+// demandMargin is asked for beyond the measured demand, so that a rising load
+// finds a share that has room.
+const demandMargin = 1.25
+
+func (a *admitter) reportLimits(now time.Time, account, service string, d *arrivals) {
+	set := func(kind share.Kind, wanted, used float64) {
+		demand := share.Demand{Used: used, Paying: wanted}
+		if d.class == admission.Free {
+			demand.Paying, demand.Free = 0, wanted
+		}
+		a.shares.SetDemand(now, share.ID(kind, account, service), demand)
+	}
+	set(share.Rate, d.requests*demandMargin, 0)
+	set(share.Tokens, d.tokens*time.Minute.Seconds()*demandMargin, 0)
+	set(share.Concurrent, float64(d.queued+d.running), float64(d.running))
+}
--- /dev/null
+++ b/internal/daemon/claims.go
@@ -0,0 +1,242 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellfield/bluebellfield/claim"
+	"github.com/bluebellfield/bluebellfield/globalstate"
+	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/internal/feed"
+)
+
+const (
+	// lookupHold is how long a voter holds the question about a running claim.
+	lookupHold  = 2 * time.Second
+	claimPause  = 100 * time.Millisecond
+	claimExtend = time.Minute
+)
+
+// serveLookup answers with the record of a key. While the key's request runs
+// the answer is held for a while.
+func (l *logs) serveLookup(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var req feed.LookupRequest
+	if err := proto.Unmarshal(payload, &req); err != nil || len(req.Key) != len(claim.Key{}) {
+		return nil, fault.New(fault.BadRequest, fault.At{Step: "claim lookup"}, fault.NotRun, "malformed request")
+	}
+	key := claim.Key(req.Key)
+	ctx, cancel := context.WithTimeout(ctx, lookupHold)
+	defer cancel()
+	for {
+		changed := l.global.Watch()
+		record, found := l.global.machine.Lookup(key)
+		if !found || record.State != claim.StateRunning || ctx.Err() != nil {
+			return encodeLookup(record, found)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func encodeLookup(record claim.Record, found bool) ([]byte, error) {
+	reply := &feed.LookupReply{Found: found, State: uint32(record.State)}
+	if record.Answer != nil {
+		answer, err := json.Marshal(record.Answer)
+		if err != nil {
+			return nil, err
+		}
+		reply.Answer = answer
+	}
+	return proto.Marshal(reply)
+}
+
+// claims makes claims of idempotency keys on the global log.
+type claims struct {
+	global      *globalClient
+	local       *logs
+	entry       string
+	incarnation uint64
+	logger      *zap.Logger
+	// settling counts the records that are still to be written, which a
+	// planned stop waits for.
+	settling sync.WaitGroup
+}
+
+func (c *claims) holder(id caller.ClaimID) claim.Holder {
+	return claim.Holder{Entry: c.entry, Incarnation: c.incarnation, Request: id.Holder}
+}
+
+func keyOf(id caller.ClaimID) claim.Key { return claim.HashKey(id.Account, id.Route, id.Key) }
+
+// Claim implements caller.Claimer.
+func (c *claims) Claim(ctx context.Context, id caller.ClaimID, body [32]byte) (caller.ClaimState, caller.Answer, error) {
+	deadline, _ := ctx.Deadline()
+	now := time.Now()
+	result, err := c.propose(ctx, claim.Claim{
+		Key: keyOf(id), Account: id.Account, Body: body, Holder: c.holder(id), KeyTime: claim.KeyTime(id.Key), Deadline: deadline, At: now,
+	})
+	if err != nil {
+		if fault.OutcomeOf(err) != fault.NotRun {
+			// The claim may be granted without anyone to run it.
+			c.Release(id)
+		}
+		// The request was not dispatched and never will be.
+		return 0, caller.Answer{}, fault.Wrap(err, fault.ClaimUnavailable, fault.Location(err), fault.NotRun)
+	}
+	return claimState(result)
+}
+
+func claimState(r claim.Result) (caller.ClaimState, caller.Answer, error) {
+	at := fault.At{Step: caller.StepClaim}
+	switch r.Code {
+	case claim.Granted:
+		return caller.ClaimGranted, caller.Answer{}, nil
+	case claim.Running:
+		return caller.ClaimRunning, caller.Answer{}, nil
+	case claim.Done:
+		return caller.ClaimDone, callerAnswer(r.Answer), nil
+	case claim.Unknown, claim.KeyUsed:
+		return caller.ClaimUnknown, caller.Answer{}, nil
+	case claim.BodyConflict:
+		return 0, caller.Answer{}, fault.New(fault.KeyConflict, at, fault.NotRun, "the idempotency key was used with another request")
+	case claim.KeyExpired:
+		return 0, caller.Answer{}, fault.New(fault.KeyExpired, at, fault.NotRun, "the idempotency key is too old to prove that it was not used")
+	}
+	return 0, caller.Answer{}, fault.New(fault.ClaimUnavailable, at, fault.NotRun, fmt.Sprintf("the claim was refused: %s", r.Code))
+}
+
+func callerAnswer(a *claim.Answer) caller.Answer {
+	if a == nil {
+		return caller.Answer{}
+	}
+	header := make(http.Header, len(a.Header))
+	for _, f := range a.Header {
+		header.Add(f.Name, f.Value)
+	}
+	return caller.Answer{Status: a.Status, Header: header, Body: a.Body, Stored: !a.BodyOmitted}
+}
+
+// Await implements caller.Claimer.
+func (c *claims) Await(ctx context.Context, id caller.ClaimID, _ [32]byte) (caller.ClaimState, caller.Answer, error) {
+	at := fault.At{Step: caller.StepClaim}
+	key := keyOf(id)
+	payload, err := proto.Marshal(&feed.LookupRequest{Key: key[:]})
+	if err != nil {
+		return 0, caller.Answer{}, err
+	}
+	for ctx.Err() == nil {
+		reply, err := c.lookup(ctx, payload)
+		if err != nil {
+			wait(ctx, nil, claimPause)
+			continue
+		}
+		switch state := claim.State(reply.State); {
+		case !reply.Found:
+			return 0, caller.Answer{}, fault.New(fault.Conflict, at, fault.NotRun, "the first request with this idempotency key did not run; send it again")
+		case state == claim.StateDone:
+			var answer claim.Answer
+			if err := json.Unmarshal(reply.Answer, &answer); err != nil {
+				return 0, caller.Answer{}, err
+			}
+			return caller.ClaimDone, callerAnswer(&answer), nil
+		case state != claim.StateRunning:
+			return caller.ClaimUnknown, caller.Answer{}, nil
+		}
+	}
+	return 0, caller.Answer{}, fault.New(fault.DeadlineExceeded, at, fault.Unknown, "the first request with this idempotency key is still running")
+}
+
+func (c *claims) lookup(ctx context.Context, payload []byte) (*feed.LookupReply, error) {
+	var answer []byte
+	var err error
+	if c.local.global != nil {
+		answer, err = c.local.serveLookup(ctx, "", payload)
+	} else {
+		for _, voter := range nearestFirst(c.global.cfg, c.global.cfg.Logs.Global) {
+			if answer, err = c.global.network.Call(ctx, voter, channelClaim, payload); err == nil {
+				break
+			}
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	var reply feed.LookupReply
+	return &reply, proto.Unmarshal(answer, &reply)
+}
+
+// Complete implements caller.Claimer.
+func (c *claims) Complete(id caller.ClaimID, answer *caller.Answer) {
+	command := claim.Complete{Key: keyOf(id), Holder: c.holder(id), Lost: answer == nil, At: time.Now()}
+	if answer != nil {
+		command.Answer = claimAnswer(answer)
+	}
+	c.settle(command)
+}
+
+func claimAnswer(a *caller.Answer) claim.Answer {
+	stored := claim.Answer{Status: a.Status, Body: a.Body}
+	size := len(a.Body)
+	for name, values := range a.Header {
+		for _, v := range values {
+			stored.Header = append(stored.Header, claim.Field{Name: name, Value: v})
+			size += len(name) + len(v)
+		}
+	}
+	if size > claim.MaxAnswerBytes {
+		stored.Body, stored.BodyOmitted = nil, true
+	}
+	return stored
+}
+
+// Release implements caller.Claimer.
+func (c *claims) Release(id caller.ClaimID) {
+	c.settle(claim.Release{Key: keyOf(id), Holder: c.holder(id), At: time.Now()})
+}
+
+// settle writes a record until it is answered, without making the caller wait.
+// A resend that comes before it finds the request running and waits.
+func (c *claims) settle(command claim.Command) {
+	c.settling.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), claimExtend)
+		defer cancel()
+		for ctx.Err() == nil {
+			if _, err := c.propose(ctx, command); err == nil {
+				return
+			}
+			wait(ctx, nil, claimPause)
+		}
+		c.logger.Warn("a claim was not settled; its outcome will be unknown")
+	})
+}
+
+// abandonEarlier marks the claims of earlier runs of this entry as unknown.
+func (c *claims) abandonEarlier(ctx context.Context) {
+	for ctx.Err() == nil {
+		proposal, cancel := context.WithTimeout(ctx, proposeTimeout)
+		_, err := c.propose(proposal, claim.Abandon{Entry: c.entry, Before: c.incarnation, At: time.Now()})
+		cancel()
+		if err == nil {
+			return
+		}
+		wait(ctx, nil, time.Second)
+	}
+}
+
+func (c *claims) propose(ctx context.Context, command claim.Command) (claim.Result, error) {
+	data, err := c.global.Propose(ctx, globalstate.EncodeClaim(command))
+	if err != nil {
+		return claim.Result{}, err
+	}
+	return globalstate.DecodeClaimResult(data)
+}
--- /dev/null
+++ b/internal/daemon/groups.go
@@ -0,0 +1,240 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/bluebellfield/bluebellfield/domainstate"
+	"github.com/bluebellfield/bluebellfield/group"
+	"github.com/bluebellfield/bluebellfield/internal/config"
+	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
+	"github.com/bluebellfield/bluebellfield/membership"
+	"github.com/bluebellfield/bluebellfield/settings"
+)
+
+const (
+	// groupTick is the time between two decisions while nothing else asks for
+	// one. It adds to the time to repair a group.
+	groupTick = 250 * time.Millisecond
+	// leaseCheck bounds the proof of leadership before orders are sent.
+	leaseCheck = time.Second
+	// addressless marks a member of an order that is not known any more.
+	addressless = ""
+)
+
+// groupManager runs the decisions on replica groups while this instance leads
+// the log of its failure domain.
+type groupManager struct {
+	cfg      *config.Daemon
+	domain   *domainReplica
+	members  *members
+	client   *upstream.Client
+	tree     func() *settings.Tree
+	logger   *zap.Logger
+	registry metrics.Registry
+	system   *actor.ActorSystem
+	pid      *actor.PID
+
+	// The fields below belong to the actor.
+	controller *group.Controller
+	term       uint64
+	totals     map[string]int
+
+	mu       sync.Mutex
+	accounts []group.Account
+}
+
+// decideMessage asks the actor for a decision.
+type decideMessage struct{}
+
+func newGroupManager(cfg *config.Daemon, d *domainReplica, m *members, client *upstream.Client, tree func() *settings.Tree, registry metrics.Registry, logger *zap.Logger) *groupManager {
+	return &groupManager{cfg: cfg, domain: d, members: m, client: client, tree: tree, registry: registry, logger: logger, totals: map[string]int{}}
+}
+
+func (g *groupManager) start(system *actor.ActorSystem) {
+	g.system = system
+	g.pid = system.Root.Spawn(actor.PropsFromFunc(g.receive))
+}
+
+// run asks for decisions: regularly, and at each change of the log.
+func (g *groupManager) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := g.domain.Watch()
+		// The reply is waited for, so that requests do not pile up behind a
+		// slow log.
+		_, _ = g.system.Root.RequestFuture(g.pid, &decideMessage{}, proposeTimeout).Result()
+		wait(ctx, changed, groupTick)
+	}
+}
+
+// Accounts returns downtime and stranded accelerators since this instance
+// became the leader.
+func (g *groupManager) Accounts() []group.Account {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.accounts
+}
+
+func (g *groupManager) receive(c actor.Context) {
+	if _, ok := c.Message().(*decideMessage); !ok {
+		return
+	}
+	g.decide()
+	c.Respond(true)
+}
+
+// decide makes one decision and carries it out.
+func (g *groupManager) decide() {
+	status := g.domain.Status()
+	if !status.Leads() {
+		g.controller = nil
+		return
+	}
+	now := time.Now()
+	if g.controller == nil || g.term != status.Term {
+		g.term = status.Term
+		g.controller = group.NewController(group.Config{FailureDomain: g.cfg.FailureDomain}, g.term, now)
+	}
+	tree := g.tree()
+	view := g.members.View()
+	observed := group.Observe(view, g.cfg.FailureDomain, func(u *membership.Upstream) bool { return g.mayFence(tree, u) })
+	state := g.domain.machine.Groups()
+	decision := g.controller.Decide(now, state, observed, g.settings(tree, view, state))
+	g.report()
+	for _, c := range decision.Commands {
+		if !g.propose(c) {
+			return
+		}
+	}
+	g.send(decision.Orders)
+}
+
+// mayFence reports whether settings allow an engine's claim that it rejects
+// old fencing numbers to count.
+func (g *groupManager) mayFence(tree *settings.Tree, u *membership.Upstream) bool {
+	for _, id := range u.Services {
+		if s, ok := tree.Service(id); ok && s.ChecksFencing {
+			return true
+		}
+	}
+	return false
+}
+
+// settings lists the groups that this failure domain wants: as many as its
+// instances allow.
+func (g *groupManager) settings(tree *settings.Tree, view *membership.View, state *group.State) group.Settings {
+	domains := make([]string, 0, len(g.cfg.Logs.Domains))
+	for d := range g.cfg.Logs.Domains {
+		domains = append(domains, d)
+	}
+	out := group.Settings{StoreRate: tree.WeightStoreRate(g.cfg.FailureDomain, domains)}
+	for _, id := range tree.Services() {
+		s, _ := tree.Service(id)
+		policy := tree.GroupPolicy(g.cfg.FailureDomain, id)
+		if !s.Model || policy.GroupSize < 2 {
+			continue
+		}
+		out.Demands = append(out.Demands, group.Demand{
+			Service: id, Model: membership.Model{Name: s.ModelName, Version: policy.ModelVersion},
+			Groups: g.wanted(id, view, state) / policy.GroupSize, GroupSize: policy.GroupSize,
+			DowntimeWeight: policy.DowntimeWeight, StrandedWeight: policy.StrandedWeight,
+		})
+	}
+	return out
+}
+
+// wanted counts the instances of a service, those that are away included.
+func (g *groupManager) wanted(service string, view *membership.View, state *group.State) int {
+	seen := map[string]bool{}
+	for _, u := range view.Service(service) {
+		if u.FailureDomain == g.cfg.FailureDomain && u.Kind == membership.ModelEngine && u.State != membership.Leaving {
+			seen[u.ID] = true
+		}
+	}
+	for _, gr := range state.Groups {
+		if gr.Service == service {
+			for _, m := range gr.Members {
+				seen[m.ID] = true
+			}
+		}
+	}
+	return len(seen)
+}
+
+// propose commits a command and reports whether it was decided.
+func (g *groupManager) propose(c group.Command) bool {
+	data, err := domainstate.EncodeGroup(c)
+	if err != nil {
+		g.logger.Error("encode group command", zap.Error(err))
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout/2)
+	defer cancel()
+	answer, err := g.domain.Propose(ctx, data)
+	if err != nil {
+		g.logger.Info("group command was not committed", zap.String("kind", string(c.Kind)), zap.Error(err))
+		return false
+	}
+	result, err := domainstate.DecodeResult(answer)
+	if err != nil {
+		g.logger.Error("group command failed", zap.String("kind", string(c.Kind)), zap.Error(err))
+		return false
+	}
+	g.logger.Info("group command", zap.String("kind", string(c.Kind)), zap.String("group", c.Group),
+		zap.String("cause", string(c.Cause)), zap.String("result", string(result.Code)), zap.String("message", result.Message))
+	return true
+}
+
+// send gives orders while this instance is proven to lead. Each order is given
+// up after the order timeout, on which the controller counts.
+func (g *groupManager) send(orders []group.Order) {
+	if len(orders) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaseCheck)
+	held, err := g.domain.LeaseHeld(ctx)
+	cancel()
+	if err != nil || !held {
+		return
+	}
+	view := g.members.View()
+	for _, o := range orders {
+		go g.order(o, view)
+	}
+}
+
+func (g *groupManager) order(o group.Order, view *membership.View) {
+	ctx, cancel := context.WithTimeout(context.Background(), group.DefaultOrderTimeout)
+	defer cancel()
+	order := upstream.Order{
+		ID: o.ID, Kind: upstream.OrderKind(o.Kind), Group: o.Group, Epoch: o.Epoch, Rank: o.Rank, Model: o.Model,
+	}
+	for _, m := range o.Members {
+		member := upstream.Member{ID: m.ID, Address: addressless}
+		if u := view.Get(m.ID); u != nil {
+			member.Address = u.Address
+		}
+		order.Members = append(order.Members, member)
+	}
+	_, err := g.client.Order(ctx, upstream.Target{ID: o.Instance, Address: o.Address}, g.cfg.OrderToken, order)
+	g.logger.Info("order", zap.String("kind", string(o.Kind)), zap.String("upstream", o.Instance), zap.String("group", o.Group),
+		zap.Uint64("epoch", o.Epoch), zap.Error(err))
+}
+
+// report publishes downtime and stranded accelerators as metrics.
+func (g *groupManager) report() {
+	accounts := g.controller.Accounts()
+	g.mu.Lock()
+	g.accounts = accounts
+	g.mu.Unlock()
+	for _, a := range accounts {
+		name := a.Service + "." + string(a.Cause)
+		metrics.GetOrRegisterGaugeFloat64("group.downtime_seconds."+name, g.registry).Update(a.Downtime)
+		metrics.GetOrRegisterGaugeFloat64("group.stranded_accelerator_seconds."+name, g.registry).Update(a.Stranded)
+	}
+}
--- /dev/null
+++ b/internal/daemon/logs.go
@@ -0,0 +1,239 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellfield/bluebellfield/domainstate"
+	"github.com/bluebellfield/bluebellfield/globalstate"
+	"github.com/bluebellfield/bluebellfield/group"
+	"github.com/bluebellfield/bluebellfield/internal/config"
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/internal/peer"
+	"github.com/bluebellfield/bluebellfield/internal/replica"
+	"github.com/bluebellfield/bluebellfield/internal/storage"
+	"github.com/bluebellfield/bluebellfield/settings"
+)
+
+// Names of the logs and their channels between daemons.
+const (
+	globalLog      = "global"
+	domainLog      = "domain-"
+	channelLog     = "log."
+	channelForward = "forward."
+	channelPropose = "propose.global"
+	channelClaim   = "claim.lookup"
+)
+
+// logs are the replicas that this daemon hosts.
+type logs struct {
+	cfg     *config.Daemon
+	network *peer.Network
+	logger  *zap.Logger
+	dir     *storage.Dir
+	global  *globalReplica
+	domains map[string]*domainReplica
+}
+
+type globalReplica struct {
+	*replica.Replica
+	machine *globalstate.Machine
+}
+
+type domainReplica struct {
+	*replica.Replica
+	failureDomain string
+	machine       *domainstate.Machine
+}
+
+// openLogs opens the replicas of the logs in which this daemon votes.
+func openLogs(cfg *config.Daemon, network *peer.Network, logger *zap.Logger) (*logs, error) {
+	l := &logs{cfg: cfg, network: network, logger: logger, domains: map[string]*domainReplica{}}
+	if cfg.DataFolder == "" || !cfg.Has(config.RoleControl) {
+		return l, nil
+	}
+	dir, err := storage.OpenDir(storage.OS{}, cfg.DataFolder)
+	if err != nil {
+		return nil, fmt.Errorf("open data folder: %w", err)
+	}
+	l.dir = dir
+	if err := l.openAll(); err != nil {
+		return nil, errors.Join(err, l.close())
+	}
+	return l, nil
+}
+
+func (l *logs) openAll() error {
+	if slices.Contains(l.cfg.Logs.Global, l.cfg.ID) {
+		g := &globalReplica{machine: globalstate.New()}
+		r, err := l.open(globalLog, l.cfg.Logs.Global, g.machine)
+		if err != nil {
+			return err
+		}
+		g.Replica = r
+		l.global = g
+		l.network.Handle(channelPropose, l.servePropose)
+		l.network.Handle(channelClaim, l.serveLookup)
+	}
+	for failureDomain, voters := range l.cfg.Logs.Domains {
+		if !slices.Contains(voters, l.cfg.ID) {
+			continue
+		}
+		d := &domainReplica{failureDomain: failureDomain, machine: domainstate.New()}
+		r, err := l.open(domainLog+failureDomain, voters, d.machine)
+		if err != nil {
+			return err
+		}
+		d.Replica = r
+		l.domains[failureDomain] = d
+	}
+	return nil
+}
+
+func (l *logs) open(name string, voters []string, machine replica.StateMachine) (*replica.Replica, error) {
+	r, err := replica.Open(replica.Options{
+		Log: name, ID: l.cfg.ID, Dir: l.dir, Voters: voters, Transport: transport{l.network}, Machine: machine,
+		Forward: l.forward, Logger: l.logger,
+		// What was once in force must be in force again after a restart.
+		SyncCommit: true,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("open log %s: %w", name, err)
+	}
+	l.network.Handle(channelLog+name, func(_ context.Context, from string, message []byte) ([]byte, error) {
+		r.Receive(from, message)
+		return nil, nil
+	})
+	l.network.Handle(channelForward+name, func(ctx context.Context, _ string, request []byte) ([]byte, error) {
+		return r.HandleForward(ctx, request), nil
+	})
+	return r, nil
+}
+
+// transport sends log messages over the peer network.
+type transport struct{ network *peer.Network }
+
+// Send implements replica.Transport.
+func (t transport) Send(to, log string, message []byte) {
+	t.network.Send(to, channelLog+log, message)
+}
+
+func (l *logs) forward(ctx context.Context, leader, log string, request []byte) ([]byte, error) {
+	answer, err := l.network.Call(ctx, leader, channelForward+log, request)
+	if err != nil && fault.OutcomeOf(err) == fault.NotRun {
+		return nil, fmt.Errorf("%w: %w", replica.ErrNotProposed, err)
+	}
+	return answer, err
+}
+
+// servePropose proposes a command for a daemon that hosts no global replica.
+func (l *logs) servePropose(ctx context.Context, _ string, command []byte) ([]byte, error) {
+	return l.global.Propose(ctx, command)
+}
+
+// replicas returns every hosted replica by log name.
+func (l *logs) replicas() map[string]*replica.Replica {
+	all := make(map[string]*replica.Replica, len(l.domains)+1)
+	if l.global != nil {
+		all[globalLog] = l.global.Replica
+	}
+	for _, d := range l.domains {
+		all[domainLog+d.failureDomain] = d.Replica
+	}
+	return all
+}
+
+// handOver gives up the leadership of every log that this daemon leads.
+func (l *logs) handOver(ctx context.Context) {
+	for name, r := range l.replicas() {
+		if !r.Status().Leads() {
+			continue
+		}
+		if err := r.TransferLeadership(ctx, ""); err != nil {
+			l.logger.Info("leadership was not handed over", zap.String("log", name), zap.Error(err))
+		}
+	}
+}
+
+func (l *logs) close() error {
+	var errs []error
+	for _, r := range l.replicas() {
+		if r != nil {
+			errs = append(errs, r.Close())
+		}
+	}
+	if l.dir != nil {
+		errs = append(errs, l.dir.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// proposeTimeout bounds a proposal that no caller waits for.
+const proposeTimeout = 10 * time.Second
+
+// globalClient reaches the global log from any daemon.
+type globalClient struct {
+	cfg     *config.Daemon
+	network *peer.Network
+	local   *globalReplica
+}
+
+// Propose commits a command and returns its result. The outcome of an error
+// says whether the command can have been committed.
+func (g *globalClient) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if g.local != nil {
+		return g.local.Propose(ctx, command)
+	}
+	err := fault.New(fault.Unavailable, fault.At{Step: "global log"}, fault.NotRun, "no voter of the global log is known")
+	for _, voter := range nearestFirst(g.cfg, g.cfg.Logs.Global) {
+		var result []byte
+		result, err = g.network.Call(ctx, voter, channelPropose, command)
+		if err == nil || fault.OutcomeOf(err) != fault.NotRun {
+			return result, err
+		}
+	}
+	return nil, err
+}
+
+// nearestFirst orders instances: this one, those of the same failure domain,
+// the others.
+func nearestFirst(cfg *config.Daemon, ids []string) []string {
+	ordered := slices.Clone(ids)
+	rank := func(id string) int {
+		p, _ := cfg.Peer(id)
+		switch {
+		case id == cfg.ID:
+			return 0
+		case p.FailureDomain == cfg.FailureDomain:
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(ordered, func(a, b string) int { return rank(a) - rank(b) })
+	return ordered
+}
+
+// globalState serves the settings of the global log to the feed.
+type globalState struct{ *globalReplica }
+
+// Tree implements feed.State.
+func (s globalState) Tree() *settings.Tree { return s.machine.Tree() }
+
+// Since implements feed.State.
+func (s globalState) Since(revision uint64) ([]settings.Record, bool) {
+	return s.machine.Since(revision)
+}
+
+// Groups implements feed.State.
+func (s globalState) Groups() map[string]*group.State { return nil }
+
+// Changed implements feed.State.
+func (s globalState) Changed() <-chan struct{} { return s.Watch() }
+
+// Led implements feed.State.
+func (s globalState) Led() bool { return s.Status().Leader.Instance != "" }
--- /dev/null
+++ b/internal/daemon/policy.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/membership"
+	"github.com/bluebellfield/bluebellfield/settings"
+)
+
+const (
+	// maxBodyBytes bounds a body before its service is known; a service may
+	// set a lower bound.
+	maxBodyBytes = 16 << 20
+	// idleTimeout bounds the silence within a stream. At the planned 25 ms
+	// between tokens it is 400 missed tokens.
+	idleTimeout = 10 * time.Second
+)
+
+// policy answers the caller edge from the settings in force.
+type policy struct {
+	tree func() *settings.Tree
+}
+
+// Account implements caller.Policy.
+func (p policy) Account(key string) (caller.Account, error) {
+	tree := p.tree()
+	account, known := tree.AccountByKeyHash(sha256.Sum256([]byte(key)))
+	switch {
+	case key == "":
+		account = tree.Global().Anonymous
+	case !known:
+		account = tree.Global().UnknownKey
+	}
+	if account == nil {
+		return caller.Account{}, fault.New(fault.Unauthorized, fault.At{Step: caller.StepAuthenticate}, fault.NotRun, "the bearer key is missing or unknown")
+	}
+	class := caller.Free
+	if account.Paying {
+		class = caller.Paying
+	}
+	return caller.Account{ID: account.ID, Class: class}, nil
+}
+
+// Route implements caller.Policy.
+func (p policy) Route(account caller.Account, method, path, model string) (caller.Route, error) {
+	tree := p.tree()
+	notFound := func(format string, args ...any) (caller.Route, error) {
+		return caller.Route{}, fault.New(fault.NotFound, fault.At{Step: caller.StepRoute}, fault.NotRun, fmt.Sprintf(format, args...))
+	}
+	match, ok := tree.Route(method, path)
+	if !ok {
+		return notFound("no service has the route %s %s", method, path)
+	}
+	service := match.Service
+	if match.ByModel {
+		if service, ok = tree.ServiceByModel(model); !ok {
+			return notFound("no service serves the model %q", model)
+		}
+	}
+	return routeOf(service, method, path), nil
+}
+
+func routeOf(s *settings.Service, method, path string) caller.Route {
+	route := caller.Route{
+		Service: s.ID, Kind: membership.PlainService, Model: s.ModelName, Idempotent: s.Idempotent(method, path),
+		ForwardKey: s.PassKeyHeader, Timeout: s.Timeout, FirstByteTimeout: s.Timeout, IdleTimeout: idleTimeout,
+		MaxBodyBytes: s.MaxBodyBytes, MaxResponseBytes: s.MaxResponseBytes, MaxHeaderBytes: int(s.MaxHeaderBytes),
+		NotStarted: s.ReplayContract, DropHeaders: s.DropHeaders,
+	}
+	if s.Model {
+		route.Kind = membership.ModelEngine
+	}
+	return route
+}
+
+// MaxBodyBytes implements caller.Policy.
+func (p policy) MaxBodyBytes() int64 { return maxBodyBytes }
--- a/internal/devmode/devmode.go
+++ b/internal/devmode/devmode.go
@@ -3,6 +3,9 @@
 package devmode
 
 import (
+	"fmt"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/internal/config"
@@ -12,22 +15,58 @@
 
 const tokenDelay = 20 * time.Millisecond
 
-const settings = `{
+// settingsFile is the daemon's settings file. Its data folder is filled in.
+const settingsFile = `{
   "id": "dev",
   "failureDomain": "dev",
-  "roles": ["entry"],
+  "region": "dev",
+  "roles": ["entry", "control"],
+  "dataFolder": %q,
   "listen": {
     "caller": "127.0.0.1:8080",
     "upstream": "127.0.0.1:8081",
     "operator": "127.0.0.1:8082",
     "platform": "127.0.0.1:8083",
   },
+  "logs": {"global": ["dev"], "domains": {"dev": ["dev"]}},
+  "bootstrapSettings": %q,
+  // The operator's token is "dev".
+  "operators": [{"name": "dev", "tokenSHA256": "ef260e9aa3c673af240d17a2660480361a8e081d1ffeca2a5ed0e3219fc18567"}],
   "drain": {"balancerWaitMs": 0},
 }`
 
-// Settings returns the settings of the development daemon.
-func Settings() (*config.Daemon, error) {
-	return config.Parse("built-in development settings", []byte(settings))
+// tree is the settings tree of the deployment. The callers' key is "dev".
+const tree = `{
+  "accounts": {
+    "dev": {
+      "class": "paying",
+      "keyHashes": ["ef260e9aa3c673af240d17a2660480361a8e081d1ffeca2a5ed0e3219fc18567"],
+    },
+  },
+  "services": {
+    "dev-model": {"kind": "model", "model": "dev-model"},
+  },
+}`
+
+// Settings returns the settings of the development daemon and a function that
+// removes its data.
+func Settings() (*config.Daemon, func(), error) {
+	folder, err := os.MkdirTemp("", "bluebellfield-dev-")
+	if err != nil {
+		return nil, nil, err
+	}
+	cleanup := func() { _ = os.RemoveAll(folder) }
+	bootstrap := filepath.Join(folder, "settings.jsonc")
+	if err := os.WriteFile(bootstrap, []byte(tree), 0o600); err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	cfg, err := config.Parse("built-in development settings", fmt.Appendf(nil, settingsFile, filepath.Join(folder, "data"), bootstrap))
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	return cfg, cleanup, nil
 }
 
 // StartEngine starts an engine that announces itself to the daemon.
@@ -37,7 +76,7 @@
 			Announcement: membership.Announcement{
 				ID: "dev-engine", FailureDomain: cfg.FailureDomain, Services: []string{"dev-model"},
 				Models:   []membership.Model{{Name: "dev-model"}},
-				Features: membership.Features{Priorities: true, Resume: true, Cancel: true, Fencing: true},
+				Features: membership.Features{Priorities: true, Resume: true, Cancel: true, Fencing: true, Echo: true},
 			},
 			Entries: []string{cfg.Listen.Upstream},
 		},
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
 	"github.com/bluebellfield/bluebellfield/membership"
+	"github.com/bluebellfield/bluebellfield/settings"
 )
 
 // errFirstByte is the cause of a cancelled attempt that got no answer in time.
@@ -151,6 +152,9 @@
 	for _, name := range hopHeaders {
 		header.Del(name)
 	}
+	for _, name := range x.work.Route.DropHeaders {
+		header.Del(name)
+	}
 	if key != "" && x.work.Route.ForwardKey {
 		header.Set(upstream.HeaderForwardedKey, key)
 	}
@@ -165,7 +169,9 @@
 	if x.work.Route.Kind == membership.ModelEngine && t.resp.Header.Get(upstream.HeaderNotStarted) == "true" {
 		return fault.New(fault.UpstreamUnreachable, at, fault.NotRun, "the upstream refused the request before starting it")
 	}
-	if slices.Contains(x.work.Route.NotStarted, status) {
+	if slices.ContainsFunc(x.work.Route.NotStarted, func(p settings.Proof) bool {
+		return p.Status == status && (p.Header == "" || t.resp.Header.Get(p.Header) == p.Value)
+	}) {
 		return fault.New(fault.UpstreamUnreachable, at, fault.NotRun, fmt.Sprintf("the upstream refused the request with status %d", status))
 	}
 	if status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout {
--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fake"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/settings"
 )
 
 const tokens = 12
@@ -181,7 +182,7 @@
 		{name: "503 without a contract", method: "POST", path: "/orders", setup: func(h *harness) { h.plain.SetFaults(fake.Faults{Refuse: 503}) }, status: 502, code: fault.UpstreamUnreachable, outcome: fault.Unknown, step: upstream.StepDispatch},
 		{name: "503 that the contract calls not started", method: "POST", path: "/orders", setup: func(h *harness) {
 			h.plain.SetFaults(fake.Faults{Refuse: 503})
-			h.route.NotStarted = []int{503}
+			h.route.NotStarted = []settings.Proof{{Status: 503}}
 		}, status: 502, code: fault.UpstreamUnreachable, outcome: fault.NotRun, step: upstream.StepDispatch},
 		{name: "order reset in flight", method: "POST", path: "/orders", setup: func(h *harness) { h.plain.SetFaults(fake.Faults{Reset: true}) }, status: 502, code: fault.UpstreamFailed, outcome: fault.Unknown, step: upstream.StepDispatch},
 		{name: "order truncated", method: "POST", path: "/orders", setup: func(h *harness) { h.plain.SetFaults(fake.Faults{TruncateAfter: 1}) }, status: 502, code: fault.UpstreamTruncated, outcome: fault.Unknown, step: StepRelay, runs: 1},
--- a/internal/edge/caller/deps.go
+++ b/internal/edge/caller/deps.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
 	"github.com/bluebellfield/bluebellfield/membership"
+	"github.com/bluebellfield/bluebellfield/settings"
 )
 
 // Class of a client account.
@@ -39,9 +40,11 @@
 	Idempotent bool
 	// ForwardKey passes the caller's idempotency key on to the upstream.
 	ForwardKey bool
-	// NotStarted lists the response statuses by which an upstream proves that
-	// it did not start a request.
-	NotStarted       []int
+	// NotStarted lists the responses by which an upstream proves that it did
+	// not start a request.
+	NotStarted []settings.Proof
+	// DropHeaders names request headers that upstreams must not see.
+	DropHeaders      []string
 	Timeout          time.Duration
 	FirstByteTimeout time.Duration
 	// IdleTimeout bounds the time between two events of a stream.
@@ -87,6 +90,8 @@
 type Slot interface {
 	// Preempted is closed when the request must give way to paying work.
 	Preempted() <-chan struct{}
+	// Yield gives the place up after a preemption and waits for another one.
+	Yield(ctx context.Context) error
 	Release(Usage)
 }
 
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -68,7 +68,7 @@
 	require.NoError(t, err)
 	t.Cleanup(plain.Close)
 	h.plain = plain
-	client := upstream.NewClient()
+	client := upstream.NewClient(nil)
 	t.Cleanup(client.Close)
 	h.handler = NewHandler(Options{
 		Deps:   Deps{Policy: h, Admitter: h, Picker: h, Retrier: h, Quarantine: h, Claimer: h, Client: client},
@@ -103,8 +103,9 @@
 
 type harnessSlot struct{ preempted chan struct{} }
 
-func (s harnessSlot) Preempted() <-chan struct{} { return s.preempted }
-func (s harnessSlot) Release(Usage)              {}
+func (s harnessSlot) Preempted() <-chan struct{}  { return s.preempted }
+func (s harnessSlot) Yield(context.Context) error { return nil }
+func (s harnessSlot) Release(Usage)               {}
 
 func (h *harness) Admit(context.Context, *Work) (Slot, error) {
 	h.mu.Lock()
--- a/internal/edge/caller/stream.go
+++ b/internal/edge/caller/stream.go
@@ -39,7 +39,12 @@
 // serveStream answers a streamed chat completion. A stream that breaks or is
 // preempted is resumed after the last delivered event where engines can.
 func (x *exchange) serveStream(ctx context.Context) error {
-	s := &stream{exchange: x, delivered: noPosition}
+	slot, err := x.admit(ctx)
+	if err != nil {
+		return err
+	}
+	s := &stream{exchange: x, slot: slot, delivered: noPosition}
+	defer func() { slot.Release(Usage{Tokens: int(s.delivered) + 1}) }()
 	x.Retrier.First(&x.work)
 	var last error
 	for {
@@ -48,6 +53,9 @@
 			return nil
 		}
 		if errors.Is(err, errPreempted) {
+			if err := slot.Yield(ctx); err != nil {
+				return s.afterStart(err)
+			}
 			continue
 		}
 		last = earlier(last, err)
@@ -60,15 +68,8 @@
 	}
 }
 
-// run admits the request and makes one attempt.
+// run makes one attempt.
 func (s *stream) run(ctx context.Context) error {
-	slot, err := s.admit(ctx)
-	if err != nil {
-		return s.afterStart(err)
-	}
-	before := s.delivered
-	defer func() { slot.Release(Usage{Tokens: int(s.delivered - before)}) }()
-	s.slot = slot
 	t, err := s.send(ctx, s.resume(), false)
 	if err != nil {
 		return s.afterStart(err)
--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -70,11 +70,20 @@
 	once   *http.Transport
 }
 
-// NewClient returns a client with its own connection pool.
-func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// DialFunc opens a TCP connection to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// NewClient returns a client with its own connection pool. A nil dial means
+// plain TCP.
+func NewClient(dial DialFunc) *Client {
+	if dial == nil {
+		dialer := &net.Dialer{Timeout: dialTimeout}
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
 	pooled := &http.Transport{
-		DialContext:         dialTracked(dialer.DialContext),
+		DialContext:         dialTracked(dial),
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- a/internal/edge/upstream/conn.go
+++ b/internal/edge/upstream/conn.go
@@ -48,9 +48,9 @@
 }
 
 // dialTracked wraps a dial function so that its connections are tracked.
-func dialTracked(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
+func dialTracked(dial DialFunc) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		conn, err := dial(ctx, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/edge/upstream/wire.go
+++ b/internal/edge/upstream/wire.go
@@ -37,6 +37,8 @@
 const (
 	OrderForm    OrderKind = "form"
 	OrderRelease OrderKind = "release"
+	// OrderLoad asks for weights to be loaded ahead of need.
+	OrderLoad OrderKind = "load"
 )
 
 // Member names one instance of a replica group and where the others reach it.
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -51,6 +51,12 @@
 	Delay time.Duration
 }
 
+// echo is the mark of a registrar's last lease and when it came.
+type echo struct {
+	mark string
+	at   time.Time
+}
+
 // Run is one request that an upstream started.
 type Run struct {
 	RequestID string
@@ -78,6 +84,7 @@
 	highest  uint64
 	state    membership.State
 	sequence uint64
+	echoes   map[string]echo
 	runs     []Run
 	dead     chan struct{}
 	killed   bool
@@ -101,7 +108,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		upstream: u, cancel: cancel, state: u.State,
-		slots: make(chan struct{}, u.MaxConcurrent), dead: make(chan struct{}),
+		slots: make(chan struct{}, u.MaxConcurrent), dead: make(chan struct{}), echoes: map[string]echo{},
 		client: &http.Client{Timeout: reportTimeout},
 	}
 	mux.HandleFunc("GET "+upstream.PathState, s.serveState)
@@ -142,8 +149,9 @@
 func (s *Server) Announcement() membership.Announcement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.sequence++
 	a := s.upstream.Announcement
-	a.State = s.state
+	a.State, a.Sequence = s.state, s.sequence
 	return a
 }
 
@@ -345,9 +353,11 @@
 	next := *lease
 	for _, registrar := range lease.Registrars {
 		var reply membership.Lease
+		s.addEcho(&beat, registrar.ID)
 		if s.post(ctx, registrar.Address, upstream.PathHeartbeats, beat, &reply) != nil {
 			continue
 		}
+		s.keepEcho(registrar.ID, reply.Echo)
 		if reply.Announce {
 			return false
 		}
@@ -360,6 +370,20 @@
 	return alive && ctx.Err() == nil
 }
 
+// addEcho returns the mark of the registrar's last lease with the heartbeat.
+func (s *Server) addEcho(beat *membership.Heartbeat, registrar string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.echoes[registrar]
+	beat.Echo, beat.EchoAgeMillis = last.mark, time.Since(last.at).Milliseconds()
+}
+
+func (s *Server) keepEcho(registrar, mark string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.echoes[registrar] = echo{mark, time.Now()}
+}
+
 func (s *Server) post(ctx context.Context, address, path string, in, out any) error {
 	if !s.awaitResume(ctx) {
 		return context.Canceled
