--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -271,3 +271,15 @@
 	d.client.Close()
 	return errors.Join(errs...)
 }
+
+// InFlight returns the number of callers' requests being served.
+func (d *Daemon) InFlight() int { return d.callers.InFlight() }
+
+// Leads reports whether this daemon leads the log with a name.
+func (d *Daemon) Leads(log string) bool {
+	r := d.logs.replicas()[log]
+	return r != nil && r.Status().Leads()
+}
+
+// Revision returns the revision of the settings in force.
+func (d *Daemon) Revision() uint64 { return d.shared.Tree().Revision() }
--- a/internal/tracing/tracing.go
+++ b/internal/tracing/tracing.go
@@ -126,7 +126,7 @@
 		span.ParentID = s.Parent().SpanID().String()
 	}
 	for _, a := range s.Attributes() {
-		span.Attributes[string(a.Key)] = a.Value.Emit()
+		span.Attributes[string(a.Key)] = a.Value.String()
 	}
 	return span
 }
