--- /dev/null
+++ b/cmd/bluebellctl/main.go
@@ -0,0 +1,25 @@
+// Command bluebellctl is the operators' command line of Bluebellfield.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/bluebellfield/bluebellfield/internal/ctl"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app, err := ctl.New(os.Stdout, os.Stderr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bluebellctl:", err)
+		return ctl.ExitError
+	}
+	return app.Run(ctx, os.Args[1:])
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -30,6 +30,7 @@
 const (
 	BadRequest          Code = "bad_request"
 	Unauthorized        Code = "unauthorized"
+	Forbidden           Code = "forbidden"
 	NotFound            Code = "not_found"
 	BodyTooLarge        Code = "body_too_large"
 	HeaderTooLarge      Code = "header_too_large"
@@ -58,6 +59,7 @@
 var statuses = map[Code]int{
 	BadRequest:          http.StatusBadRequest,
 	Unauthorized:        http.StatusUnauthorized,
+	Forbidden:           http.StatusForbidden,
 	NotFound:            http.StatusNotFound,
 	BodyTooLarge:        http.StatusRequestEntityTooLarge,
 	HeaderTooLarge:      http.StatusRequestHeaderFieldsTooLarge,
