--- a/cmd/bluebellctl/main.go
+++ b/cmd/bluebellctl/main.go
@@ -1,36 +1,25 @@
-// Command bluebellctl is the operators' tool of bluebellfield.
+// Command bluebellctl is the operators' command line of Bluebellfield.
 package main
 
 import (
+	"context"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 
-	"github.com/jessevdk/go-flags"
+	"github.com/bluebellfield/bluebellfield/internal/ctl"
 )
 
-type options struct {
-	Platform string `long:"platform" value-name:"IP:PORT" default:"127.0.0.1:8083" description:"platform address of the daemon"`
-	Args     struct {
-		Command string `positional-arg-name:"COMMAND" description:"metrics"`
-	} `positional-args:"yes" required:"yes"`
-}
+func main() { os.Exit(run()) }
 
-func main() {
-	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		os.Exit(2)
-	}
-	if o.Args.Command != "metrics" {
-		fmt.Fprintf(os.Stderr, "bluebellctl: unknown command %q\n", o.Args.Command)
-		os.Exit(2)
-	}
-	resp, err := http.Get("http://" + o.Platform + "/metrics")
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	app, err := ctl.New(os.Stdout, os.Stderr)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "bluebellctl:", err)
-		os.Exit(1)
+		return ctl.ExitError
 	}
-	defer resp.Body.Close()
-	_, _ = io.Copy(os.Stdout, resp.Body)
+	return app.Run(ctx, os.Args[1:])
 }
