--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -357,10 +357,10 @@
 		if s.post(ctx, registrar.Address, upstream.PathHeartbeats, beat, &reply) != nil {
 			continue
 		}
-		s.keepEcho(registrar.ID, reply.Echo)
-		if reply.Announce {
-			return false
+		if reply.Announce && s.post(ctx, registrar.Address, upstream.PathAnnouncements, s.Announcement(), &reply) != nil {
+			continue
 		}
+		s.keepEcho(registrar.ID, reply.Echo)
 		alive = true
 		next = reply
 	}
