--- a/membership/commands.go
+++ b/membership/commands.go
@@ -234,7 +234,7 @@
 		p.have = b.To
 	default:
 		p.resync = true
-		p.flushAt = min(p.flushAt, max(t, p.flushedAt+int64(resyncPause)))
+		p.hasten(t)
 		return
 	}
 	r.applyLiveness(p, b, t)
@@ -244,10 +244,8 @@
 func (r *Registry) acknowledge(p *peer, b Batch, t int64) {
 	if b.PeerIncarnation != r.cfg.Incarnation {
 		// The peer has heard nothing from this run of the daemon.
-		if !p.full || p.flushedAt < t-int64(resyncPause) {
-			p.full = true
-			p.flushAt = min(p.flushAt, t)
-		}
+		p.full = true
+		p.hasten(t)
 		return
 	}
 	p.offset.learn(b.Clock, b.Echo, b.EchoHold, r.cfg.MaxClockDrift)
@@ -255,17 +253,23 @@
 	if b.Resync || behind {
 		p.sent = min(p.sent, b.Have)
 		p.full = p.full || b.Have == 0 || b.Have < r.purged
-		p.flushAt = min(p.flushAt, t)
+		p.hasten(t)
 	}
 }
 
+// hasten makes the next batch due at once, but not right after another one:
+// two daemons that miss each other's sets must not answer without a pause.
+func (p *peer) hasten(t int64) {
+	p.flushAt = min(p.flushAt, max(t, p.flushedAt+int64(resyncPause)))
+}
+
 func (r *Registry) resetPeer(p *peer, incarnation uint64, t int64) {
 	r.clearSet(p, t)
 	p.incarnation = incarnation
 	p.clock, p.clockAt, p.offset = 0, t, offset{}
 	p.have, p.synced, p.resync = 0, false, false
 	p.sent, p.full = 0, true
-	p.flushAt = min(p.flushAt, t)
+	p.hasten(t)
 }
 
 func (r *Registry) clearSet(p *peer, t int64) {
--- a/membership/tick.go
+++ b/membership/tick.go
@@ -14,7 +14,7 @@
 		r.swept = t
 		r.sweep(t)
 	}
-	if t >= r.urgent {
+	if r.urgent != never && t >= r.urgent {
 		r.urgent = never
 		for _, p := range r.order {
 			p.flushAt = t
