--- a/membership/commands.go
+++ b/membership/commands.go
@@ -234,7 +234,7 @@
 		p.have = b.To
 	default:
 		p.resync = true
-		p.repeat(t)
+		p.hasten(t)
 		return
 	}
 	r.applyLiveness(p, b, t)
@@ -245,7 +245,7 @@
 	if b.PeerIncarnation != r.cfg.Incarnation {
 		// The peer has heard nothing from this run of the daemon.
 		p.full = true
-		p.repeat(t)
+		p.hasten(t)
 		return
 	}
 	p.offset.learn(b.Clock, b.Echo, b.EchoHold, r.cfg.MaxClockDrift)
@@ -253,14 +253,13 @@
 	if b.Resync || behind {
 		p.sent = min(p.sent, b.Have)
 		p.full = p.full || b.Have == 0 || b.Have < r.purged
-		p.repeat(t)
+		p.hasten(t)
 	}
 }
 
-// repeat hastens the next batch to a peer that lacks something. The pause keeps
-// a backlog of old batches, each of which says so, from being answered one by
-// one: two daemons would otherwise multiply their batches without end.
-func (p *peer) repeat(t int64) {
+// hasten makes the next batch due at once, but not right after another one:
+// two daemons that miss each other's sets must not answer without a pause.
+func (p *peer) hasten(t int64) {
 	p.flushAt = min(p.flushAt, max(t, p.flushedAt+int64(resyncPause)))
 }
 
@@ -270,7 +269,7 @@
 	p.clock, p.clockAt, p.offset = 0, t, offset{}
 	p.have, p.synced, p.resync = 0, false, false
 	p.sent, p.full = 0, true
-	p.repeat(t)
+	p.hasten(t)
 }
 
 func (r *Registry) clearSet(p *peer, t int64) {
