cluster: let a released fake engine leave its group, wait for the stored answer

Cause: release orders name no group, which the fake engine took for another group's; and a test killed the entry before its answer was stored, which the contract answers with unknown.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -129,6 +129,7 @@
 	}
 	var first Answer
 	c.eventually("the order", func() bool { first = send("b2"); return first.Status == http.StatusOK })
+	c.eventually("the stored answer", func() bool { return send("c1").Replayed })
 	leader := c.globalLeader()
 	require.NoError(t, c.KillDaemon("b2"))
 	require.NoError(t, c.KillDaemon(leader))
--- a/internal/edge/upstream/wire.go
+++ b/internal/edge/upstream/wire.go
@@ -35,7 +35,8 @@
 
 // Kinds of order.
 const (
-	OrderForm    OrderKind = "form"
+	OrderForm OrderKind = "form"
+	// OrderRelease asks an engine to leave whatever group it is in.
 	OrderRelease OrderKind = "release"
 	// OrderLoad asks for weights to be loaded ahead of need.
 	OrderLoad OrderKind = "load"
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -298,9 +298,7 @@
 	case upstream.OrderForm:
 		s.inForce = membership.GroupRef{Group: order.Group, Epoch: order.Epoch, Rank: order.Rank}
 	case upstream.OrderRelease:
-		if s.inForce.Group == order.Group {
-			s.inForce = membership.GroupRef{}
-		}
+		s.inForce = membership.GroupRef{}
 	}
 	return true
 }
