Answer a deposed leader's commands when the next term begins

A command that a deposed leader had appended stayed unanswered until its context ended when the new leader's log was shorter. The first committed entry of a later term now proves that it was not proposed.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -36,7 +36,7 @@
 		r.node.Tick(now)
 		r.sayHello(now)
 		r.work()
-		r.dropIdleTransfer(now)
+		r.dropIdleTransfers(now)
 		r.publish()
 		timer.Reset(time.Until(r.deadline()))
 		select {
@@ -50,7 +50,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	inbox, requests := r.inbox, r.requests
-	r.inbox, r.requests = nil, nil
+	r.inbox, r.inboxBytes, r.requests = nil, 0, nil
 	return inbox, requests, r.closed
 }
 
@@ -192,6 +192,9 @@
 		r.snapshots.entries++
 		r.snapshots.bytes += len(e.Data)
 		r.answer(e, result)
+		if e.Kind == consensus.EntryEmpty {
+			r.endTerm(e.Term)
+		}
 	}
 	r.advanceApplied(entries[len(entries)-1].Index)
 }
@@ -204,11 +207,30 @@
 			p.finish(result, nil)
 			continue
 		}
-		p.finish(nil, ErrNotProposed)
+		p.finish(nil, notProposed(errDeposed))
 	}
 	delete(r.pending, e.Index)
 }
 
+// endTerm answers the proposals of terms before one that has a committed
+// entry. Terms never decrease along the log, so that their entries, which lie
+// behind, can never be committed. Without this a deposed leader's caller would
+// wait until the next command of the new leader.
+func (r *Replica) endTerm(term uint64) {
+	for index, proposals := range r.pending {
+		r.pending[index] = slices.DeleteFunc(proposals, func(p *proposal) bool {
+			if p.term >= term {
+				return false
+			}
+			p.finish(nil, notProposed(errDeposed))
+			return true
+		})
+		if len(r.pending[index]) == 0 {
+			delete(r.pending, index)
+		}
+	}
+}
+
 // forgetPending ends the proposals up to an index whose entries will not be
 // seen here.
 func (r *Replica) forgetPending(through uint64) {
@@ -246,6 +268,7 @@
 	}
 	r.snapshots.entries, r.snapshots.bytes, r.snapshots.size = 0, 0, len(s.Data)
 	r.forgetPending(s.Meta.Index)
+	r.endTerm(s.Meta.Term)
 	r.fetch = nil
 	r.advanceApplied(s.Meta.Index)
 }
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -217,7 +217,8 @@
 }
 
 func (r *Replica) sendHello(to string, ask bool) {
-	fresh := len(r.node.Status().Members.Voters) == 0
+	// A damaged log also has no members in memory, but it is not a new one.
+	fresh := len(r.node.Status().Members.Voters) == 0 && r.storageErr == nil && !r.cfg.Volatile
 	r.sendEnvelope(to, &Envelope{Body: &Envelope_Hello{Hello: &Hello{Storage: r.id.Storage, Fresh: fresh, Ask: ask}}})
 }
 
@@ -243,7 +244,7 @@
 
 func (r *Replica) mayCreate(members consensus.Members) bool {
 	if r.cfg.Volatile || r.storageErr != nil || len(members.Voters) > 0 ||
-		len(r.o.Voters) == 0 || slices.Min(r.o.Voters) != r.o.ID {
+		len(r.o.Voters) == 0 || r.o.Voters[0] != r.o.ID {
 		return false
 	}
 	for _, voter := range r.o.Voters {
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -133,10 +133,14 @@
 		return false
 	}
 	var notLeader *consensus.NotLeaderError
-	return errors.As(err, &notLeader) || errors.Is(err, errTryAgain) || errors.Is(err, consensus.ErrTransferring) ||
+	return errors.As(err, &notLeader) || errors.Is(err, errTryAgain) || errors.Is(err, errDeposed) || errors.Is(err, consensus.ErrTransferring) ||
 		errors.Is(err, consensus.ErrNotReady) || errors.Is(err, consensus.ErrChangePending)
 }
 
+// errDeposed ends a command whose leader lost its office before the command was
+// committed, once no later leader can commit it.
+var errDeposed = errors.New("another leader replaced the entry")
+
 var errTryAgain = errors.New("the instance does not lead")
 
 func (r *Replica) located(err error, leader string) error {
@@ -176,6 +180,8 @@
 	if len(request) == 0 {
 		return append([]byte{answerRefused}, "empty request"...)
 	}
+	ctx, cancel := context.WithTimeout(ctx, maxForward)
+	defer cancel()
 	result, err := r.serveForward(ctx, request[0], request[1:])
 	switch {
 	case err == nil:
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,7 +89,10 @@
 	// maxQueuedMessages bounds the memory of a replica that is slower than its
 	// peers; what is dropped is sent again.
 	maxQueuedMessages = 4096
+	maxQueuedBytes    = 16 << 20
 	maxQueuedRequests = 16384
+	// maxForward ends a forwarded request whose caller set no limit.
+	maxForward = 10 * time.Second
 	// keepEntries and keepBytes bound the entries kept in memory after a
 	// snapshot for members that are a little behind.
 	keepEntries = 2000
@@ -111,6 +115,7 @@
 	if o.HeartbeatInterval == 0 {
 		o.HeartbeatInterval = consensus.DefaultHeartbeatInterval
 	}
+	o.Voters = slices.Compact(slices.Sorted(slices.Values(o.Voters)))
 	o.Logger = o.Logger.With(zap.String("log", o.Log))
 	return o
 }
@@ -135,15 +140,16 @@
 	id  consensus.NodeID
 	cfg consensus.Config
 
-	mu       sync.Mutex
-	inbox    []inbound
-	requests []request
-	closed   bool
-	wake     chan struct{}
-	done     chan struct{}
-	status   atomic.Pointer[Status]
-	applied  atomic.Uint64
-	changed  signal
+	mu         sync.Mutex
+	inbox      []inbound
+	inboxBytes int
+	requests   []request
+	closed     bool
+	wake       chan struct{}
+	done       chan struct{}
+	status     atomic.Pointer[Status]
+	applied    atomic.Uint64
+	changed    signal
 
 	// The fields below belong to the goroutine of run.
 	node          *consensus.Node
@@ -268,8 +274,9 @@
 // Receive takes a message from another replica of this log. It never blocks.
 func (r *Replica) Receive(from string, message []byte) {
 	r.mu.Lock()
-	if !r.closed && len(r.inbox) < maxQueuedMessages {
+	if !r.closed && len(r.inbox) < maxQueuedMessages && r.inboxBytes < maxQueuedBytes {
 		r.inbox = append(r.inbox, inbound{from, message})
+		r.inboxBytes += len(message)
 	}
 	r.mu.Unlock()
 	r.signal()
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -146,6 +146,7 @@
 // Guards against a sole voter that cannot create its log, loses what it
 // acknowledged at a restart, or answers with another command's result.
 func TestSoleVoterKeepsItsLogOverARestart(t *testing.T) {
+	t.Parallel()
 	n, path, ctx := newNetwork(), t.TempDir(), testContext(t)
 	m := startMember(t, n, "a", path, storage.OS{}, soleVoter)
 	result, err := m.Propose(ctx, []byte("one"))
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -16,7 +16,7 @@
 	chunkBytes = 256 << 10
 	// pullRetry is how long a chunk may take before it is asked for again.
 	pullRetry = 300 * time.Millisecond
-	// transferIdle ends the memory of a snapshot that nobody fetches any more.
+	// transferIdle is after how long an abandoned transfer gives its memory back.
 	transferIdle = 10 * time.Second
 )
 
@@ -169,7 +169,7 @@
 	}
 	meta := wire.DecodeMeta(c.GetMeta())
 	if meta.Index != f.meta.Index || meta.Term != f.meta.Term {
-		*f = fetch{from: from, meta: meta, data: []byte{}, total: c.Total}
+		*f = fetch{from: from, meta: meta, data: []byte{}, total: c.Total, asked: now}
 	}
 	if c.Offset != uint64(len(f.data)) || c.Total != f.total {
 		return
@@ -182,8 +182,11 @@
 	f.whole = true
 }
 
-func (r *Replica) dropIdleTransfer(now time.Time) {
+func (r *Replica) dropIdleTransfers(now time.Time) {
 	if r.sending != nil && now.Sub(r.sending.used) > transferIdle {
 		r.sending = nil
 	}
+	if r.fetch != nil && now.Sub(r.fetch.asked) > transferIdle {
+		r.fetch = nil
+	}
 }
