--- a/group/controller.go
+++ b/group/controller.go
@@ -294,6 +294,8 @@
 		told := c.orders[id].epoch >= i.Epoch
 		restarted := o.Incarnation > i.Incarnation
 		switch {
+		case (o.InForce.Group != "" || !told && !restarted) && !told && !o.Fencing && c.now.Before(c.quietFrom(id)):
+			// An earlier form order could still arrive after the release.
 		case o.InForce.Group != "" || !told && !restarted:
 			c.send(Order{
 				ID: orderID(OrderRelease, id, i.Epoch), Kind: OrderRelease, Instance: id, Incarnation: o.Incarnation,
--- a/group/repair.go
+++ b/group/repair.go
@@ -80,7 +80,9 @@
 	d := c.demandOf(g)
 	if cause := k.cause(g); cause != CauseNone {
 		c.unwell[g.ID] = cause
-		c.again(busyPause)
+	}
+	if len(k.absent) > 0 {
+		c.again(max(busyPause, min(k.absence/10, idlePause)))
 	}
 	whole := len(k.absent)+len(k.gone)+len(k.departing)+len(k.pending) == 0
 	switch {
