--- a/group/repair.go
+++ b/group/repair.go
@@ -231,7 +231,7 @@
 // repairTime estimates the time to replace members; possible is false when the
 // spares do not suffice.
 func (c *Controller) repairTime(g *Group, missing int, d Demand, k condition) (total time.Duration, possible bool) {
-	spares := c.spares(g.FabricDomain, missing, g.Model, k.lastSeen)
+	spares := c.spares(g.FabricDomain, missing, g.Model, k.lastSeen, c.returned(g)...)
 	if len(spares) < missing {
 		return 0, false
 	}
@@ -273,9 +273,9 @@
 const confirmAfter = 1500 * time.Millisecond
 
 // spares chooses free instances of a fabric domain: loaded ones first, then
-// those lost least often.
-func (c *Controller) spares(fabric string, n int, m membership.Model, lastSeen time.Time) []*Observation {
-	var list []*Observation
+// those lost least often. Members of the group to repair may be added.
+func (c *Controller) spares(fabric string, n int, m membership.Model, lastSeen time.Time, own ...*Observation) []*Observation {
+	list := own
 	for _, o := range c.pool[fabric] {
 		if lastSeen.IsZero() || o.ReportedAt.Sub(lastSeen) >= confirmAfter {
 			list = append(list, o)
@@ -320,9 +320,13 @@
 			return
 		}
 	}
-	spares := c.spares(g.FabricDomain, len(b.lost), g.Model, k.lastSeen)
+	spares := c.spares(g.FabricDomain, len(b.lost), g.Model, k.lastSeen, c.returned(g)...)
 	if len(spares) < len(b.lost) {
-		c.stuck = append(c.stuck, b)
+		if c.mustRelease(b) {
+			c.dissolve(b)
+		} else {
+			c.stuck = append(c.stuck, b)
+		}
 		return
 	}
 	c.wants = append(c.wants, want{benefit: b.rate, bytes: c.coldBytes(spares, d), id: g.ID, grant: func() bool {
@@ -330,6 +334,29 @@
 	}})
 }
 
+// returned lists the members of a group that are back as a new incarnation and
+// can take its next order at once.
+func (c *Controller) returned(g *Group) []*Observation {
+	var list []*Observation
+	for _, m := range g.Members {
+		o := c.obs[m.ID]
+		if c.fresh(o, c.now) && o.Incarnation > m.Incarnation && o.Fencing && o.State == membership.Ready &&
+			o.InForce.Group == "" && !c.heldOff(c.state.Instances[m.ID]) {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// mustRelease reports whether a lost member is back but ignores fencing
+// numbers, so that only its release makes it free again.
+func (c *Controller) mustRelease(b broken) bool {
+	return slices.ContainsFunc(b.lost, func(id string) bool {
+		o := c.obs[id]
+		return c.fresh(o, c.now) && !o.Fencing && o.State == membership.Ready
+	})
+}
+
 func (c *Controller) dissolve(b broken) {
 	lost := b.faulty
 	if len(lost) == 0 {
@@ -341,7 +368,7 @@
 // replace proposes the member list with spares in the places of the lost.
 func (c *Controller) replace(b broken, lastSeen time.Time) bool {
 	g := b.group
-	spares := c.spares(g.FabricDomain, len(b.lost), g.Model, lastSeen)
+	spares := c.spares(g.FabricDomain, len(b.lost), g.Model, lastSeen, c.returned(g)...)
 	if len(spares) < len(b.lost) {
 		return false
 	}
