--- a/group/account.go
+++ b/group/account.go
@@ -100,7 +100,7 @@
 		return "", CauseRelease
 	case o.State != membership.Ready:
 		return "", CauseLeaving
-	case i != nil && c.heldOff(i):
+	case c.heldOff(i):
 		return "", CauseHoldOff
 	}
 	return "", CauseSpare
--- a/group/controller.go
+++ b/group/controller.go
@@ -28,8 +28,8 @@
 	FabricWait time.Duration
 	// DrainDeadline limits the drain of a group.
 	DrainDeadline time.Duration
-	// HoldOff keeps an instance out of groups after its second loss; it doubles
-	// with each further one up to MaxHoldOff.
+	// HoldOff makes an instance the last choice after its second loss; it
+	// doubles with each further one up to MaxHoldOff.
 	HoldOff, MaxHoldOff time.Duration
 	// ForgetAfter removes instances that stay away.
 	ForgetAfter time.Duration
@@ -330,7 +330,7 @@
 			c.propose(Command{Kind: Reclaim, Instance: o.candidate(), Cause: CauseConflict})
 			continue
 		}
-		if o.State != membership.Ready || o.Slowdown > 0 || i != nil && (o.Incarnation < i.Incarnation || c.heldOff(i)) {
+		if o.State != membership.Ready || o.Slowdown > 0 || i != nil && o.Incarnation < i.Incarnation {
 			continue
 		}
 		if !c.observedFree(o) {
@@ -341,8 +341,13 @@
 	}
 }
 
-// heldOff reports whether an instance was lost too often lately.
+// heldOff reports whether an instance was lost too often lately. It is taken
+// only when there is no other: a group that breaks again every few minutes
+// still serves more than one that waits.
 func (c *Controller) heldOff(i *Instance) bool {
+	if i == nil {
+		return false
+	}
 	n := decayedLosses(i, c.now.UnixMilli())
 	if n < 2 {
 		return false
--- a/group/demand.go
+++ b/group/demand.go
@@ -226,7 +226,7 @@
 			for _, o := range c.pool[fabric] {
 				if o.has(d.Model) {
 					loaded++
-				} else if cold == nil && c.mayPreload(o) && !c.usefulElsewhere(o, fabric, d) {
+				} else if cold == nil && !c.heldOff(c.state.Instances[o.ID]) && c.mayPreload(o) && !c.usefulElsewhere(o, fabric, d) {
 					cold = o
 				}
 			}
--- a/group/repair.go
+++ b/group/repair.go
@@ -272,8 +272,8 @@
 // have reported again: it shows that the fault did not hit the spare too.
 const confirmAfter = 1500 * time.Millisecond
 
-// spares chooses free instances of a fabric domain: loaded ones first, then
-// those lost least often. Members of the group to repair may be added.
+// spares chooses free instances of a fabric domain: held-off ones last, loaded
+// ones first, then those lost least often. Members of the group to repair may be added.
 func (c *Controller) spares(fabric string, n int, m membership.Model, lastSeen time.Time, own ...*Observation) []*Observation {
 	list := own
 	for _, o := range c.pool[fabric] {
@@ -282,7 +282,7 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b *Observation) int {
-		return cmp.Or(-boolCompare(a.has(m), b.has(m)), cmp.Compare(c.losses(a.ID), c.losses(b.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(boolCompare(c.heldOff(c.state.Instances[a.ID]), c.heldOff(c.state.Instances[b.ID])), -boolCompare(a.has(m), b.has(m)), cmp.Compare(c.losses(a.ID), c.losses(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
 	return list[:min(n, len(list))]
 }
@@ -341,7 +341,7 @@
 	for _, m := range g.Members {
 		o := c.obs[m.ID]
 		if c.fresh(o, c.now) && o.Incarnation > m.Incarnation && o.Fencing && o.State == membership.Ready &&
-			o.InForce.Group == "" && !c.heldOff(c.state.Instances[m.ID]) {
+			o.InForce.Group == "" {
 			list = append(list, o)
 		}
 	}
--- a/internal/bench/grouppolicy/grouppolicy.go
+++ b/internal/bench/grouppolicy/grouppolicy.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"sync"
 	"time"
 )
 
@@ -82,10 +83,17 @@
 		c.result.WeightedCost = o.Profile.Downtime*c.result.DowntimeGroupSeconds + o.Profile.Stranded*c.result.StrandedAcceleratorSeconds
 		return c.result
 	}
-	r.Policy = play("expected cost", func(d int) planner { return newControlled(s, d, o.Profile) })
-	for _, name := range []string{Immediate, WaitOnly, FixedSpares} {
-		b := play(name, func(int) planner { return newBaseline(s, name) })
-		r.Baselines = append(r.Baselines, b)
+	names := []string{Immediate, WaitOnly, FixedSpares}
+	r.Baselines = make([]Outcome, len(names))
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		r.Policy = play("expected cost", func(d int) planner { return newControlled(s, d, o.Profile) })
+	})
+	for n, name := range names {
+		wait.Go(func() { r.Baselines[n] = play(name, func(int) planner { return newBaseline(s, name) }) })
+	}
+	wait.Wait()
+	for _, b := range r.Baselines {
 		r.Better = r.Better && r.Policy.WeightedCost < b.WeightedCost
 	}
 	return r, nil
--- a/internal/bench/grouppolicy/trace.go
+++ b/internal/bench/grouppolicy/trace.go
@@ -76,6 +76,9 @@
 	crashesPerDay  = 42
 	restartsPerDay = 130
 	pausesPerDay   = 84
+	// flappingPerDay instances crash flapCrashes times within about an hour.
+	flappingPerDay = 4
+	flapCrashes    = 8
 	plannedSize    = 2100
 	// drainTime is the time from the announcement of a restart to its start.
 	drainTime = 40 * time.Second
@@ -102,6 +105,14 @@
 	add(crashesPerDay, crash, 2*time.Minute, 2*time.Hour)
 	add(restartsPerDay, restart, 30*time.Second, 5*time.Minute)
 	add(pausesPerDay, pause, 3*time.Second, 2*time.Minute)
+	flapping := int(math.Round(flappingPerDay * float64(days) * float64(n) / plannedSize))
+	for range flapping {
+		at, i := when(), rng.Intn(n)
+		for range flapCrashes {
+			list = append(list, fault{at, crash, i, between(20*time.Second, 2*time.Minute)})
+			at += between(2*time.Minute, 10*time.Minute)
+		}
+	}
 	dark := func(first, count int, kind faultKind, length time.Duration) {
 		at := when()
 		for i := range count {
