--- a/admission/types.go
+++ b/admission/types.go
@@ -151,7 +151,8 @@
 	MaxStreams int
 	// Backlog is the fraction of the entry's share of slots by which work may
 	// exceed it on upstreams that honour priorities, so that a slot which frees
-	// between two reports finds work waiting on the upstream.
+	// between two reports finds work waiting on the upstream. A negative value
+	// is none.
 	Backlog float64
 	// PayingReserve is the fraction of the entry's share of slots that free
 	// work leaves empty on upstreams that do not honour priorities.
@@ -170,7 +171,7 @@
 // Defaults of Options.
 const (
 	DefaultMaxStreams       = 20000
-	DefaultBacklog          = 0.25
+	DefaultBacklog          = 0.1 // 0.25 left no slot less idle and let more free work time out
 	DefaultMaxPreemptions   = 2
 	DefaultNearEnd          = 500 * time.Millisecond
 	DefaultBurst            = time.Second
