Tell late requests from overtaken ones in the property test

Cause: with 20,000 schedules the check reported an overtaken request that Next had passed over because its deadline had gone, and that Expire reports after it.

--- a/admission/property_test.go
+++ b/admission/property_test.go
@@ -24,12 +24,15 @@
 	yielding map[Ticket]bool
 	resumed  map[Ticket]bool // gave way once
 	ended    map[Ticket]string
+	latest   map[Ticket]time.Time // when a queued ticket is too late
 }
 
+const maxQueue = 5 * time.Second
+
 func newHarness(t *rapid.T) *harness {
-	opts := Options{MaxStreams: 40, Service: ServiceRules{QueueSize: 15, AccountQueueSize: 8, MaxQueue: 5 * time.Second}}
+	opts := Options{MaxStreams: 40, Service: ServiceRules{QueueSize: 15, AccountQueueSize: 8, MaxQueue: maxQueue}}
 	return &harness{t: t, c: New(opts), now: start, limits: map[string]Limits{}, class: map[string]Class{},
-		queued: map[Ticket]Request{}, running: map[Ticket]Request{}, yielding: map[Ticket]bool{}, resumed: map[Ticket]bool{}, ended: map[Ticket]string{}}
+		queued: map[Ticket]Request{}, running: map[Ticket]Request{}, yielding: map[Ticket]bool{}, resumed: map[Ticket]bool{}, ended: map[Ticket]string{}, latest: map[Ticket]time.Time{}}
 }
 
 func (h *harness) rules(account string) Rules {
@@ -59,9 +62,11 @@
 	if !r.Deadline.IsZero() {
 		require.True(h.t, h.now.Before(r.Deadline), "admitted after its deadline")
 	}
-	// FIFO within an account, but for requests that resume.
+	// FIFO within an account, but for requests that resume and those that Next
+	// has passed over because it is too late for them.
 	for other, q := range h.queued {
-		if q.Account == r.Account && other < id {
+		late := !h.now.Before(h.latest[other])
+		if q.Account == r.Account && other < id && !late {
 			require.True(h.t, h.resumed[other] || h.resumed[id], "ticket %d overtook %d", id, other)
 		}
 	}
@@ -121,6 +126,10 @@
 		h.admit(d.Ticket, r)
 	case Queued:
 		h.queued[d.Ticket] = r
+		h.latest[d.Ticket] = h.now.Add(maxQueue)
+		if !r.Deadline.IsZero() && r.Deadline.Before(h.latest[d.Ticket]) {
+			h.latest[d.Ticket] = r.Deadline
+		}
 	case RejectedNow:
 		require.Zero(h.t, d.Ticket)
 		require.NotEmpty(h.t, d.Reason)
