--- a/internal/bench/admissionload/admissionload_test.go
+++ b/internal/bench/admissionload/admissionload_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,14 +33,20 @@
 				for range b.N {
 					worst := map[string]float64{"goodput": 1, "used": 2}
 					for seed := range int64(5) {
-						r := Run(Options{Seed: seed + 1, Load: load, IgnorePriorities: ignore, SkipBaselines: true})
+						r := Run(Options{Seed: seed + 1, Load: load, IgnorePriorities: ignore, SkipBaselines: ignore})
 						worst["goodput"] = min(worst["goodput"], r.GoodputRatio)
 						worst["used"] = min(worst["used"], r.RemainingUsed)
+						worst["p99s"] = max(worst["p99s"], r.Admission.Paying.P99.Seconds())
 						worst["p99ratio"] = max(worst["p99ratio"], r.P99Ratio)
 						worst["wait99ms"] = max(worst["wait99ms"], float64(r.Admission.Paying.WaitP99.Milliseconds()))
 						worst["idle‰"] = max(worst["idle‰"], 1000*r.Admission.IdleWhileWaiting)
 						worst["entryidle‰"] = max(worst["entryidle‰"], 1000*r.Admission.IdleEntryWaits)
 						worst["wasted‰"] = max(worst["wasted‰"], 1000*r.Admission.WastedSeconds/r.Admission.Capacity)
+						for _, base := range r.Baselines {
+							name := strings.ReplaceAll(string(base.Policy), " ", "-")
+							worst[name+"-p99s"] = max(worst[name+"-p99s"], base.Paying.P99.Seconds())
+							worst[name+"-lost"] = max(worst[name+"-lost"], 1-ratio(base.Paying.Good, r.WithoutFree.Paying.Good))
+						}
 					}
 					for name, value := range worst {
 						b.ReportMetric(value, name)
