Report an account's demand for its limits

The controller keeps decaying averages of what callers offer per account, which the entry reports as demand.

--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -69,14 +69,39 @@
 	b.level = math.Min(b.size, b.level-n)
 }
 
+// meter is a rate over the recent past: an exponentially decaying average.
+type meter struct {
+	perSecond float64
+	at        time.Time
+}
+
+// meterWindow is the time constant of meters. It smooths over a few reports of
+// demand without keeping a share long after the demand has gone.
+const meterWindow = 2 * time.Second
+
+func (m *meter) add(now time.Time, n float64) {
+	m.perSecond = m.read(now) + n/meterWindow.Seconds()
+	m.at = now
+}
+
+func (m *meter) read(now time.Time) float64 {
+	if m.perSecond == 0 {
+		return 0
+	}
+	return m.perSecond * math.Exp(-max(0, now.Sub(m.at).Seconds())/meterWindow.Seconds())
+}
+
 const never = time.Duration(math.MaxInt64)
 
 // gate holds the limits of one account, over all services or at one of them.
 type gate struct {
 	concurrent int
 	running    int
+	queued     int
 	requests   bucket
 	tokens     bucket
+	// Offered work, whether it was admitted or not.
+	offered, offeredTokens meter
 }
 
 func (g *gate) configure(now time.Time, l Limits, burst time.Duration) (tightened bool) {
--- a/admission/commands.go
+++ b/admission/commands.go
@@ -10,6 +10,10 @@
 	var d Decision
 	f := c.flow(s, a, r.Rules.Class)
 	d.Dropped = c.apply(now, f, r.Rules)
+	for _, g := range []*gate{&a.gate, &f.at} {
+		g.offered.add(now, 1)
+		g.offeredTokens.add(now, float64(r.Tokens))
+	}
 	latest := c.latestStart(s, now, r)
 	if !latest.IsZero() && !now.Before(latest) {
 		return d.reject(DeadlineExceeded, 0)
--- a/admission/dispatch.go
+++ b/admission/dispatch.go
@@ -22,6 +22,8 @@
 func (c *Controller) queued(t *ticket) {
 	t.phase = phaseQueued
 	t.flow.service.queues[t.flow.class].queued++
+	t.flow.at.queued++
+	t.flow.account.gate.queued++
 	c.setLatestStart(t, t.latestStart)
 }
 
@@ -46,6 +48,8 @@
 	q := &f.service.queues[f.class]
 	f.queue.remove(t)
 	q.queued--
+	f.at.queued--
+	f.account.gate.queued--
 	c.setLatestStart(t, time.Time{})
 	if f.queue.size == 0 {
 		q.deactivate(f)
@@ -92,6 +96,8 @@
 	q := &f.service.queues[f.class]
 	f.queue.remove(t)
 	q.queued--
+	f.at.queued--
+	f.account.gate.queued--
 	c.setLatestStart(t, time.Time{})
 	q.dispatched(f, t)
 	if !t.paid {
--- a/admission/queries.go
+++ b/admission/queries.go
@@ -20,13 +20,28 @@
 	return of(Paying), of(Free)
 }
 
-// AccountRunning returns how many requests of an account are dispatched, over
-// all services.
-func (c *Controller) AccountRunning(accountID string) int {
-	if a := c.accounts[accountID]; a != nil {
-		return a.gate.running
+// Offered is what callers ask of an account's limits at this entry.
+type Offered struct {
+	RequestsPerSecond, TokensPerMinute float64
+	Queued, Running                    int
+}
+
+// Offered returns the recent demand of an account at a service, or over all
+// services when the service is empty.
+func (c *Controller) Offered(now time.Time, accountID, service string) Offered {
+	a := c.accounts[accountID]
+	if a == nil {
+		return Offered{}
+	}
+	g := &a.gate
+	if service != "" {
+		s := c.services[service]
+		if s == nil || s.flows[accountID] == nil {
+			return Offered{}
+		}
+		g = &s.flows[accountID].at
 	}
-	return 0
+	return Offered{RequestsPerSecond: g.offered.read(now), TokensPerMinute: 60 * g.offeredTokens.read(now), Queued: g.queued, Running: g.running}
 }
 
 // Request returns the request of a ticket that has not ended.
--- a/admission/share/local.go
+++ b/admission/share/local.go
@@ -36,3 +36,20 @@
 		TokensPerMinute:   local(Tokens, l.TokensPerMinute),
 	}
 }
+
+// leastDemand is what counts as no demand: meters decay without reaching zero.
+const leastDemand = 1e-3
+
+// SetAccountDemand reports what callers ask of an account's limits at this
+// entry.
+func (n *Node) SetAccountDemand(now time.Time, account, service string, o admission.Offered) {
+	set := func(kind Kind, demand, used float64) {
+		if demand < leastDemand {
+			demand = 0
+		}
+		n.SetDemand(now, ID(kind, account, service), Demand{Paying: demand, Used: used})
+	}
+	set(Rate, o.RequestsPerSecond, 0)
+	set(Tokens, o.TokensPerMinute, 0)
+	set(Concurrent, float64(o.Queued+o.Running), float64(o.Running))
+}
