Do not replace work beyond an entry's share as it ends

The limit was at least the own work that reports include, also when they showed no idle slot, so an excess was refilled for ever. Change: work beyond the share is admitted only while reports show idle slots.

--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -257,3 +257,21 @@
 		}
 	})
 }
+
+// Guards against an entry that keeps more work on the upstreams than its share
+// because each request that ends is replaced.
+func TestWorkBeyondShareIsNotReplaced(t *testing.T) {
+	c := New(Options{})
+	c.SetCapacity("s", Capacity{Slots: 10, Entries: 2, Share: 2})
+	var running []Ticket
+	for range 6 {
+		d := c.Submit(start, request("a", rules(Paying, 1)))
+		if d.Verdict == Admitted {
+			running = append(running, d.Ticket)
+		}
+	}
+	require.Len(t, running, 5, "idle slots are taken beyond the share")
+	c.SetCapacity("s", Capacity{Slots: 10, Load: 10, OwnInLoad: 5, Entries: 2, Share: 2})
+	c.Done(start, running[0], Usage{Tokens: -1})
+	require.Empty(t, c.Next(start, "s"))
+}
--- a/admission/state.go
+++ b/admission/state.go
@@ -106,7 +106,12 @@
 	if s.capacity.Priorities {
 		share += math.Ceil(share * c.opts.Backlog)
 	}
-	idle := max(0, s.capacity.Slots-s.capacity.Load) / max(1, s.capacity.Entries)
+	idle := (s.capacity.Slots - s.capacity.Load) / max(1, s.capacity.Entries)
+	if idle <= 0 {
+		// Work beyond the share, left from a time with idle slots or a larger
+		// share, is not replaced as it ends.
+		return int(share)
+	}
 	return max(int(share), s.capacity.OwnInLoad+idle)
 }
 
