--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -86,8 +86,7 @@
 	SlowMargin time.Duration
 }
 
-// DefaultConfig returns the defaults. An upstream that stays healthy is back at
-// its full share within MaxEjection plus three steps, which is 75 s.
+// DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
 		MaxEjected: 0.3, Failures: 5, Timeouts: 3, ProbeFaults: 2,
@@ -98,11 +97,13 @@
 }
 
 // ReadmittedWithin returns the longest time from the end of an upstream's
-// faults until it has its full share again, if Tick is called at least once in
-// each tick.
+// faults until it has its full share again, if it is heard from and Tick is
+// called at least once in each tick: until the last slow sample has left the
+// window, then an ejection and three steps. It is 109 s with the defaults and
+// a tick of 1 s.
 func (c Config) ReadmittedWithin(tick time.Duration) time.Duration {
 	c = c.withDefaults()
-	return c.MaxEjection + 3*c.Step + 4*tick
+	return c.Window + c.MaxEjection + 3*c.Step + 4*tick
 }
 
 func (c Config) withDefaults() Config {
