--- a/routing/types.go
+++ b/routing/types.go
@@ -173,7 +173,7 @@
 		QueueFactor:  2,
 		ScanLimit:    96,
 		Sample:       32,
-		Finalists:    8,
+		Finalists:    16,
 		StickyMargin: 0.25,
 		Weights:      Weights{Load: 1, Prefix: 1, Distance: 1, Latency: 0.5, Adapter: 1, Priority: 1},
 		Costs: Costs{
