routing: scale the correction of the load with the entries

Cause: an entry sees its own requests since a report but not those of the other six, so that it adds to upstreams that the others have filled as well. Change: own requests since the report count times the square root of the number of entries.

--- a/internal/bench/routingload/policy.go
+++ b/internal/bench/routingload/policy.go
@@ -94,7 +94,7 @@
 	costs := routing.DefaultConfig().Costs
 	costs.Block = blockTime.Seconds()
 	r := &routed{clock: c, source: routing.NewSource(seed), index: map[string]int{}}
-	r.router = routing.New(routing.Config{FailureDomain: domainOf(o, entry), Region: "r", Costs: costs},
+	r.router = routing.New(routing.Config{FailureDomain: domainOf(o, entry), Region: "r", Entries: o.Entries, Costs: costs},
 		routing.NewPrefixIndex(routing.PrefixConfig{UpstreamBlocks: cacheBlocks, TotalBlocks: o.Engines * cacheBlocks}))
 	for i := range o.Engines {
 		id := engineID(i)
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -11,10 +12,11 @@
 	Candidate
 	*Counters
 	slot int32
-	// base is the reported load less the requests of this entry that the
-	// report includes, so that base plus the requests in flight is the
-	// corrected load.
+	// base is the reported load less scale times the requests of this entry
+	// that the report includes, so that base plus scale times the requests in
+	// flight is the corrected load.
 	base     float64
+	scale    float64
 	perSlot  float64 // 1 / MaxConcurrent
 	at       int64   // send time of the load report, Unix nanoseconds
 	grouped  int64   // time of the group's confirmation, Unix nanoseconds
@@ -22,10 +24,14 @@
 }
 
 // EstimatedLoad returns the number of requests at the upstream: the reported
-// ones, corrected by what this entry has begun and ended since the report.
+// ones, corrected by what this entry has begun and ended since the report,
+// times the square root of the number of entries. The other entries' requests
+// since the report are unknown; counting its own ones more keeps an entry from
+// adding to an upstream that the others are as likely to choose. The full
+// number of entries made the estimate noisier and the first token later.
 func (u *Upstream) EstimatedLoad() float64 {
 	own := float64(u.inFlight.Load())
-	return max(u.base+own, own, 0)
+	return max(u.base+u.scale*own, own)
 }
 
 // fill returns the estimated load as a multiple of the batch size.
@@ -79,12 +85,13 @@
 		shared, slot := counters(&c)
 		u := &Upstream{
 			Candidate: c, Counters: shared, slot: slot,
+			scale:    math.Sqrt(float64(cfg.Entries)),
 			perSlot:  1 / float64(max(c.MaxConcurrent, 1)),
 			at:       c.Load.At.UnixNano(),
 			grouped:  c.Group.ConfirmedAt.UnixNano(),
 			distance: distanceOf(cfg, &c),
 		}
-		u.base = float64(c.Load.Running+c.Load.Queued) - float64(shared.inFlightAt(c.Load.At))
+		u.base = float64(c.Load.Running+c.Load.Queued) - u.scale*float64(shared.inFlightAt(c.Load.At))
 		sorted = append(sorted, u)
 	}
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
--- a/routing/types.go
+++ b/routing/types.go
@@ -116,6 +116,8 @@
 type Config struct {
 	// FailureDomain and Region are those of the entry.
 	FailureDomain, Region string
+	// Entries is the number of entries that route to the same upstreams.
+	Entries int
 	// MaxAge bounds the age of the report, and of a group's confirmation, on
 	// which a request may be dispatched.
 	MaxAge time.Duration
@@ -169,6 +171,7 @@
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
 	return Config{
+		Entries:      1,
 		MaxAge:       3 * time.Second,
 		QueueFactor:  2,
 		ScanLimit:    96,
@@ -185,6 +188,7 @@
 
 func (c Config) withDefaults() Config {
 	d := DefaultConfig()
+	setDefault(&c.Entries, d.Entries)
 	setDefault(&c.MaxAge, d.MaxAge)
 	setDefault(&c.QueueFactor, d.QueueFactor)
 	setDefault(&c.ScanLimit, d.ScanLimit)
