routing: lower the weight of the observed latency to 0.1

Cause: the latency that an entry observed repeats what the load says, later, and moves requests back and forth; slow upstreams are ejected by outlier.

--- a/routing/types.go
+++ b/routing/types.go
@@ -178,7 +178,7 @@
 		Sample:       32,
 		Finalists:    16,
 		StickyMargin: 0.25,
-		Weights:      Weights{Load: 1, Prefix: 1, Distance: 1, Latency: 0.5, Adapter: 1, Priority: 1},
+		Weights:      Weights{Load: 1, Prefix: 1, Distance: 1, Latency: 0.1, Adapter: 1, Priority: 1},
 		Costs: Costs{
 			FullLoad: 0.2, Waiting: 2, Block: 0.01,
 			SameRegion: 0.01, OtherRegion: 0.3, AdapterLoad: 0.5, NoPriority: 0.1,
