routing: consider random holders of a popular prefix

Cause: of the upstreams that hold a block, all entries considered the same eight, the newest, and sent the most popular prefixes to them.

--- a/routing/prefix_blocks.go
+++ b/routing/prefix_blocks.go
@@ -127,8 +127,10 @@
 
 // match fills dst with the upstreams that hold the longest known prefixes of
 // hashes and returns their number. Holding a block is taken to mean holding
-// the blocks before it, as engines drop the end of a prompt first.
-func (x *PrefixIndex) match(now time.Time, hashes []uint64, dst *[maxMatches]Match) int {
+// the blocks before it, as engines drop the end of a prompt first. Where more
+// upstreams hold a block than fit, draw decides which of them are returned, so
+// that entries spread a popular prefix over all of its holders.
+func (x *PrefixIndex) match(now time.Time, hashes []uint64, draw uint64, dst *[maxMatches]Match) int {
 	x.mu.RLock()
 	defer x.mu.RUnlock()
 	n := 0
@@ -137,7 +139,7 @@
 		if !ok {
 			continue
 		}
-		for ; i != none && n < maxMatches; i = x.blocks[i].nextHolder {
+		for i = x.skipHolders(i, maxMatches-n, draw); i != none && n < maxMatches; i = x.blocks[i].nextHolder {
 			b := &x.blocks[i]
 			if matchedSlot(dst[:n], b.slot) {
 				continue
@@ -151,6 +153,22 @@
 	return n
 }
 
+// skipHolders returns a random holder of the list that begins with head, one
+// that leaves room for enough others after it.
+func (x *PrefixIndex) skipHolders(head int32, room int, draw uint64) int32 {
+	length := 0
+	for i := head; i != none; i = x.blocks[i].nextHolder {
+		length++
+	}
+	if length <= room {
+		return head
+	}
+	for skip := mix(draw) % uint64(length-room+1); skip > 0; skip-- {
+		head = x.blocks[head].nextHolder
+	}
+	return head
+}
+
 func matchedSlot(ms []Match, slot int32) bool {
 	for i := range ms {
 		if ms[i].slot == slot {
--- a/routing/prefix_test.go
+++ b/routing/prefix_test.go
@@ -119,5 +119,5 @@
 	}
 	require.Equal(t, maxHolders, x.Blocks())
 	var found [maxMatches]Match
-	require.Equal(t, maxMatches, x.match(benchTime, []uint64{7}, &found))
+	require.Equal(t, maxMatches, x.match(benchTime, []uint64{7}, 1, &found))
 }
