routing: leave plugins without effect out of the pick

Cause: ten filters and six scores were called for each upstream, most without effect on the request, and holders of the prefix were considered twice.

--- a/routing/commands.go
+++ b/routing/commands.go
@@ -11,8 +11,7 @@
 	cfg     Config
 	index   *PrefixIndex
 	filters []Filter
-	scores  []Score
-	weights []float64 // of the scores
+	scores  []weighted
 	table   atomic.Pointer[Table]
 
 	mu       sync.Mutex // serialises Publish
@@ -32,11 +31,11 @@
 		index = NewPrefixIndex(PrefixConfig{})
 	}
 	r := &Router{
-		cfg: cfg.withDefaults(), index: index, filters: Filters(), scores: Scores(),
+		cfg: cfg.withDefaults(), index: index, filters: Filters(),
 		counters: map[string]*incarnationCounters{},
 	}
-	for _, score := range r.scores {
-		r.weights = append(r.weights, score.Weight(&r.cfg.Weights))
+	for _, score := range Scores() {
+		r.scores = append(r.scores, weighted{score, score.Weight(&r.cfg.Weights)})
 	}
 	r.queries.New = func() any { return &Query{} }
 	r.table.Store(buildTable(&r.cfg, time.Time{}, nil, nil))
--- a/routing/explain.go
+++ b/routing/explain.go
@@ -69,7 +69,7 @@
 	s.q.fill = u.fill()
 	card := ScoreCard{Upstream: u.ID, Load: u.EstimatedLoad(), Cost: s.cost(u)}
 	for _, score := range s.r.scores {
-		card.Scores = append(card.Scores, Scored{score.Name(), score.Seconds(s.q, u), score.Weight(&s.r.cfg.Weights)})
+		card.Scores = append(card.Scores, Scored{score.Name(), score.Seconds(s.q, u), score.weight})
 	}
 	return card
 }
--- a/routing/filter_exclusion.go
+++ b/routing/filter_exclusion.go
@@ -3,6 +3,8 @@
 // exclusionFilter keeps a request off the upstreams of its earlier attempts.
 type exclusionFilter struct{}
 
+func (exclusionFilter) applies(r *Request) bool { return len(r.Excluded) > 0 }
+
 // Name returns "excluded".
 func (exclusionFilter) Name() string { return "excluded" }
 
--- a/routing/filter_group.go
+++ b/routing/filter_group.go
@@ -4,6 +4,8 @@
 // group whose oldest confirmation is younger than the age bound.
 type groupFilter struct{}
 
+func (groupFilter) applies(r *Request) bool { return r.NeedsGroup }
+
 // Name returns "group".
 func (groupFilter) Name() string { return "group" }
 
--- a/routing/filter_isolation.go
+++ b/routing/filter_isolation.go
@@ -4,6 +4,8 @@
 // suspect. It admits every upstream for other requests.
 type isolationFilter struct{}
 
+func (isolationFilter) applies(r *Request) bool { return r.Isolate != nil }
+
 // Name returns "isolation".
 func (isolationFilter) Name() string { return "isolation" }
 
--- a/routing/filter_model.go
+++ b/routing/filter_model.go
@@ -4,6 +4,10 @@
 // the adapter where it is required. Empty fields of the request match all.
 type modelFilter struct{}
 
+func (modelFilter) applies(r *Request) bool {
+	return r.Model != "" || r.Version != "" || r.AdapterRequired
+}
+
 // Name returns "model".
 func (modelFilter) Name() string { return "model" }
 
--- a/routing/filter_role.go
+++ b/routing/filter_role.go
@@ -3,6 +3,8 @@
 // roleFilter admits engines that run the requested phase of inference.
 type roleFilter struct{}
 
+func (roleFilter) applies(r *Request) bool { return r.Role != "" }
+
 // Name returns "role".
 func (roleFilter) Name() string { return "role" }
 
--- a/routing/queries.go
+++ b/routing/queries.go
@@ -63,9 +63,8 @@
 	}
 	q := r.queries.Get().(*Query)
 	*q = Query{Request: req, cfg: &r.cfg, now: now.UnixNano(), draw: random.Uint64(), pool: p}
-	if len(req.Prefix) > 0 {
-		q.matched = r.index.match(now, req.Prefix, q.draw, &q.matches)
-	}
+	q.selectPlugins(r.filters, r.scores)
+	q.findMatches(r.index, now)
 	s := selection{r: r, q: q, e: e}
 	s.collect(t)
 	choice, err := s.choose(random)
--- a/routing/score_adapter.go
+++ b/routing/score_adapter.go
@@ -4,6 +4,8 @@
 // loaded.
 type adapterScore struct{}
 
+func (adapterScore) applies(r *Request) bool { return r.Adapter != "" }
+
 // Name returns "adapter".
 func (adapterScore) Name() string { return "adapter" }
 
--- a/routing/score_priority.go
+++ b/routing/score_priority.go
@@ -4,6 +4,8 @@
 // part of the batch, at engines that do not run it ahead of free work.
 type priorityScore struct{}
 
+func (priorityScore) applies(r *Request) bool { return r.Paying }
+
 // Name returns "priority".
 func (priorityScore) Name() string { return "priority" }
 
--- a/routing/score_test.go
+++ b/routing/score_test.go
@@ -86,7 +86,7 @@
 	} {
 		cfg := Config{Costs: Costs{Block: 0.5}}
 		q := &Query{Request: &Request{Prefix: make([]uint64, 4)}, cfg: &cfg}
-		q.matched = copy(q.matches[:], c.matches)
+		q.matched, q.mask = copy(q.matches[:], c.matches), 1<<2|1<<3
 		require.InDelta(t, c.want, prefixScore{}.Seconds(q, u), 1e-9, c.name)
 	}
 }
--- a/routing/selection.go
+++ b/routing/selection.go
@@ -45,12 +45,12 @@
 		for _, u := range p.all {
 			s.consider(u)
 		}
-	} else {
-		s.sample(p)
+		return
 	}
+	s.sample(p)
 	for i := range s.q.matched {
-		if slot := int(s.q.matches[i].slot); slot < len(t.bySlot) && t.bySlot[slot] != nil {
-			s.propose(t.bySlot[slot], len(p.all) > s.r.cfg.ScanLimit && s.e == nil)
+		if slot := int(s.q.matches[i].slot); slot < len(t.bySlot) && t.bySlot[slot] != nil && s.holder.u != t.bySlot[slot] {
+			s.consider(t.bySlot[slot])
 		}
 	}
 }
@@ -113,43 +113,35 @@
 }
 
 // consider puts an upstream among the finalists if it passes the filters and
-// is one of the best.
-func (s *selection) consider(u *Upstream) bool {
-	if !s.admit(u) {
-		return false
+// is one of the best, and notes the cheapest holder of the prefix.
+func (s *selection) consider(u *Upstream) {
+	if !s.admit(u) || s.known(u) {
+		return
 	}
 	cost := s.cost(u)
+	if s.q.match(u.slot) != nil && (!s.holding || cost < s.holder.cost) {
+		s.holder, s.holding = finalist{u, cost}, true
+	}
 	s.scored++
 	s.loads += s.q.fill
 	if s.n < s.r.cfg.Finalists {
 		s.n++
 	} else if cost >= s.best[s.n-1].cost {
-		return true
+		return
 	}
 	i := s.n - 1
 	for ; i > 0 && s.best[i-1].cost > cost; i-- {
 		s.best[i] = s.best[i-1]
 	}
 	s.best[i] = finalist{u, cost}
-	return true
-}
-
-// propose considers an upstream that holds part of the prompt; add says that it
-// may be missing from the sample.
-func (s *selection) propose(u *Upstream, add bool) {
-	if add && !s.known(u) {
-		if !s.consider(u) {
-			return
-		}
-	} else if !s.admit(u) {
-		return
-	}
-	if cost := s.cost(u); !s.holding || cost < s.holder.cost {
-		s.holder, s.holding = finalist{u, cost}, true
-	}
 }
 
+// known says that an upstream that the prefix index proposed is among the
+// finalists already. Others are visited once.
 func (s *selection) known(u *Upstream) bool {
+	if s.q.match(u.slot) == nil {
+		return false
+	}
 	for i := range s.n {
 		if s.best[i].u == u {
 			return true
@@ -161,7 +153,7 @@
 // admit runs the filters and leaves the upstream's load in the query.
 func (s *selection) admit(u *Upstream) bool {
 	s.q.fill = u.fill()
-	for _, f := range s.r.filters {
+	for _, f := range s.q.filters {
 		if f.Admit(s.q, u) {
 			continue
 		}
@@ -184,8 +176,9 @@
 
 func (s *selection) cost(u *Upstream) float64 {
 	total := 0.0
-	for i, score := range s.r.scores {
-		total += s.r.weights[i] * score.Seconds(s.q, u)
+	for i := range s.q.scores {
+		score := &s.q.scores[i]
+		total += score.weight * score.Seconds(s.q, u)
 	}
 	return total
 }
@@ -216,10 +209,8 @@
 }
 
 func (s *selection) blocks(u *Upstream) int {
-	for i := range s.q.matched {
-		if s.q.matches[i].slot == u.slot {
-			return s.q.matches[i].Blocks
-		}
+	if m := s.q.match(u.slot); m != nil {
+		return m.Blocks
 	}
 	return 0
 }
