--- a/outlier/outlier_test.go
+++ b/outlier/outlier_test.go
@@ -187,3 +187,22 @@
 		}
 	})
 }
+
+// BenchmarkTick is the cost of a comparison of all upstreams of a service, of
+// which each has a full set of latencies.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{65, 420} {
+		b.Run(fmt.Sprint("upstreams=", n), func(b *testing.B) {
+			d, ids := newDetector(n)
+			for i := range samples {
+				for j, id := range ids {
+					d.Observe(start, "s", id, Success, time.Duration(100+(i*j)%7)*time.Millisecond)
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Tick(start)
+			}
+		})
+	}
+}
--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -205,9 +205,10 @@
 }
 
 func (b *Book) resendVerdicts(now time.Time) []Message {
-	if len(b.fresh) == 0 {
+	if len(b.fresh) == 0 || now.Sub(b.resent) < b.cfg.Resend {
 		return nil
 	}
+	b.resent = now
 	m := Message{From: b.cfg.Self}
 	for d, end := range b.fresh {
 		m.Verdicts = append(m.Verdicts, Verdict{d, b.verdicts[d]})
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -210,6 +210,7 @@
 	suspects  map[Digest][]*crash
 	verdicts  map[Digest]time.Time
 	fresh     map[Digest]time.Time // own verdicts still to be resent, with their end
+	resent    time.Time            // last sending of those
 	runs      map[uint64]*run
 	placed    map[Digest][]*run
 	byTarget  map[string][]*run // by upstream, with lingering runs
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -267,3 +267,27 @@
 	require.Equal(t, 1, b.Suspect(x))
 	require.Equal(t, Isolate, b.Admit(now, x).Action)
 }
+
+// BenchmarkRequest is the cost of a request that is no suspect, with 1,000
+// others in flight.
+func BenchmarkRequest(b *testing.B) {
+	now := time.Unix(1000, 0)
+	book := New(Config{Self: "e0"})
+	for i := range 1000 {
+		book.Start(now, "s", uint64(i), digest(fmt.Sprint(i)), Target{fmt.Sprint("u", i%65), 1})
+	}
+	d := digest("x")
+	b.ReportAllocs()
+	for b.Loop() {
+		book.Admit(now, d)
+		book.Start(now, "s", 5000, d, Target{"u7", 1})
+		book.Finish(now, 5000, Completed)
+	}
+}
+
+func BenchmarkDigestOf(b *testing.B) {
+	body := make([]byte, 8192)
+	for b.Loop() {
+		DigestOf("account", "service", body)
+	}
+}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -141,3 +142,35 @@
 	require.LessOrEqual(t, len(r.index.caches), 6)
 	require.Equal(t, 1, r.index.Blocks())
 }
+
+// Guards, under the race detector, against picks that read what a new table, a
+// cache event or another request changes.
+func TestConcurrentUse(t *testing.T) {
+	r := New(Config{FailureDomain: "d0", Region: "r0"}, nil)
+	all := fleet(120, benchTime)
+	r.Publish(benchTime, all)
+	source := NewSource(1)
+	var wg sync.WaitGroup
+	for worker := range 4 {
+		wg.Go(func() {
+			prefix := []uint64{1, 2, uint64(worker)}
+			for i := range 200 {
+				if worker == 0 {
+					r.Publish(benchTime, all[:100+i%20])
+					r.SetShare(all[i%100].ID, 1, i)
+				}
+				choice, err := r.Pick(benchTime, source, &Request{Service: "chat", Prefix: prefix})
+				if err != nil {
+					continue
+				}
+				r.Begin(benchTime, choice.Upstream, prefix)
+				r.Index().Apply(benchTime, CacheEvents{Upstream: choice.Upstream.ID, Incarnation: 1, First: uint64(i)})
+				r.Done(benchTime, choice.Upstream, Observation{FirstToken: time.Second})
+			}
+		})
+	}
+	wg.Wait()
+	for _, u := range r.Table().Service("chat") {
+		require.Zero(t, u.InFlight())
+	}
+}
