--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -202,13 +202,15 @@
 
 	mu        sync.Mutex
 	entries   []string            // sorted, with Self
-	owned     map[string][]string // upstreams of a service that this entry owns, sorted
+	upstreams map[string][]string // by service
+	owned     map[string][]string // those of a service that this entry owns, sorted
 	crashes   map[Target]*crash
 	order     []*crash // by the time at which they became known
 	digests   int      // in all reports
 	suspects  map[Digest][]*crash
 	verdicts  map[Digest]time.Time
 	fresh     map[Digest]time.Time // own verdicts still to be resent, with their end
+	resent    time.Time            // last sending of those
 	runs      map[uint64]*run
 	placed    map[Digest][]*run
 	byTarget  map[string][]*run // by upstream, with lingering runs
