Answer operators, and show the main job in a demo of seven daemons

Cause: operators could neither change settings nor see what daemons know. Change: the operators' API is wired to the daemon (changes, voters, drain, and queries of upstreams, groups, queues, limits, quarantines, peers, traces, voters and propagation); bluebellctl demo runs seven checks. Faults found by the demo and fixed: a resend could be told that the first request did not run, because the replica asked had not applied the claim yet (it reads through a barrier now); a failure domain whose log was led by the voter in another one had no group decisions (every host of a domain log makes them, and hands leadership to a local instance).

--- a/cmd/bluebellfieldd/main.go
+++ b/cmd/bluebellfieldd/main.go
@@ -96,6 +96,7 @@
 	select {
 	case err := <-d.Failures():
 		return errors.Join(err, d.Close())
+	case <-d.DrainRequested():
 	case <-ctx.Done():
 	}
 	stop()
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -21,6 +21,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/daemon"
 	"github.com/bluebellfield/bluebellfield/internal/fake"
 	"github.com/bluebellfield/bluebellfield/membership"
+	"github.com/bluebellfield/bluebellfield/settings"
 )
 
 const (
@@ -370,3 +371,9 @@
 	all.Wait()
 	return errors.Join(errs...)
 }
+
+// Propose makes a settings change through a daemon.
+func (c *Cluster) Propose(ctx context.Context, id string, change settings.Change) (settings.Result, error) {
+	change.At = time.Now()
+	return c.Daemon(id).Propose(ctx, change)
+}
--- /dev/null
+++ b/internal/ctl/demo.go
@@ -0,0 +1,39 @@
+package ctl
+
+import (
+	"encoding/json"
+	"io"
+
+	"github.com/bluebellfield/bluebellfield/internal/demo"
+)
+
+// demoCommand shows the main job of the system on this machine.
+type demoCommand struct{ app *App }
+
+// addDemo adds "demo".
+func (a *App) addDemo() error {
+	_, err := a.Parser.AddCommand("demo", "Show seven daemons at work on this machine",
+		"Runs seven daemons and fake upstreams in this process on loopback and checks what they do. Exit code 1 when a check fails.",
+		&demoCommand{a})
+	return err
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	out := c.app.Out
+	if c.app.JSON() {
+		out = io.Discard
+	}
+	results, err := demo.Run(c.app.Context(), out)
+	if c.app.JSON() {
+		encoder := json.NewEncoder(c.app.Out)
+		encoder.SetIndent("", "  ")
+		if printErr := encoder.Encode(results); printErr != nil {
+			return printErr
+		}
+	}
+	return err
+}
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -35,6 +35,10 @@
 	key := claim.Key(req.Key)
 	ctx, cancel := context.WithTimeout(ctx, lookupHold)
 	defer cancel()
+	// The asker has seen the leader's answer, which this replica may still lack.
+	if err := l.global.Barrier(ctx); err != nil {
+		return nil, err
+	}
 	for {
 		changed := l.global.Watch()
 		record, found := l.global.machine.Lookup(key)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"github.com/bluebellfield/bluebellfield/internal/config"
 	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
+	"github.com/bluebellfield/bluebellfield/internal/edge/operator"
 	"github.com/bluebellfield/bluebellfield/internal/edge/platform"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
@@ -56,9 +57,10 @@
 	picker   *picker
 	crashes  *crashWatch
 	claims   *claims
-	groups   *groupManager
+	groups   []*groupManager
 	callers  *caller.Handler
 	stats    *requestStats
+	ops      *operations
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -148,10 +150,11 @@
 	d.admitter.live = d.members.Live
 	d.admitter.capacity = d.picker.capacity
 	d.claims = &claims{global: d.shared.global, local: d.logs, entry: d.cfg.ID, incarnation: incarnation, logger: d.logger}
-	if own := d.logs.domains[d.cfg.FailureDomain]; own != nil {
-		d.groups = newGroupManager(d.cfg, own, d.members, d.client, d.shared.Tree, d.registry, d.logger)
+	for _, log := range d.logs.domains {
+		d.groups = append(d.groups, newGroupManager(d.cfg, log, d.members, d.client, d.shared.Tree, d.registry, d.logger))
 	}
 	d.stats = newRequestStats(d.registry)
+	d.ops = newOperations(d)
 	d.callers = caller.NewHandler(caller.Options{
 		Deps: caller.Deps{
 			Policy: policy{d.shared.Tree}, Admitter: d.admitter, Picker: d.picker, Retrier: newRetrier(incarnation),
@@ -168,6 +171,7 @@
 	}{
 		{d.cfg.Listen.Caller, d.callers},
 		{d.cfg.Listen.Upstream, upstream.NewHandler(d.members)},
+		{d.cfg.Listen.Operator, operator.New(d.ops.options())},
 		{d.cfg.Listen.Platform, d.probe.Handler()},
 	} {
 		if s.address == "" {
@@ -205,9 +209,12 @@
 	d.spawn(d.crashes.run)
 	d.spawn(d.claims.abandonEarlier)
 	d.spawn(d.becomeReady)
-	if d.groups != nil {
-		d.groups.start(d.system)
-		d.spawn(d.groups.run)
+	for _, g := range d.groups {
+		g.start(d.system)
+		d.spawn(g.run)
+		if g.domain.failureDomain != d.cfg.FailureDomain {
+			d.spawn(g.preferLocal)
+		}
 	}
 }
 
@@ -228,6 +235,9 @@
 // Ready reports whether the daemon lets callers in.
 func (d *Daemon) Ready() bool { return d.probe.Ready() }
 
+// DrainRequested is closed when an operator has asked for a planned stop.
+func (d *Daemon) DrainRequested() <-chan struct{} { return d.ops.drain }
+
 // Failures delivers errors that end the daemon's service.
 func (d *Daemon) Failures() <-chan error { return d.failures }
 
@@ -283,3 +293,8 @@
 
 // Revision returns the revision of the settings in force.
 func (d *Daemon) Revision() uint64 { return d.shared.Tree().Revision() }
+
+// Propose makes a settings change in the name of an operator.
+func (d *Daemon) Propose(ctx context.Context, c settings.Change) (settings.Result, error) {
+	return d.ops.ProposeChange(ctx, c)
+}
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -22,13 +22,14 @@
 	// one. It adds to the time to repair a group.
 	groupTick = 250 * time.Millisecond
 	// leaseCheck bounds the proof of leadership before orders are sent.
-	leaseCheck = time.Second
+	leaseCheck       = time.Second
+	preferLocalPause = 2 * time.Second
 	// addressless marks a member of an order that is not known any more.
 	addressless = ""
 )
 
 // groupManager runs the decisions on replica groups while this instance leads
-// the log of its failure domain.
+// the log of a failure domain.
 type groupManager struct {
 	cfg      *config.Daemon
 	domain   *domainReplica
@@ -72,6 +73,30 @@
 	}
 }
 
+// preferLocal gives the leadership of another failure domain's log to one of
+// that domain's own instances, which know its upstreams better and are not cut
+// off from them.
+func (g *groupManager) preferLocal(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, nil, preferLocalPause)
+		if !g.domain.Status().Leads() {
+			continue
+		}
+		for _, id := range g.cfg.Logs.Domains[g.domain.failureDomain] {
+			p, known := g.cfg.Peer(id)
+			if !known || p.FailureDomain != g.domain.failureDomain {
+				continue
+			}
+			attempt, cancel := context.WithTimeout(ctx, handOverTimeout)
+			err := g.domain.TransferLeadership(attempt, id)
+			cancel()
+			if err == nil {
+				break
+			}
+		}
+	}
+}
+
 // Accounts returns downtime and stranded accelerators since this instance
 // became the leader.
 func (g *groupManager) Accounts() []group.Account {
@@ -98,11 +123,11 @@
 	now := time.Now()
 	if g.controller == nil || g.term != status.Term {
 		g.term = status.Term
-		g.controller = group.NewController(group.Config{FailureDomain: g.cfg.FailureDomain}, g.term, now)
+		g.controller = group.NewController(group.Config{FailureDomain: g.domain.failureDomain}, g.term, now)
 	}
 	tree := g.tree()
 	view := g.members.View()
-	observed := group.Observe(view, g.cfg.FailureDomain, func(u *membership.Upstream) bool { return g.mayFence(tree, u) })
+	observed := group.Observe(view, g.domain.failureDomain, func(u *membership.Upstream) bool { return g.mayFence(tree, u) })
 	state := g.domain.machine.Groups()
 	decision := g.controller.Decide(now, state, observed, g.settings(tree, view, state))
 	g.report()
@@ -132,10 +157,10 @@
 	for d := range g.cfg.Logs.Domains {
 		domains = append(domains, d)
 	}
-	out := group.Settings{StoreRate: tree.WeightStoreRate(g.cfg.FailureDomain, domains)}
+	out := group.Settings{StoreRate: tree.WeightStoreRate(g.domain.failureDomain, domains)}
 	for _, id := range tree.Services() {
 		s, _ := tree.Service(id)
-		policy := tree.GroupPolicy(g.cfg.FailureDomain, id)
+		policy := tree.GroupPolicy(g.domain.failureDomain, id)
 		if !s.Model || policy.GroupSize < 2 {
 			continue
 		}
@@ -152,7 +177,7 @@
 func (g *groupManager) wanted(service string, view *membership.View, state *group.State) int {
 	seen := map[string]bool{}
 	for _, u := range view.Service(service) {
-		if u.FailureDomain == g.cfg.FailureDomain && u.Kind == membership.ModelEngine && u.State != membership.Leaving {
+		if u.FailureDomain == g.domain.failureDomain && u.Kind == membership.ModelEngine && u.State != membership.Leaving {
 			seen[u.ID] = true
 		}
 	}
--- a/internal/edge/caller/once.go
+++ b/internal/edge/caller/once.go
@@ -49,7 +49,7 @@
 	if state == ClaimRunning {
 		var err error
 		if state, answer, err = x.Claimer.Await(ctx, id, x.work.Digest); err != nil {
-			return fault.Wrap(err, fault.CodeOf(err), at, fault.Unknown)
+			return fault.Wrap(err, fault.CodeOf(err), at, fault.OutcomeOf(err))
 		}
 	}
 	if state != ClaimDone {
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -417,3 +417,13 @@
 	case <-ctx.Done():
 	}
 }
+
+// Dead reports whether the upstream was killed.
+func (s *Server) Dead() bool {
+	select {
+	case <-s.dead:
+		return true
+	default:
+		return false
+	}
+}
