Read the clock after the messages are taken

A replica that paused between reading the clock and taking its messages dated the leader's contact before the message was sent, so that its promise not to vote could end before the leader's lease. Found by review; the clock is now read second.

--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -21,8 +21,11 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		now := time.Now()
 		inbox, requests, closed := r.take()
+		// The clock is read after the messages are taken: a contact must not be
+		// dated before the leader's message was sent, or the promise behind its
+		// lease would end too early.
+		now := time.Now()
 		if closed {
 			r.shutDown(requests)
 			return
