Report contradicting messages as errors

A message that conflicts with a committed entry was logged at debug level. A replica whose state machine cannot capture the initial state no longer retries without a pause.

--- a/consensus/commands.go
+++ b/consensus/commands.go
@@ -215,7 +215,8 @@
 	}
 }
 
-// Ready returns the work to do. It returns the same state again until Advance.
+// Ready returns the work to do. Messages and read results are returned once;
+// state to store and entries to apply are returned again until Advance.
 func (n *Node) Ready() Output {
 	if n.role == Leader {
 		n.replicateAll(false)
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -176,8 +177,12 @@
 		}
 		m = r.offered(now, m)
 	}
-	if err := r.node.Step(now, m); err != nil {
-		r.o.Logger.Debug("message refused", zap.Stringer("peer", m.From), zap.Error(err))
+	err := r.node.Step(now, m)
+	switch {
+	case errors.Is(err, consensus.ErrMisaddressed):
+		r.o.Logger.Debug("message is for a former storage id", zap.Stringer("peer", m.From))
+	case err != nil:
+		r.o.Logger.Error("message contradicts the log", zap.Stringer("peer", m.From), zap.Error(err))
 	}
 }
 
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -201,14 +201,14 @@
 	if now.Before(r.helloDue) {
 		return
 	}
-	if r.mayCreate(members) {
-		r.create(now)
-		return
-	}
 	r.helloDue = now.Add(helloIntervalLate)
 	if len(members.Voters) == 0 && r.o.Dir != nil && slices.Contains(r.o.Voters, r.o.ID) {
 		r.helloDue = now.Add(helloInterval)
 	}
+	if r.mayCreate(members) {
+		r.create(now)
+		return
+	}
 	for _, voter := range r.o.Voters {
 		if voter != r.o.ID {
 			r.sendHello(voter, true)
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -30,7 +31,8 @@
 
 // Propose replicates a command and returns the state machine's result. It
 // forwards the command when another instance leads. An error wraps either
-// ErrNotProposed or ErrUnknownResult.
+// ErrNotProposed or ErrUnknownResult. The caller must not change command
+// afterwards.
 func (r *Replica) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	return r.onLeader(ctx, forwardCommand, command, func(ctx context.Context) ([]byte, error) {
 		return r.proposeHere(ctx, func(now time.Time) (uint64, uint64, error) {
@@ -133,8 +135,11 @@
 		return false
 	}
 	var notLeader *consensus.NotLeaderError
-	return errors.As(err, &notLeader) || errors.Is(err, errTryAgain) || errors.Is(err, errDeposed) || errors.Is(err, consensus.ErrTransferring) ||
-		errors.Is(err, consensus.ErrNotReady) || errors.Is(err, consensus.ErrChangePending)
+	if errors.As(err, &notLeader) {
+		return true
+	}
+	passing := []error{errTryAgain, errDeposed, consensus.ErrTransferring, consensus.ErrNotReady, consensus.ErrChangePending}
+	return slices.ContainsFunc(passing, func(cause error) bool { return errors.Is(err, cause) })
 }
 
 // errDeposed ends a command whose leader lost its office before the command was
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -148,10 +148,20 @@
 func TestSoleVoterKeepsItsLogOverARestart(t *testing.T) {
 	t.Parallel()
 	n, path, ctx := newNetwork(), t.TempDir(), testContext(t)
-	m := startMember(t, n, "a", path, storage.OS{}, soleVoter)
+	applied := make(chan uint64, 100)
+	m := startMember(t, n, "a", path, storage.OS{}, func(o *Options) {
+		soleVoter(o)
+		o.OnApplied = func(index uint64) { applied <- index }
+	})
 	result, err := m.Propose(ctx, []byte("one"))
 	require.NoError(t, err)
 	require.Equal(t, "one is number 1", string(result))
+	for <-applied < 3 { // the initial state, the first entry of the term, the command
+	}
+	require.Eventually(t, func() bool {
+		held, err := m.LeaseHeld(ctx)
+		return err == nil && held
+	}, time.Minute, time.Millisecond)
 	m.stop(n)
 
 	m = startMember(t, n, "a", path, storage.OS{}, soleVoter)
