Name groups by revision and let broken groups without spares be resolved

Two faults found by tests: a group planned as second in one decision took a name that the next decision used again, so that a lower demand waited for ever; and absent members without spares kept two groups of a fabric domain broken although one could be completed from the other.

--- /dev/null
+++ b/group/controller_test.go
@@ -0,0 +1,166 @@
+package group
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellfield/bluebellfield/membership"
+)
+
+// bench is a controller with engines that obey every order at once.
+type bench struct {
+	now      time.Time
+	state    *State
+	ctrl     *Controller
+	observed []Observation
+	silent   map[string]bool
+	commands []Command
+	settings Settings
+}
+
+func newBench(instances int, demands ...Demand) *bench {
+	b := &bench{now: time.Unix(1_700_000_000, 0), state: NewState(), silent: map[string]bool{}, settings: Settings{Demands: demands}}
+	b.ctrl = NewController(Config{FailureDomain: "a", NoPreload: true}, 1, b.now)
+	for i := range instances {
+		b.observed = append(b.observed, Observation{
+			ID: fmt.Sprintf("i%d", i), Incarnation: 1, FabricDomain: "f", Accelerators: 2, Fencing: true, State: membership.Ready, Idle: true,
+		})
+	}
+	return b
+}
+
+func demand(name string, groups int) Demand {
+	return Demand{Service: name, Model: membership.Model{Name: name}, Groups: groups, GroupSize: 2, DowntimeWeight: 5, StrandedWeight: 1}
+}
+
+func (b *bench) run(d time.Duration) {
+	b.commands = nil
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(500 * time.Millisecond)
+		for i := range b.observed {
+			if !b.silent[b.observed[i].ID] {
+				b.observed[i].ReportedAt = b.now
+			}
+		}
+		out := b.ctrl.Decide(b.now, b.state, b.observed, b.settings)
+		for _, o := range out.Orders {
+			for i := range b.observed {
+				switch e := &b.observed[i]; {
+				case e.ID != o.Instance:
+				case o.Kind == OrderForm:
+					e.InForce = membership.GroupRef{Group: o.Group, Epoch: o.Epoch, Rank: o.Rank}
+				case o.Kind == OrderRelease:
+					e.InForce = membership.GroupRef{}
+				}
+			}
+		}
+		for _, c := range out.Commands {
+			if b.state.Apply(c).Code == Applied {
+				b.commands = append(b.commands, c)
+			}
+		}
+	}
+}
+
+func (b *bench) kinds() []Kind {
+	var list []Kind
+	for _, c := range b.commands {
+		list = append(list, c.Kind)
+	}
+	return list
+}
+
+func (b *bench) serving(service string) int {
+	n := 0
+	for _, g := range b.state.Groups {
+		if g.Service == service && g.Phase == Serving {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a leaving member that is replaced before its group drained.
+func TestLeavingMemberDrainsFirst(t *testing.T) {
+	b := newBench(5, demand("m", 2))
+	b.run(20 * time.Second)
+	require.Equal(t, 2, b.serving("m"))
+	b.observed[0].State, b.observed[0].Idle = membership.Draining, false
+	b.run(10 * time.Second)
+	require.Equal(t, []Kind{Drain}, b.kinds(), "work is in flight")
+	b.observed[0].Idle = true
+	b.run(20 * time.Second)
+	require.Equal(t, []Kind{Replace, Confirm}, b.kinds()[:2])
+	require.Equal(t, 2, b.serving("m"))
+}
+
+// Guards against a dissolving storm when a fabric domain goes dark and returns.
+func TestDarkFabricIsLeftAlone(t *testing.T) {
+	b := newBench(7, demand("m", 3))
+	b.run(20 * time.Second)
+	for _, o := range b.observed {
+		b.silent[o.ID] = true
+	}
+	b.run(10 * time.Minute)
+	require.Empty(t, b.commands)
+	clear(b.silent)
+	b.run(20 * time.Second)
+	require.Empty(t, b.commands)
+	require.Equal(t, 3, b.serving("m"))
+}
+
+// Guards against a healthy group that is broken up for nothing, and against
+// demand that moves without its group draining.
+func TestCapacityMovesForStatedGain(t *testing.T) {
+	b := newBench(4, demand("m", 2), demand("n", 0))
+	b.run(20 * time.Second)
+	b.run(time.Minute)
+	require.Empty(t, b.commands)
+	b.settings.Demands[0].Groups, b.settings.Demands[1].Groups = 1, 1
+	b.run(time.Minute)
+	require.Equal(t, Drain, b.commands[0].Kind)
+	require.Positive(t, b.commands[0].Gain)
+	require.Equal(t, 1, b.serving("m"))
+	require.Equal(t, 1, b.serving("n"))
+}
+
+// Guards against a slow member that stays although a spare is free.
+func TestSlowMemberIsReplacedForStatedGain(t *testing.T) {
+	b := newBench(3, demand("m", 1))
+	b.run(20 * time.Second)
+	b.observed[0].Slowdown = 0.5
+	b.run(time.Minute)
+	require.Equal(t, []Kind{Drain, Replace, Confirm}, b.kinds()[:3])
+	require.Positive(t, b.commands[0].Gain)
+	require.Equal(t, 1, b.serving("m"))
+}
+
+// Guards against a second loss right after a repair that leaves two broken
+// groups although one can be completed from the other.
+func TestTwoBrokenGroupsMakeOneWhole(t *testing.T) {
+	b := newBench(6, demand("m", 3))
+	b.run(20 * time.Second)
+	for _, id := range []string{"i0", "i2"} {
+		b.silent[id] = true
+	}
+	b.run(5 * time.Minute)
+	require.Equal(t, 2, b.serving("m"))
+	require.NotEmpty(t, b.ctrl.Accounts())
+	require.Empty(t, b.state.Check())
+}
+
+// Guards against loads that all start at once and finish late: the store's
+// rate goes to the change with the most benefit first.
+func TestWeightStoreQueueIsOrderedByBenefit(t *testing.T) {
+	low, high := demand("low", 1), demand("high", 1)
+	low.WeightBytes, high.WeightBytes, high.DowntimeWeight = 10e9, 10e9, 50
+	b := newBench(4, low, high)
+	b.settings.StoreRate = 1e9
+	b.run(5 * time.Second)
+	require.Equal(t, "high", b.commands[0].Service)
+	b.run(25 * time.Second)
+	require.Equal(t, "low", b.commands[0].Service)
+}
--- a/group/repair.go
+++ b/group/repair.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/membership"
@@ -192,7 +192,8 @@
 func (c *Controller) waitOver(g *Group, k condition, d Demand) bool {
 	repairTime, possible := c.repairTime(g, len(k.absent), d, k)
 	if !possible {
-		return false
+		// Another broken group may give its survivors.
+		repairTime = c.cfg.StartTime + c.widen(c.cfg.AgeBound)
 	}
 	best, at := c.expected(k.absence, 0, repairTime), time.Duration(0)
 	for _, length := range c.history {
@@ -456,6 +457,8 @@
 	return Demand{Service: g.Service, Model: g.Model, GroupSize: len(g.Members)}
 }
 
+// groupID names the n-th new group of a decision. Each applied command moves
+// the revision, so no name is used twice.
 func (c *Controller) groupID(n int) string {
-	return "g-" + c.cfg.FailureDomain + "-" + strconv.FormatUint(c.state.Epoch+1+uint64(n), 10)
+	return fmt.Sprintf("g-%s-%d-%d", c.cfg.FailureDomain, c.state.Revision, n)
 }
