Trust a report of idle engines only when no entry can still dispatch

A drain ended on load reports from before it began. Idleness now counts after the age bound and the lag of load reports, a change to or from idle is always reported, and the controller forgets what no longer exists.

--- a/group/controller.go
+++ b/group/controller.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/membership"
@@ -217,9 +218,31 @@
 	c.resolveStuck()
 	c.preload()
 	c.account(before)
+	c.prune()
 	return c.out
 }
 
+// prune drops the memory of groups and instances that no longer exist. Orders
+// are kept until their bound is long past.
+func (c *Controller) prune() {
+	for key := range c.epochSeen {
+		id, _, _ := strings.Cut(key, "\x00")
+		if c.state.Groups[id] == nil {
+			delete(c.epochSeen, key)
+		}
+	}
+	for id, o := range c.orders {
+		if c.state.Instances[id] == nil && c.now.Sub(o.at) > 10*c.cfg.OrderTimeout {
+			delete(c.orders, id)
+		}
+	}
+	for id, at := range c.loadedAt {
+		if c.now.Sub(at) > preloadPause {
+			delete(c.loadedAt, id)
+		}
+	}
+}
+
 func (c *Controller) propose(cmd Command) {
 	cmd.Term, cmd.At = c.term, c.now.UnixMilli()
 	c.out.Commands = append(c.out.Commands, cmd)
--- a/group/controller_test.go
+++ b/group/controller_test.go
@@ -91,6 +91,7 @@
 	b.observed[0].State, b.observed[0].Idle = membership.Draining, false
 	b.run(10 * time.Second)
 	require.Equal(t, []Kind{Drain}, b.kinds(), "work is in flight")
+	require.Empty(t, b.state.Check())
 	b.observed[0].Idle = true
 	b.run(20 * time.Second)
 	require.Equal(t, []Kind{Replace, Confirm}, b.kinds()[:2])
--- a/group/repair.go
+++ b/group/repair.go
@@ -142,7 +142,7 @@
 	if g.Phase == Serving {
 		limit = 2 * orderPause
 		if mark.at.Before(c.now) && c.conflictSince(g).IsZero() {
-			c.epochSeen[g.ID+"\x00conflict"] = epochMark{g.Epoch, c.now}
+			c.epochSeen[g.ID+conflictMark] = epochMark{g.Epoch, c.now}
 		}
 		mark.at = c.conflictSince(g)
 	}
@@ -151,7 +151,7 @@
 		for _, o := range k.pending {
 			ids = append(ids, o.ID)
 		}
-		delete(c.epochSeen, g.ID+"\x00conflict")
+		delete(c.epochSeen, g.ID+conflictMark)
 		c.repair(g, ids, k, d)
 		return
 	}
@@ -171,7 +171,7 @@
 }
 
 func (c *Controller) conflictSince(g *Group) time.Time {
-	if m := c.epochSeen[g.ID+"\x00conflict"]; m.epoch == g.Epoch {
+	if m := c.epochSeen[g.ID+conflictMark]; m.epoch == g.Epoch {
 		return m.at
 	}
 	return time.Time{}
@@ -387,9 +387,26 @@
 	return true
 }
 
+// loadLag is the lag of load reports. Entries dispatch to a group that drains
+// until its confirmations are too old, so a report of idle engines counts only
+// after the age bound and this lag.
+const loadLag = 2 * time.Second
+
+// Suffixes of the keys of epochSeen, which cannot occur in a group's id.
+const (
+	drainMark    = "\x00drain"
+	conflictMark = "\x00conflict"
+)
+
 // stepDrain ends a drain when no request is left or its deadline has passed.
 func (c *Controller) stepDrain(g *Group, k condition, d Demand) {
-	if !k.idle && c.now.UnixMilli() < g.Deadline {
+	mark := c.epochSeen[g.ID+drainMark]
+	if mark.epoch != g.Epoch {
+		mark = epochMark{g.Epoch, c.now}
+		c.epochSeen[g.ID+drainMark] = mark
+	}
+	idle := k.idle && c.now.Sub(mark.at) >= c.widen(c.cfg.AgeBound)+loadLag
+	if !idle && len(k.gone) == 0 && c.now.UnixMilli() < g.Deadline {
 		c.again(busyPause)
 		return
 	}
--- a/membership/registry_test.go
+++ b/membership/registry_test.go
@@ -296,3 +296,31 @@
 	add("b", 1, membership.Ready)
 	require.Equal(t, membership.Leaving, r.View().Get("b").State, "leaving is final for an incarnation")
 }
+
+// Guards against daemons of other failure domains that hold leases or never
+// learn of upstreams, and against batches to them at the short period when
+// there are many.
+func TestOtherFailureDomains(t *testing.T) {
+	n := newNetwork(11)
+	n.domain = func(i int) string {
+		if i < 2 {
+			return "a"
+		}
+		return "b"
+	}
+	n.addDaemons(62, nil, func() clock { return clock{} })
+	n.daemons = n.daemons[:2] // upstreams announce themselves in their failure domain
+	for i := range 10 {
+		n.addUpstream(fmt.Sprintf("u%d", i), clock{})
+	}
+	n.run(10 * time.Second)
+	far := n.byID["d40"]
+	require.Equal(t, 10, far.registry.View().Len())
+	require.Zero(t, far.registry.Held())
+	n.batches = [2]int{}
+	n.run(n.now + 30*time.Second)
+	require.Less(t, n.batches[0], 30*62/2, "60 daemons elsewhere get a batch every 3 s")
+	n.upstreams["u1"].state = membership.Leaving
+	n.run(n.now + 2*time.Second)
+	require.Equal(t, membership.Leaving, far.registry.View().Get("u1").State)
+}
--- a/membership/tick.go
+++ b/membership/tick.go
@@ -284,6 +284,9 @@
 			continue
 		}
 		size := loadChange(s, s.sentLoad[class])
+		if s.load.idle() != s.sentLoad[class].idle() {
+			size += r.cfg.LoadThreshold // drains wait for this change
+		}
 		if waited := t - s.sentAt[class]; s.sentAt[class] == never || waited > int64(loadRefresh) {
 			size += r.cfg.LoadThreshold
 		}
@@ -309,6 +312,8 @@
 	return loads
 }
 
+func (l Load) idle() bool { return l.Running == 0 && l.Queued == 0 }
+
 // loadChange measures the difference between two loads in units of the
 // upstream's concurrency.
 func loadChange(s *slot, old Load) float64 {
