--- a/admission/share/share_test.go
+++ b/admission/share/share_test.go
@@ -322,3 +322,35 @@
 		require.Equal(t, test.want, h.committed, "grant %d acknowledged", test.acked)
 	}
 }
+
+// Guards against an overshoot of half the limit or more that lasts, on any
+// steady partition into two sides.
+func TestSteadyPartition(t *testing.T) {
+	for size := range 7 {
+		c := newCluster(rand.New(rand.NewSource(1)), 7, 0)
+		full := func(_ int, l Limit) Demand { return Demand{Paying: l.Value} }
+		c.settle(9*time.Second, full)
+		for i := range size {
+			c.side[i] = 1
+		}
+		for i := range c.nodes {
+			c.view(i)
+		}
+		c.settle(7*time.Second, full)
+		for range 100 {
+			c.settle(step, full)
+			for _, l := range testLimits {
+				got, sources := c.allowances(l)
+				sum, fallback := 0.0, 0
+				for i := range got {
+					sum += got[i]
+					if sources[i] == Guaranteed {
+						fallback++
+					}
+				}
+				require.LessOrEqual(t, sum, 1.5*l.Value, "%d of 7 entries cut off", size)
+				require.Less(t, 2*fallback, 7, "%d of 7 entries cut off", size)
+			}
+		}
+	}
+}
