quarantine: condemn for two isolated runs, hold copies while one runs

Cause: a suspect whose isolated run shared an upstream with a culprit that was not a suspect yet was quarantined although innocent; copies of a suspect ran isolated at several entries at once. Change: both crashes must be of isolated runs; entries announce which suspects they run, and others hold their copies for that time (bounded).

--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -93,6 +93,12 @@
 	if ruling.Pin != "" {
 		r.isolated = b.placed[d][0].isolated
 	}
+	if r.isolated {
+		// The others hold their copies until this run has ended.
+		for _, c := range b.suspects[d] {
+			c.placed = true
+		}
+	}
 	b.runs[id] = r
 	b.placed[d] = append(b.placed[d], r)
 	b.byTarget[t.Upstream] = append(b.byTarget[t.Upstream], r)
@@ -171,7 +177,7 @@
 		}
 		c.sums[m.From] = e.Sum
 		c.asked = c.asked || e.Open
-		c.elsewhere[m.From] = placement{e.Elsewhere, now}
+		c.elsewhere[m.From] = placements{e.Elsewhere, now}
 		if c.reports[b.cfg.Self] == nil {
 			b.reportOwn(now, c)
 		}
@@ -196,7 +202,7 @@
 	var due []*crash
 	for _, c := range b.order {
 		again := (c.asked || c.placing || !b.agreed(c)) && now.Sub(c.sent) >= b.cfg.Resend && now.Sub(c.known) < b.cfg.Quarantine/2
-		if again || c.sum != c.sentSum {
+		if again || c.placed || c.sum != c.sentSum {
 			due = append(due, c)
 		}
 	}
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -17,7 +17,7 @@
 	}
 	c := &crash{
 		target: t, known: now, reports: map[string]*report{}, cleared: map[Digest]bool{},
-		sums: map[string]uint64{}, elsewhere: map[string]placement{},
+		sums: map[string]uint64{}, elsewhere: map[string]placements{},
 	}
 	b.crashes[t] = c
 	b.order = append(b.order, c)
@@ -141,21 +141,21 @@
 	return b.sendCrashes(now, accused)
 }
 
-// decide condemns the suspects of a crash that are the only ones that it has in
-// common with another one, if they ran apart from other suspects at one of the
-// two. Without that condition, a rack that fails would condemn requests that
-// ran on several of its upstreams at once. Both need the reports of all entries, since a missing one could name
+// decide condemns the suspects that ran apart from other suspects at a crash and
+// at another one, and are the only requests that the two have in common. One
+// isolated run is not enough: a request that crashes upstreams, and is not a
+// suspect yet, may have run beside it. Both need the reports of all entries, since a missing one could name
 // another suspect that the crashes have in common.
 func (b *Book) decide(now time.Time, c *crash) {
 	if !b.gathered(c) {
 		return
 	}
 	for _, d := range c.accused() {
-		if _, done := b.verdicts[d]; done || c.presence(d) < InFlight {
+		if _, done := b.verdicts[d]; done || c.presence(d) != Isolated {
 			continue
 		}
 		for _, other := range b.suspects[d] {
-			if other != c && convicts(c.presence(d), other.presence(d)) && b.gathered(other) && onlyCommon(c, other, d) {
+			if other != c && other.presence(d) == Isolated && b.gathered(other) && onlyCommon(c, other, d) {
 				until := now.Add(b.cfg.Quarantine)
 				b.condemn(now, Verdict{d, until})
 				b.fresh[d] = now.Add(b.cfg.Settle)
@@ -200,7 +200,8 @@
 		}
 		e.Cleared = sortedDigests(c.cleared)
 		m.Evidence = append(m.Evidence, e)
-		c.sent, c.sentSum, c.asked, c.placing = now, c.sum, false, len(e.Elsewhere) > 0
+		c.sent, c.sentSum, c.asked = now, c.sum, false
+		c.placing, c.placed = len(e.Elsewhere) > 0, false
 	}
 	return []Message{m}
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,8 +5,8 @@
 // order, and a suspect waits until all entries know all reports. It then runs
 // again only apart from other suspects: an upstream takes suspects from one
 // entry, its owner, which runs one suspect there at a time. A request that is
-// the only one common to two crashes explains both alone and is quarantined;
-// one that completes is cleared.
+// the only one common to two crashes of such runs explains both alone and is
+// quarantined; one that completes is cleared.
 //
 // The package reads no clock, starts no goroutine and opens no connection. A
 // Book may be used by several goroutines.
@@ -93,9 +93,10 @@
 // quarantine time if each run of it crashes its upstream, messages between the
 // entries take no longer than MaxOneWayDelay, the entries agree on the list of
 // entries, and each entry owns an upstream of the service. Each entry loses one
-// before it knows the request as a suspect. Where callers cancelled these runs
-// they accuse but do not condemn; then one entry loses one to an isolated run,
-// and once that is known each can lose another, which condemns.
+// before it knows the request as a suspect. One entry then loses one to an
+// isolated run, and once that is known each can lose another before it knows
+// of the second such crash, which condemns. Where resends go through one entry,
+// three are lost.
 func MaxUpstreamsLost(entries int) int { return 2*entries + 1 }
 
 // Action says what to do with a request.
@@ -107,7 +108,7 @@
 	Run Action = iota
 	// Isolate allows the upstreams that Isolation admits, or the pinned one.
 	// The run must not be cancelled when the caller leaves, because only a
-	// request that is certainly in flight at a crash can be condemned for it.
+	// request that is certainly in flight at a crash is condemned for it.
 	Isolate
 	// Wait asks to try again shortly, at the latest when Until has come.
 	Wait
@@ -162,6 +163,12 @@
 	Presence Presence
 }
 
+// Placement is a suspect that runs on an upstream.
+type Placement struct {
+	Upstream string
+	Digest   Digest
+}
+
 // Evidence is what one entry knows of a crash.
 type Evidence struct {
 	Target Target
@@ -171,9 +178,9 @@
 	Truncated bool
 	// Cleared are the requests known to have completed since.
 	Cleared []Digest
-	// Elsewhere lists the upstreams on which the entry runs suspects of the
-	// crash now.
-	Elsewhere []string
+	// Elsewhere lists the suspects of the crash that the entry runs now, by
+	// upstream and digest.
+	Elsewhere []Placement
 	// Sum is a hash over all reports and cleared requests of the crash that
 	// the entry knows.
 	Sum uint64
@@ -235,11 +242,11 @@
 	truncated bool
 }
 
-// placement lists the upstreams on which another entry said that it runs
-// suspects. It is repeated while it is true, and holds for the time of Settle.
-type placement struct {
-	upstreams []string
-	at        time.Time
+// placements lists the suspects that another entry said it runs. They are
+// repeated while they run, and hold for the time of Settle.
+type placements struct {
+	runs []Placement
+	at   time.Time
 }
 
 // crash is the merged knowledge of a crash.
@@ -251,8 +258,9 @@
 	asked     bool // another entry waits for what was sent to it
 	reports   map[string]*report
 	cleared   map[Digest]bool
-	sums      map[string]uint64    // newest sum of each other entry
-	elsewhere map[string]placement // by entry
-	placing   bool                 // the last message sent named upstreams elsewhere
+	sums      map[string]uint64     // newest sum of each other entry
+	elsewhere map[string]placements // by entry
+	placing   bool                  // the last message sent named placements
+	placed    bool                  // there is a placement since the last message
 	sum       uint64
 }
--- a/quarantine/queries.go
+++ b/quarantine/queries.go
@@ -1,8 +1,10 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +27,12 @@
 		if until := c.known.Add(b.cfg.Settle); now.Before(until) && !b.agreed(c) {
 			return Ruling{Action: Wait, Until: until}
 		}
+		// Another entry's run will show whether the request is to blame. The
+		// wait is bounded, as a long answer would hold the copies for long.
+		until := c.known.Add(2 * b.cfg.Settle)
+		if now.Before(until) && b.placedElsewhere(now, c, func(p Placement) bool { return p.Digest == d }) {
+			return Ruling{Action: Wait, Until: until}
+		}
 	}
 	if at, ok := b.proven[d]; ok && now.Sub(at) < b.cfg.Proven {
 		return ruling
@@ -63,22 +71,31 @@
 		}
 	}
 	for _, c := range b.suspects[d] {
-		for _, p := range c.elsewhere {
-			if now.Sub(p.at) < b.cfg.Settle && slices.Contains(p.upstreams, upstream) {
-				return false
-			}
+		if b.placedElsewhere(now, c, func(p Placement) bool { return p.Upstream == upstream && p.Digest != d }) {
+			return false
 		}
 	}
 	return true
 }
 
+// placedElsewhere says whether another entry runs a suspect of a crash that
+// matches.
+func (b *Book) placedElsewhere(now time.Time, c *crash, matches func(Placement) bool) bool {
+	for _, p := range c.elsewhere {
+		if now.Sub(p.at) < b.cfg.Settle && slices.ContainsFunc(p.runs, matches) {
+			return true
+		}
+	}
+	return false
+}
+
 // Busy says that messages are due soon, so that Tick should be called every
 // 50 ms.
 func (b *Book) Busy() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range b.order {
-		if c.asked || c.placing || c.sum != c.sentSum || !b.agreed(c) {
+		if c.asked || c.placing || c.placed || c.sum != c.sentSum || !b.agreed(c) {
 			return true
 		}
 	}
@@ -204,12 +221,6 @@
 	return highest
 }
 
-// convicts says whether the presences of a request at two crashes are enough
-// to condemn it: it was in flight at both, and isolated at one.
-func convicts(a, b Presence) bool {
-	return min(a, b) >= InFlight && max(a, b) == Isolated
-}
-
 func (r *run) presence() Presence {
 	switch {
 	case !r.ended.IsZero():
@@ -233,19 +244,21 @@
 	return true
 }
 
-// elsewhere lists the upstreams on which this entry runs suspects of a crash.
-func (b *Book) elsewhere(c *crash) []string {
-	var ids []string
+// elsewhere lists the suspects of a crash that this entry runs, by upstream and
+// digest.
+func (b *Book) elsewhere(c *crash) []Placement {
+	var all []Placement
 	for id, rs := range b.byTarget {
 		for _, r := range rs {
 			if r.target != c.target && c.accuses(r.digest) {
-				ids = append(ids, id)
-				break
+				all = append(all, Placement{id, r.digest})
 			}
 		}
 	}
-	sort.Strings(ids)
-	return ids
+	slices.SortFunc(all, func(a, b Placement) int {
+		return cmp.Or(strings.Compare(a.Upstream, b.Upstream), slices.Compare(a.Digest[:], b.Digest[:]))
+	})
+	return slices.Compact(all)
 }
 
 func sortedDigests[V any](set map[Digest]V) []Digest {
