Use the controller's own measure of demand for limit shares

Cause: the daemon averaged arrivals a second time, and reported running work as used slots, which keeps other entries from their leases under overload. Change: the demand comes from admission.Controller.Offered. Conclusion: one measure of demand.

--- a/internal/daemon/admit.go
+++ b/internal/daemon/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -23,12 +22,12 @@
 	// admissionTick bounds how late a change of capacity or a deadline takes
 	// effect on queued requests.
 	admissionTick = 20 * time.Millisecond
-	// demandWindow is the time over which arrivals are averaged for the demand
-	// that is reported to the owners of limits.
-	demandWindow = 2 * time.Second
 	// expectedRun estimates a request's run time until its service has been
 	// measured.
 	expectedRun = 2 * time.Second
+	// forgottenRate is the rate, in requests per second, under which an account
+	// without work no longer counts as active.
+	forgottenRate = 0.001
 )
 
 // admitter admits requests of this entry by class, account and service, within
@@ -46,33 +45,14 @@
 	shares     *share.Node
 	waiting    map[admission.Ticket]*slot
 	running    map[admission.Ticket]*slot
-	demand     map[accountService]*arrivals
-	revision   uint64
-	entries    int
+	// active holds the accounts that had work here lately, with their class.
+	active   map[accountService]admission.Class
+	revision uint64
+	entries  int
 }
 
 type accountService struct{ account, service string }
 
-// arrivals averages what an account asks of a service.
-type arrivals struct {
-	at               time.Time
-	requests, tokens float64 // per second
-	class            admission.Class
-	queued, running  int
-}
-
-// add counts one request in an exponentially weighted average.
-func (a *arrivals) add(now time.Time, tokens int) {
-	a.decay(now)
-	a.requests += 1 / demandWindow.Seconds()
-	a.tokens += float64(tokens) / demandWindow.Seconds()
-}
-
-func (a *arrivals) decay(now time.Time) {
-	keep := math.Exp(-now.Sub(a.at).Seconds() / demandWindow.Seconds())
-	a.at, a.requests, a.tokens = now, a.requests*keep, a.tokens*keep
-}
-
 // slot is a request from its admission to its end.
 type slot struct {
 	owner     *admitter
@@ -88,7 +68,7 @@
 		cfg: cfg, network: network, logger: logger, tree: tree,
 		controller: admission.New(admission.Options{}),
 		shares:     share.New(share.Config{ID: cfg.ID, Incarnation: incarnation}, now),
-		waiting:    map[admission.Ticket]*slot{}, running: map[admission.Ticket]*slot{}, demand: map[accountService]*arrivals{},
+		waiting:    map[admission.Ticket]*slot{}, running: map[admission.Ticket]*slot{}, active: map[accountService]admission.Class{},
 	}
 	network.Handle(channelShares, a.receive)
 	return a
@@ -133,17 +113,15 @@
 		ID: w.RequestID, Account: account.ID, Service: service.ID, Rules: rules,
 		Tokens: w.Tokens, Deadline: w.Deadline, Expected: expectedRun,
 	})
-	a.count(now, s.key, rules.Class, w.Tokens)
+	a.active[s.key] = rules.Class
 	a.refuse(d.Dropped)
 	s.ticket = d.Ticket
 	switch d.Verdict {
 	case admission.Admitted:
 		s.admitted <- nil
 		a.running[s.ticket] = s
-		a.arrivals(s.key).running++
 	case admission.Queued:
 		a.waiting[s.ticket] = s
-		a.arrivals(s.key).queued++
 	default:
 		return nil, refusal(d.Reason)
 	}
@@ -185,21 +163,6 @@
 	return limits
 }
 
-func (a *admitter) arrivals(key accountService) *arrivals {
-	d := a.demand[key]
-	if d == nil {
-		d = &arrivals{at: time.Now()}
-		a.demand[key] = d
-	}
-	return d
-}
-
-func (a *admitter) count(now time.Time, key accountService, class admission.Class, tokens int) {
-	d := a.arrivals(key)
-	d.class = class
-	d.add(now, tokens)
-}
-
 // Preempted implements caller.Slot.
 func (s *slot) Preempted() <-chan struct{} {
 	s.owner.mu.Lock()
@@ -229,9 +192,6 @@
 	now := time.Now()
 	delete(a.running, s.ticket)
 	a.waiting[s.ticket] = s
-	d := a.arrivals(s.key)
-	d.running--
-	d.queued++
 	s.preempted = make(chan struct{})
 	a.controller.Yielded(now, s.ticket)
 	a.admitNext(now, s.key.service)
@@ -247,7 +207,6 @@
 		return
 	}
 	delete(a.running, s.ticket)
-	a.arrivals(s.key).running--
 	a.controller.Done(now, s.ticket, admission.Usage{Tokens: u.Tokens})
 	a.admitNext(now, s.key.service)
 }
@@ -261,11 +220,9 @@
 	switch {
 	case a.waiting[s.ticket] == s:
 		delete(a.waiting, s.ticket)
-		a.arrivals(s.key).queued--
 		a.controller.Cancel(now, s.ticket)
 	case a.running[s.ticket] == s:
 		delete(a.running, s.ticket)
-		a.arrivals(s.key).running--
 		a.controller.Done(now, s.ticket, admission.Usage{})
 		a.admitNext(now, s.key.service)
 	}
@@ -277,9 +234,6 @@
 		if s := a.waiting[ticket]; s != nil {
 			delete(a.waiting, ticket)
 			a.running[ticket] = s
-			d := a.arrivals(s.key)
-			d.queued--
-			d.running++
 			s.admitted <- nil
 		}
 	}
@@ -290,7 +244,6 @@
 	for _, r := range rejected {
 		if s := a.waiting[r.Ticket]; s != nil {
 			delete(a.waiting, r.Ticket)
-			a.arrivals(s.key).queued--
 			s.admitted <- refusal(r.Reason)
 		}
 	}
@@ -409,7 +362,7 @@
 
 // updateRules puts changed limits in force for the accounts with work here.
 func (a *admitter) updateRules(now time.Time, tree *settings.Tree) {
-	for key := range a.demand {
+	for key := range a.active {
 		account, ok := tree.Account(key.account)
 		if !ok {
 			a.refuse(a.controller.RemoveAccount(now, key.account))
@@ -437,49 +390,25 @@
 // reportDemand tells the owners of limits what this entry could use, and puts
 // the shares that it was granted in force.
 func (a *admitter) reportDemand(now time.Time, tree *settings.Tree) {
-	perAccount := map[string]*arrivals{}
-	for key, d := range a.demand {
-		d.decay(now)
-		if d.requests < 0.01 && d.queued+d.running == 0 {
-			delete(a.demand, key)
-			a.reportLimits(now, key.account, key.service, &arrivals{})
-			continue
+	accounts := map[string]bool{}
+	for key := range a.active {
+		offered := a.controller.Offered(now, key.account, key.service)
+		a.shares.SetAccountDemand(now, key.account, key.service, offered)
+		accounts[key.account] = true
+		if offered.RequestsPerSecond < forgottenRate && offered.Queued+offered.Running == 0 {
+			delete(a.active, key)
 		}
-		a.reportLimits(now, key.account, key.service, d)
-		sum := perAccount[key.account]
-		if sum == nil {
-			sum = &arrivals{class: d.class}
-			perAccount[key.account] = sum
-		}
-		sum.requests, sum.tokens = sum.requests+d.requests, sum.tokens+d.tokens
-		sum.queued, sum.running = sum.queued+d.queued, sum.running+d.running
 	}
-	for account, sum := range perAccount {
-		a.reportLimits(now, account, "", sum)
+	for account := range accounts {
+		a.shares.SetAccountDemand(now, account, "", a.controller.Offered(now, account, ""))
 	}
 	for _, service := range tree.Services() {
 		paying, free := a.controller.Demand(service)
+		// Running work is part of the demand. It is not reported as used, since
+		// work beyond the share would then keep others from their leases.
 		a.shares.SetDemand(now, share.ID(share.Slots, "", service), share.Demand{
 			Paying: float64(paying.Queued + paying.Running), Free: float64(free.Queued + free.Running),
-			Used: float64(paying.Running + free.Running),
 		})
 	}
 	a.updateRules(now, tree)
 }
-
-// demandMargin is asked for beyond the measured demand, so that a rising load
-// finds a share that has room.
-const demandMargin = 1.25
-
-func (a *admitter) reportLimits(now time.Time, account, service string, d *arrivals) {
-	set := func(kind share.Kind, wanted, used float64) {
-		demand := share.Demand{Used: used, Paying: wanted}
-		if d.class == admission.Free {
-			demand.Paying, demand.Free = 0, wanted
-		}
-		a.shares.SetDemand(now, share.ID(kind, account, service), demand)
-	}
-	set(share.Rate, d.requests*demandMargin, 0)
-	set(share.Tokens, d.tokens*time.Minute.Seconds()*demandMargin, 0)
-	set(share.Concurrent, float64(d.queued+d.running), float64(d.running))
-}
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -414,9 +414,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var rows []operator.Queue
-	for key, d := range a.demand {
+	now := time.Now()
+	for key, class := range a.active {
+		offered := a.controller.Offered(now, key.account, key.service)
 		rows = append(rows, operator.Queue{
-			Service: key.service, Account: key.account, Class: d.class.String(), Queued: d.queued, Running: d.running,
+			Service: key.service, Account: key.account, Class: class.String(), Queued: offered.Queued, Running: offered.Running,
 		})
 	}
 	slices.SortFunc(rows, func(a, b operator.Queue) int { return compare(a.Service+"/"+a.Account, b.Service+"/"+b.Account) })
