Check an upstream against the newest view at the moment of dispatch

Cause: building the routing table takes 3.4 ms at 2,100 upstreams, so it can not be built ten times a second there, and an older table may name an upstream that has left. Before: 3.4% of a core at 2,100 upstreams (computed from 3.4 ms at 10 Hz). After: at most 0.33%.

--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -23,8 +23,11 @@
 )
 
 const (
-	// routingTick is how often loads, ages and groups reach the routing table.
-	routingTick = 100 * time.Millisecond
+	// routingTick is how often loads, ages and groups reach the routing table
+	// of a small deployment. A table of 2,100 upstreams takes 3.4 ms to build,
+	// so the time grows with the number of upstreams.
+	routingTick     = 100 * time.Millisecond
+	perUpstreamTick = 500 * time.Microsecond
 	// crashProbe bounds the question whether an upstream that broke a
 	// connection is still there.
 	crashProbe = 500 * time.Millisecond
@@ -56,7 +59,7 @@
 func newPicker(cfg *config.Daemon, seed uint64, shared *sharedState, m *members, client *upstream.Client, crashes *crashWatch, logger *zap.Logger) *picker {
 	p := &picker{
 		cfg: cfg, logger: logger, shared: shared, members: m, client: client, crashes: crashes,
-		router: routing.New(routing.Config{FailureDomain: cfg.FailureDomain, Region: cfg.Region}, nil),
+		router: routing.New(routing.Config{FailureDomain: cfg.FailureDomain, Region: cfg.Region, Entries: entryCount(cfg)}, nil),
 		random: routing.NewSource(seed), outlier: outlier.New(outlier.Config{}),
 		regions: map[string]string{cfg.FailureDomain: cfg.Region}, heard: map[string]time.Time{}, known: map[string]int{},
 	}
@@ -66,6 +69,17 @@
 	return p
 }
 
+// entryCount returns the number of entry instances of the deployment.
+func entryCount(cfg *config.Daemon) int {
+	n := 0
+	for _, p := range cfg.Peers {
+		if p.Has(config.RoleEntry) {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
 // Pick implements caller.Picker.
 func (p *picker) Pick(w *caller.Work, _ int, tried []string) (caller.Choice, error) {
 	tree := p.shared.Tree()
@@ -142,7 +156,11 @@
 		return nil, err
 	}
 	u := picked.Upstream
-	if req.NeedsGroup && !p.confirmed(u, now) {
+	view := p.members.View()
+	known := view.Get(u.ID)
+	if known == nil || known.Incarnation != u.Incarnation || !view.Dispatchable(known, now) || req.NeedsGroup && !p.confirmed(u, now) {
+		// The table is older than the view, in which the upstream may have
+		// left or its group may have lost a member.
 		return nil, &retryPick{upstream: u.ID}
 	}
 	target := quarantine.Target{Upstream: u.ID, Incarnation: u.Incarnation}
@@ -151,12 +169,9 @@
 		return nil, &retryPick{upstream: u.ID, suspect: true}
 	}
 	p.router.Begin(now, u, req.Prefix)
-	view := p.members.View().Get(u.ID)
-	c := &choice{picker: p, upstream: u, service: w.Route.Service, run: run, begun: now, target: target}
-	if view != nil {
-		c.features = view.Features
-	}
-	return c, nil
+	return &choice{
+		picker: p, upstream: u, features: known.Features, service: w.Route.Service, run: run, begun: now, target: target,
+	}, nil
 }
 
 // confirmed reports whether the group of an upstream is whole now.
@@ -177,16 +192,17 @@
 
 // run keeps the routing table up to date.
 func (p *picker) run(ctx context.Context) {
-	ticker := time.NewTicker(routingTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(routingTick)
+	defer timer.Stop()
 	seconds := time.NewTicker(time.Second)
 	defer seconds.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case now := <-timer.C:
 			p.publish(now)
+			timer.Reset(max(routingTick, time.Duration(p.router.Table().Len())*perUpstreamTick))
 		case now := <-seconds.C:
 			p.share(p.outlier.Tick(now))
 		}
