Serve operators over TLS when certificates are configured

Cause: the operators' bearer tokens crossed the network in the clear. Change: the operators' listener uses the daemon's certificate; callers and upstreams stay behind the platform's balancer. The test harness of the caller edge renews its preemption signal, which made one test fail. Before: 1 test of internal/edge/caller failed. After: all pass under -race. Conclusion: peers use mutual TLS, operators TLS with a token.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -61,6 +62,8 @@
 	callers  *caller.Handler
 	stats    *requestStats
 	ops      *operations
+	// operatorTLS is nil when operators are served without TLS.
+	operatorTLS *tls.Config
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -121,6 +124,7 @@
 			return err
 		}
 		options.TLS = source.Config()
+		d.operatorTLS = source.ServerConfig()
 	}
 	address := d.cfg.Listen.Peer
 	if address == "" {
@@ -168,27 +172,31 @@
 	for _, s := range []struct {
 		address string
 		handler http.Handler
+		tls     *tls.Config
 	}{
-		{d.cfg.Listen.Caller, d.callers},
-		{d.cfg.Listen.Upstream, upstream.NewHandler(d.members)},
-		{d.cfg.Listen.Operator, operator.New(d.ops.options())},
-		{d.cfg.Listen.Platform, d.probe.Handler()},
+		{d.cfg.Listen.Caller, d.callers, nil},
+		{d.cfg.Listen.Upstream, upstream.NewHandler(d.members), nil},
+		{d.cfg.Listen.Operator, operator.New(d.ops.options()), d.operatorTLS},
+		{d.cfg.Listen.Platform, d.probe.Handler(), nil},
 	} {
 		if s.address == "" {
 			continue
 		}
-		if err := d.serve(s.address, s.handler); err != nil {
+		if err := d.serve(s.address, s.handler, s.tls); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (d *Daemon) serve(address string, handler http.Handler) error {
+func (d *Daemon) serve(address string, handler http.Handler, secured *tls.Config) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if secured != nil {
+		listener = tls.NewListener(listener, secured)
+	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	d.servers = append(d.servers, server)
 	d.done.Go(func() {
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -103,9 +103,12 @@
 
 type harnessSlot struct{ preempted chan struct{} }
 
-func (s *harnessSlot) Preempted() <-chan struct{}  { return s.preempted }
-func (s *harnessSlot) Yield(context.Context) error { return nil }
-func (s *harnessSlot) Release(Usage)               {}
+func (s *harnessSlot) Preempted() <-chan struct{} { return s.preempted }
+func (s *harnessSlot) Yield(context.Context) error {
+	s.preempted = make(chan struct{})
+	return nil
+}
+func (s *harnessSlot) Release(Usage) {}
 
 func (h *harness) Admit(context.Context, *Work) (Slot, error) {
 	h.mu.Lock()
--- a/internal/tlsfiles/tlsfiles.go
+++ b/internal/tlsfiles/tlsfiles.go
@@ -68,6 +68,17 @@
 	}
 }
 
+// ServerConfig returns a configuration for a server whose clients are
+// authenticated by other means than a certificate.
+func (s *Source) ServerConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return s.certificate(), nil
+		},
+	}
+}
+
 // LastError returns the reason why the latest change of the files is not in
 // use, or nil.
 func (s *Source) LastError() error {
