Put the settings for retries, ejection, streams, ages, fallback, patience and quarantine in force

Cause: the schema held settings that the daemon did not read. Change: retry budgets and ejection limits are kept for each service; streams for each service are bounded at an entry; the age of information is checked at each dispatch; a service without upstreams gives way to its fallback; the patience of group repair and the time of quarantine follow the tree. Before: seven settings without effect.

--- a/group/controller.go
+++ b/group/controller.go
@@ -76,6 +76,9 @@
 	// DowntimeWeight is the cost of a group-second without service and
 	// StrandedWeight that of an accelerator-second out of use.
 	DowntimeWeight, StrandedWeight float64
+	// Patience is the longest absence of a member that is waited out, 0 for no
+	// bound other than the expected cost.
+	Patience time.Duration
 }
 
 // Settings are the rules in force.
--- a/group/repair.go
+++ b/group/repair.go
@@ -188,8 +188,12 @@
 
 // waitOver chooses between waiting for absent members and replacing them by
 // expected cost: it compares replacing now with waiting until each length of
-// absence in the history, and returns true when now is cheapest.
+// absence in the history, and returns true when now is cheapest, or when the
+// patience that the settings allow is used up.
 func (c *Controller) waitOver(g *Group, k condition, d Demand) bool {
+	if d.Patience > 0 && k.absence >= d.Patience {
+		return true
+	}
 	repairTime, possible := c.repairTime(g, len(k.absent), d, k)
 	if !possible {
 		// Another broken group may give its survivors.
--- a/internal/daemon/admit.go
+++ b/internal/daemon/admit.go
@@ -46,7 +46,9 @@
 	waiting    map[admission.Ticket]*slot
 	running    map[admission.Ticket]*slot
 	// active holds the accounts that had work here lately, with their class.
-	active   map[accountService]admission.Class
+	active map[accountService]admission.Class
+	// streams counts the requests of each service that wait or run here.
+	streams  map[string]int
 	revision uint64
 	entries  int
 }
@@ -68,7 +70,7 @@
 		cfg: cfg, network: network, logger: logger, tree: tree,
 		controller: admission.New(admission.Options{}),
 		shares:     share.New(share.Config{ID: cfg.ID, Incarnation: incarnation}, now),
-		waiting:    map[admission.Ticket]*slot{}, running: map[admission.Ticket]*slot{}, active: map[accountService]admission.Class{},
+		waiting:    map[admission.Ticket]*slot{}, running: map[admission.Ticket]*slot{}, active: map[accountService]admission.Class{}, streams: map[string]int{},
 	}
 	network.Handle(channelShares, a.receive)
 	return a
@@ -105,6 +107,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.streams[service.ID] >= service.MaxStreams {
+		return nil, refusal(admission.TooManyStreams)
+	}
 	s := &slot{
 		owner: a, key: accountService{account.ID, service.ID}, admitted: make(chan error, 1), preempted: make(chan struct{}),
 	}
@@ -125,6 +130,7 @@
 	default:
 		return nil, refusal(d.Reason)
 	}
+	a.streams[s.key.service]++
 	return s, nil
 }
 
@@ -207,6 +213,7 @@
 		return
 	}
 	delete(a.running, s.ticket)
+	a.streams[s.key.service]--
 	a.controller.Done(now, s.ticket, admission.Usage{Tokens: u.Tokens})
 	a.admitNext(now, s.key.service)
 }
@@ -220,9 +227,11 @@
 	switch {
 	case a.waiting[s.ticket] == s:
 		delete(a.waiting, s.ticket)
+		a.streams[s.key.service]--
 		a.controller.Cancel(now, s.ticket)
 	case a.running[s.ticket] == s:
 		delete(a.running, s.ticket)
+		a.streams[s.key.service]--
 		a.controller.Done(now, s.ticket, admission.Usage{})
 		a.admitNext(now, s.key.service)
 	}
@@ -244,6 +253,7 @@
 	for _, r := range rejected {
 		if s := a.waiting[r.Ticket]; s != nil {
 			delete(a.waiting, r.Ticket)
+			a.streams[s.key.service]--
 			s.admitted <- refusal(r.Reason)
 		}
 	}
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -14,6 +14,7 @@
 	"github.com/bluebellfield/bluebellfield/membership"
 	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/quarantine/quarantinepb"
+	"github.com/bluebellfield/bluebellfield/settings"
 )
 
 const (
@@ -29,12 +30,13 @@
 	network *peer.Network
 	client  *upstream.Client
 	live    func() []string
+	tree    func() *settings.Tree
 	logger  *zap.Logger
 }
 
-func newCrashWatch(self string, network *peer.Network, client *upstream.Client, live func() []string, logger *zap.Logger) *crashWatch {
+func newCrashWatch(self string, network *peer.Network, client *upstream.Client, live func() []string, tree func() *settings.Tree, logger *zap.Logger) *crashWatch {
 	c := &crashWatch{
-		book: quarantine.New(quarantine.Config{Self: self}), network: network, client: client, live: live, logger: logger,
+		book: quarantine.New(quarantine.Config{Self: self}), network: network, client: client, live: live, tree: tree, logger: logger,
 	}
 	network.Handle(channelQuarantine, c.receive)
 	return c
@@ -127,10 +129,26 @@
 	}
 }
 
+// quarantineTime returns the longest quarantine that a service asks for: the
+// book does not tell services apart.
+func (c *crashWatch) quarantineTime() time.Duration {
+	tree := c.tree()
+	longest := time.Duration(0)
+	for _, id := range tree.Services() {
+		s, _ := tree.Service(id)
+		longest = max(longest, s.Quarantine)
+	}
+	if longest == 0 {
+		return quarantine.DefaultConfig().Quarantine
+	}
+	return longest
+}
+
 // run makes the book's time pass.
 func (c *crashWatch) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.book.SetEntries(time.Now(), c.live())
+		c.book.SetQuarantine(c.quarantineTime())
 		c.send(c.book.Tick(time.Now()))
 		pause := quarantineIdle
 		if c.book.Busy() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -146,7 +146,7 @@
 	d.shared = newSharedState(d.cfg, d.network, d.logs, d.logger, func(t *settings.Tree) {
 		d.logger.Info("settings in force", zap.Uint64("revision", t.Revision()))
 	})
-	d.crashes = newCrashWatch(d.cfg.ID, d.network, d.client, d.members.Live, d.logger)
+	d.crashes = newCrashWatch(d.cfg.ID, d.network, d.client, d.members.Live, d.shared.Tree, d.logger)
 	d.picker = newPicker(d.cfg, incarnation, d.shared, d.members, d.client, d.crashes, d.logger)
 	d.members.onEvents = d.crashes.onEvents
 	d.members.cache = d.picker.learnCache
@@ -161,7 +161,8 @@
 	d.ops = newOperations(d)
 	d.callers = caller.NewHandler(caller.Options{
 		Deps: caller.Deps{
-			Policy: policy{d.shared.Tree}, Admitter: d.admitter, Picker: d.picker, Retrier: newRetrier(incarnation),
+			Policy: policy{d.shared.Tree, d.picker.slots}, Admitter: d.admitter, Picker: d.picker,
+			Retrier:    newRetrier(incarnation, d.shared.Tree),
 			Quarantine: d.crashes, Claimer: d.claims, Client: d.client,
 		},
 		Logger: d.logger, Tracer: d.recorder.Provider().Tracer("bluebellfield"), Observe: d.stats.observe,
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -123,7 +123,7 @@
 	now := time.Now()
 	if g.controller == nil || g.term != status.Term {
 		g.term = status.Term
-		g.controller = group.NewController(group.Config{FailureDomain: g.domain.failureDomain}, g.term, now)
+		g.controller = group.NewController(g.config(), g.term, now)
 	}
 	tree := g.tree()
 	view := g.members.View()
@@ -139,6 +139,17 @@
 	g.send(decision.Orders)
 }
 
+// config takes the bounds of a leader's term from the settings in force when
+// the term begins.
+func (g *groupManager) config() group.Config {
+	config := group.Config{FailureDomain: g.domain.failureDomain}
+	tree := g.tree()
+	for _, id := range tree.Services() {
+		config.DrainDeadline = max(config.DrainDeadline, tree.GroupPolicy(g.domain.failureDomain, id).DrainTimeout)
+	}
+	return config
+}
+
 // mayFence reports whether settings allow an engine's claim that it rejects
 // old fencing numbers to count.
 func (g *groupManager) mayFence(tree *settings.Tree, u *membership.Upstream) bool {
@@ -167,7 +178,7 @@
 		out.Demands = append(out.Demands, group.Demand{
 			Service: id, Model: membership.Model{Name: s.ModelName, Version: policy.ModelVersion},
 			Groups: g.wanted(id, view, state) / policy.GroupSize, GroupSize: policy.GroupSize,
-			DowntimeWeight: policy.DowntimeWeight, StrandedWeight: policy.StrandedWeight,
+			DowntimeWeight: policy.DowntimeWeight, StrandedWeight: policy.StrandedWeight, Patience: policy.RepairPatience,
 		})
 	}
 	return out
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -127,7 +127,7 @@
 func (o *operations) upstreams(context.Context) ([]operator.Upstream, error) {
 	now := time.Now()
 	shares := map[string]int{}
-	for _, s := range o.d.picker.outlier.Status() {
+	for _, s := range o.d.picker.outliers() {
 		shares[s.Upstream] = s.Share
 	}
 	var rows []operator.Upstream
--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,20 +48,29 @@
 	client  *upstream.Client
 	router  *routing.Router
 	random  *routing.Source
-	outlier *outlier.Detector
 	crashes *crashWatch
 	regions map[string]string
 	heard   map[string]time.Time
 	known   map[string]int
-	watched *membership.View
+	watched atomic.Pointer[membership.View]
 	next    atomic.Uint64
+
+	mu sync.Mutex
+	// detectors watch the upstreams of each service.
+	detectors map[string]detector
+}
+
+// detector is the outlier detector of a service under its present limit.
+type detector struct {
+	*outlier.Detector
+	maxEjected float64
 }
 
 func newPicker(cfg *config.Daemon, seed uint64, shared *sharedState, m *members, client *upstream.Client, crashes *crashWatch, logger *zap.Logger) *picker {
 	p := &picker{
 		cfg: cfg, logger: logger, shared: shared, members: m, client: client, crashes: crashes,
 		router: routing.New(routing.Config{FailureDomain: cfg.FailureDomain, Region: cfg.Region, Entries: entryCount(cfg)}, nil),
-		random: routing.NewSource(seed), outlier: outlier.New(outlier.Config{}),
+		random: routing.NewSource(seed), detectors: map[string]detector{},
 		regions: map[string]string{cfg.FailureDomain: cfg.Region}, heard: map[string]time.Time{}, known: map[string]int{},
 	}
 	for _, peer := range cfg.Peers {
@@ -158,7 +168,9 @@
 	u := picked.Upstream
 	view := p.members.View()
 	known := view.Get(u.ID)
-	if known == nil || known.Incarnation != u.Incarnation || !view.Dispatchable(known, now) || req.NeedsGroup && !p.confirmed(u, now) {
+	maxAge := p.maxAge(w.Route.Service)
+	if known == nil || known.Incarnation != u.Incarnation || !view.Dispatchable(known, now) || known.Age(now) >= maxAge ||
+		req.NeedsGroup && !p.confirmed(u, now, maxAge) {
 		// The table is older than the view, in which the upstream may have
 		// left or its group may have lost a member.
 		return nil, &retryPick{upstream: u.ID}
@@ -174,12 +186,21 @@
 	}, nil
 }
 
+// maxAge returns the age from which information about an upstream of a service
+// no longer permits a dispatch.
+func (p *picker) maxAge(service string) time.Duration {
+	if s, ok := p.shared.Tree().Service(service); ok {
+		return s.ConfirmationMaxAge
+	}
+	return membership.DefaultAgeBound
+}
+
 // confirmed reports whether the group of an upstream is whole now.
-func (p *picker) confirmed(u *routing.Upstream, now time.Time) bool {
+func (p *picker) confirmed(u *routing.Upstream, now time.Time, maxAge time.Duration) bool {
 	for _, state := range p.shared.Groups() {
 		if g := state.Groups[u.Group.ID]; g != nil {
 			servable, ok := g.Servable(p.members.View(), now)
-			return ok && servable.Leader.ID == u.ID
+			return ok && servable.Leader.ID == u.ID && now.Sub(servable.Confirmed) < maxAge
 		}
 	}
 	return false
@@ -204,7 +225,7 @@
 			p.publish(now)
 			timer.Reset(max(routingTick, time.Duration(p.router.Table().Len())*perUpstreamTick))
 		case now := <-seconds.C:
-			p.share(p.outlier.Tick(now))
+			p.share(p.tickDetectors(now))
 		}
 	}
 }
@@ -252,8 +273,7 @@
 // watch tells outlier detection and quarantine which upstreams there are and
 // which gave a sign of life.
 func (p *picker) watch(view *membership.View, all []*membership.Upstream) {
-	if view != p.watched {
-		p.watched = view
+	if p.watched.Swap(view) != view {
 		p.setUpstreams(all)
 	}
 	for _, u := range all {
@@ -263,7 +283,7 @@
 		}
 		p.heard[u.ID] = at
 		for _, s := range u.Services {
-			p.share(p.outlier.Heard(at, s, u.ID))
+			p.share(p.detector(s).Heard(at, s, u.ID))
 		}
 	}
 }
@@ -285,7 +305,7 @@
 	}
 	now := time.Now()
 	for s, ids := range services {
-		p.share(p.outlier.SetUpstreams(now, s, ids))
+		p.share(p.detector(s).SetUpstreams(now, s, ids))
 		p.crashes.book.SetUpstreams(s, ids)
 		p.known[s] = len(ids)
 	}
@@ -296,6 +316,45 @@
 	}
 }
 
+// detector returns the outlier detector of a service. A changed limit starts a
+// new one, which learns of the upstreams at once.
+func (p *picker) detector(service string) *outlier.Detector {
+	limit := outlier.DefaultConfig().MaxEjected
+	if s, ok := p.shared.Tree().Service(service); ok && s.EjectMax > 0 {
+		limit = s.EjectMax
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.detectors[service]
+	if d.Detector == nil || d.maxEjected != limit {
+		d = detector{outlier.New(outlier.Config{MaxEjected: limit}), limit}
+		p.detectors[service] = d
+		p.watched.Store(nil)
+	}
+	return d.Detector
+}
+
+func (p *picker) tickDetectors(now time.Time) []outlier.Change {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var changes []outlier.Change
+	for _, d := range p.detectors {
+		changes = append(changes, d.Tick(now)...)
+	}
+	return changes
+}
+
+// outliers lists the upstreams that have less than their full share.
+func (p *picker) outliers() []outlier.Status {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []outlier.Status
+	for _, d := range p.detectors {
+		all = append(all, d.Status()...)
+	}
+	return all
+}
+
 // share passes changed shares of upstreams on to the router.
 func (p *picker) share(changes []outlier.Change) {
 	for _, c := range changes {
@@ -335,6 +394,10 @@
 	return c
 }
 
+// slots returns the batch slots of the upstreams of a service that may receive
+// work.
+func (p *picker) slots(service string) int { return p.capacity(service).Slots }
+
 // learnCache takes the cache events of an engine.
 func (p *picker) learnCache(e upstream.CacheEvents) {
 	batch := routing.CacheEvents{Upstream: e.ID, Incarnation: e.Incarnation, First: e.FirstSequence}
@@ -385,18 +448,18 @@
 	p.router.Done(now, c.upstream, routing.Observation{FirstToken: c.first})
 	switch {
 	case r.OK:
-		p.share(p.outlier.Observe(now, c.service, c.upstream.ID, outlier.Success, c.first))
+		p.share(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlier.Success, c.first))
 		p.crashes.finish(c, quarantine.Completed)
 	case r.NotSent:
-		p.share(p.outlier.Observe(now, c.service, c.upstream.ID, outlier.Failure, 0))
+		p.share(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlier.Failure, 0))
 		p.crashes.finish(c, quarantine.NotStarted)
 	case r.Cancelled:
 		p.crashes.finish(c, quarantine.Cancelled)
 	case r.Broken:
-		p.share(p.outlier.Observe(now, c.service, c.upstream.ID, outlier.Reset, 0))
+		p.share(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlier.Reset, 0))
 		p.crashes.broken(c)
 	default:
-		p.share(p.outlier.Observe(now, c.service, c.upstream.ID, resultOf(c, r.Err), 0))
+		p.share(p.detector(c.service).Observe(now, c.service, c.upstream.ID, resultOf(c, r.Err), 0))
 		p.crashes.finish(c, quarantine.Broken)
 	}
 }
--- a/internal/daemon/policy.go
+++ b/internal/daemon/policy.go
@@ -23,6 +23,9 @@
 // policy answers the caller edge from the settings in force.
 type policy struct {
 	tree func() *settings.Tree
+	// slots returns the batch slots of the upstreams of a service that may
+	// receive work.
+	slots func(service string) int
 }
 
 // Account implements caller.Policy.
@@ -61,7 +64,19 @@
 			return notFound("no service serves the model %q", model)
 		}
 	}
-	return routeOf(service, method, path), nil
+	return routeOf(p.withUpstreams(tree, service), method, path), nil
+}
+
+// withUpstreams returns the service, or its fallback while it has no upstream
+// and the fallback has one.
+func (p policy) withUpstreams(tree *settings.Tree, s *settings.Service) *settings.Service {
+	if s.Fallback == "" || p.slots(s.ID) > 0 {
+		return s
+	}
+	if fallback, ok := tree.Service(s.Fallback); ok && p.slots(fallback.ID) > 0 {
+		return fallback
+	}
+	return s
 }
 
 func routeOf(s *settings.Service, method, path string) caller.Route {
--- a/internal/daemon/retrier.go
+++ b/internal/daemon/retrier.go
@@ -1,31 +1,65 @@
 package daemon
 
 import (
+	"sync"
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
 	"github.com/bluebellfield/bluebellfield/retry"
 	"github.com/bluebellfield/bluebellfield/routing"
+	"github.com/bluebellfield/bluebellfield/settings"
 )
 
 // retrier allows further attempts within the budgets of the entry and of the
-// account.
+// account at each service.
 type retrier struct {
-	policy *retry.Policy
+	tree   func() *settings.Tree
 	random *routing.Source
+
+	mu       sync.Mutex
+	policies map[string]servicePolicy
+}
+
+// servicePolicy is the retry policy of a service under its present ratio.
+type servicePolicy struct {
+	*retry.Policy
+	ratio float64
 }
 
-func newRetrier(seed uint64) *retrier {
-	return &retrier{policy: retry.New(retry.Config{}, time.Now()), random: routing.NewSource(seed)}
+func newRetrier(seed uint64, tree func() *settings.Tree) *retrier {
+	return &retrier{tree: tree, random: routing.NewSource(seed), policies: map[string]servicePolicy{}}
 }
 
+// policy returns the policy of a service. A changed ratio starts a new one.
+func (r *retrier) policy(service string) *retry.Policy {
+	config := retry.DefaultConfig()
+	if s, ok := r.tree().Service(service); ok {
+		config.Entry.Ratio, config.Account.Ratio = s.RetryBudget, s.RetryBudget
+	}
+	if config.Entry.Ratio == 0 {
+		// Zero stands for the default in the policy's configuration.
+		config.Entry.Ratio, config.Account.Ratio = leastRatio, leastRatio
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.policies[service]
+	if p.Policy == nil || p.ratio != config.Entry.Ratio {
+		p = servicePolicy{retry.New(config, time.Now()), config.Entry.Ratio}
+		r.policies[service] = p
+	}
+	return p.Policy
+}
+
+// leastRatio allows practically no retries beyond the policy's stated minimum.
+const leastRatio = 1e-9
+
 // First implements caller.Retrier.
-func (r *retrier) First(w *caller.Work) { r.policy.First(time.Now(), w.Account.ID) }
+func (r *retrier) First(w *caller.Work) { r.policy(w.Route.Service).First(time.Now(), w.Account.ID) }
 
 // Next implements caller.Retrier.
 func (r *retrier) Next(w *caller.Work, attempt int, outcome fault.Outcome) (time.Duration, bool) {
-	d := r.policy.Decide(time.Now(), r.random, retry.Attempt{
+	d := r.policy(w.Route.Service).Decide(time.Now(), r.random, retry.Attempt{
 		Account: w.Account.ID, Idempotent: w.Route.Idempotent, Outcome: retry.Outcome(outcome), Number: attempt, Deadline: w.Deadline,
 	})
 	return d.After, d.Retry
--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -34,6 +34,13 @@
 	}
 }
 
+// SetQuarantine changes the time for which requests are refused from now on.
+func (b *Book) SetQuarantine(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.Quarantine = d
+}
+
 // SetEntries replaces the list of the entries that are reachable. Reports of
 // other entries are not waited for, and they own no upstreams.
 func (b *Book) SetEntries(now time.Time, entries []string) {
