--- a/group/controller.go
+++ b/group/controller.go
@@ -301,11 +301,15 @@
 
 // releaseInstances sends release orders, and notes instances as free.
 func (c *Controller) releaseInstances() {
-	for _, id := range sortedKeys(c.state.Instances) {
-		i, o := c.state.Instances[id], c.obs[id]
-		if i.Group != "" {
-			continue
+	var outside []*Instance
+	for _, i := range c.state.Instances {
+		if i.Group == "" {
+			outside = append(outside, i)
 		}
+	}
+	slices.SortFunc(outside, func(a, b *Instance) int { return strings.Compare(a.ID, b.ID) })
+	for _, i := range outside {
+		id, o := i.ID, c.obs[i.ID]
 		if !c.fresh(o, c.now) {
 			c.forgetAbsent(i)
 			continue
--- a/group/controller_test.go
+++ b/group/controller_test.go
@@ -165,3 +165,59 @@
 	b.run(25 * time.Second)
 	require.Equal(t, "low", b.commands[0].Service)
 }
+
+// Guards against dispatch to a group with a member of another incarnation,
+// rank, epoch or state, or one that is unknown or drains.
+func TestServableNeedsEveryMember(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	good := membership.Heartbeat{ID: "b", Incarnation: 2, Sequence: 2, State: membership.Ready, InForce: membership.GroupRef{Group: "g", Epoch: 4, Rank: 1}}
+	cases := map[string]struct {
+		change func(*membership.Heartbeat, *Group)
+		want   bool
+	}{
+		"complete":          {func(*membership.Heartbeat, *Group) {}, true},
+		"other incarnation": {func(h *membership.Heartbeat, _ *Group) { h.Incarnation = 3 }, false},
+		"other epoch":       {func(h *membership.Heartbeat, _ *Group) { h.InForce.Epoch = 3 }, false},
+		"other rank":        {func(h *membership.Heartbeat, _ *Group) { h.InForce.Rank = 0 }, false},
+		"other group":       {func(h *membership.Heartbeat, _ *Group) { h.InForce.Group = "h" }, false},
+		"draining member":   {func(h *membership.Heartbeat, _ *Group) { h.State = membership.Draining }, false},
+		"draining group":    {func(_ *membership.Heartbeat, g *Group) { g.Phase = Draining }, false},
+		"unknown member":    {func(_ *membership.Heartbeat, g *Group) { g.Members[0].ID = "x" }, false},
+		"no members":        {func(_ *membership.Heartbeat, g *Group) { g.Members = nil }, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h, g := good, &Group{ID: "g", Epoch: 4, Phase: Loading, Members: []Member{{"a", 1}, {"b", 2}}}
+			c.change(&h, g)
+			r := membership.New(membership.Config{ID: "d"}, now)
+			r.Announce(now, membership.Announcement{ID: "a", Incarnation: 1, State: membership.Ready})
+			r.Heartbeat(now, membership.Heartbeat{ID: "a", Incarnation: 1, Sequence: 1, State: membership.Ready, InForce: membership.GroupRef{Group: "g", Epoch: 4}})
+			r.Announce(now, membership.Announcement{ID: "b", Incarnation: h.Incarnation, State: membership.Ready})
+			r.Heartbeat(now, h)
+			s, ok := g.Servable(r.View(), now.Add(2999*time.Millisecond))
+			require.Equal(t, c.want, ok)
+			if ok {
+				require.Equal(t, "a", s.Leader.ID)
+			}
+			_, ok = g.Servable(r.View(), now.Add(3*time.Second))
+			require.False(t, ok)
+		})
+	}
+}
+
+// BenchmarkDecide decides for a failure domain of the planned size at rest.
+func BenchmarkDecide(b *testing.B) {
+	d := demand("m", 48)
+	d.GroupSize = 8
+	w := newBench(420, d)
+	for i := range w.observed {
+		w.observed[i].FabricDomain = fmt.Sprintf("f%02d", i/35)
+	}
+	w.run(20 * time.Second)
+	require.Equal(b, 48, w.serving("m"))
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		w.ctrl.Decide(w.now, w.state, w.observed, w.settings)
+	}
+}
--- a/group/observe.go
+++ b/group/observe.go
@@ -121,11 +121,12 @@
 func (c *Controller) lookFabrics(now time.Time, s *State) {
 	known, absent := map[string]int{}, map[string]int{}
 	for id, seen := range c.seen {
-		if i := s.Instances[id]; i == nil || i.Group == "" && i.Releasing {
+		away := now.Sub(seen.at) >= c.cfg.AgeBound
+		if i := s.Instances[id]; i == nil || away && i.Group == "" && i.Releasing {
 			continue // replaced instances may be gone for good
 		}
 		known[seen.fabric]++
-		if !c.fresh(c.obs[id], now) {
+		if away {
 			absent[seen.fabric]++
 		}
 	}
--- a/internal/bench/grouppolicy/grouppolicy_test.go
+++ b/internal/bench/grouppolicy/grouppolicy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -25,3 +26,24 @@
 	_, err = Run(Options{Size: "other", Days: 1})
 	require.Error(t, err)
 }
+
+// BenchmarkRun logs the outcomes of a week at both sizes.
+func BenchmarkRun(b *testing.B) {
+	week := func(size string, seed int64, profile Weights) {
+		b.Run(fmt.Sprintf("%s/seed=%d/downtime=%g", size, seed, profile.Downtime), func(b *testing.B) {
+			for range b.N {
+				r, err := Run(Options{Seed: seed, Size: size, Days: 7, Profile: profile})
+				require.NoError(b, err)
+				data, err := json.Marshal(r)
+				require.NoError(b, err)
+				b.Log(string(data))
+			}
+		})
+	}
+	for _, profile := range []Weights{Cascade, PiecePerdue} {
+		for seed := range int64(10) {
+			week(Today, seed+1, profile)
+		}
+		week(Planned, 1, profile)
+	}
+}
