--- a/membership/config.go
+++ b/membership/config.go
@@ -59,9 +59,9 @@
 	DefaultLoadBytesPerSecond   = 2500
 	DefaultRemoteBytesPerSecond = 1000
 	DefaultLoadThreshold        = 0.1
-	// DefaultProbesPerSecond asks 420 upstreams within the age bound when a
-	// daemon hears from no other daemon.
-	DefaultProbesPerSecond = 200
+	// DefaultProbesPerSecond asks 420 upstreams every 1.4 s when a daemon hears
+	// from no other daemon, so that it learns of a departure within 2 s.
+	DefaultProbesPerSecond = 300
 
 	// RegistrarsPerUpstream is the number of daemons that hold a lease.
 	RegistrarsPerUpstream = 2
