--- a/internal/bench/grouppolicy/cluster.go
+++ b/internal/bench/grouppolicy/cluster.go
@@ -63,17 +63,19 @@
 	groups() map[string]*group.Group
 }
 
-// cluster is a deployment under one policy.
+// cluster is a deployment under one policy. Failure domains share nothing, so
+// each run plays one of them.
 type cluster struct {
 	shape   shape
 	now     time.Time
+	played  int
 	domains []*domainState
 	all     []*instance
 	result  Outcome
 }
 
-func newCluster(s shape, make func(domain int) planner) *cluster {
-	c := &cluster{shape: s, now: origin}
+func newCluster(s shape, played int, make func(domain int) planner) *cluster {
+	c := &cluster{shape: s, now: origin, played: played}
 	for d, fabrics := range s.fabrics {
 		state := &domainState{byID: map[string]*instance{}, planner: make(d), target: s.groups(d), wake: origin, settled: origin}
 		for f, size := range fabrics {
@@ -97,29 +99,26 @@
 func (c *cluster) run(faults []fault, total time.Duration) {
 	const warmUp = 5 * time.Minute
 	end := origin.Add(warmUp + total)
+	d := c.domains[c.played]
 	for c.now.Before(end) {
 		next := end
 		if len(faults) > 0 {
 			next = earlier(next, origin.Add(warmUp+faults[0].at))
 		}
-		for _, d := range c.domains {
-			next = earlier(next, d.wake)
-		}
+		next = earlier(next, d.wake)
 		if next.Before(c.now) {
 			next = c.now
 		}
 		if !c.now.Before(origin.Add(warmUp)) {
-			c.account(next.Sub(c.now).Seconds())
+			c.account(d, next.Sub(c.now).Seconds())
 		}
 		c.now = next
 		for len(faults) > 0 && !origin.Add(warmUp+faults[0].at).After(c.now) {
 			c.strike(faults[0])
 			faults = faults[1:]
 		}
-		for _, d := range c.domains {
-			if !d.wake.After(c.now) {
-				c.stepDomain(d)
-			}
+		if !d.wake.After(c.now) {
+			c.stepDomain(d)
 		}
 	}
 }
@@ -133,8 +132,10 @@
 
 func (c *cluster) strike(f fault) {
 	i := c.all[f.instance]
-	d := c.domains[i.domain]
-	d.wake = c.now
+	if i.domain != c.played {
+		return
+	}
+	c.domains[i.domain].wake = c.now
 	if !i.up || !i.paused.IsZero() || i.draining {
 		return // already failing
 	}
@@ -286,18 +287,16 @@
 }
 
 // account adds the time to the next event under the present conditions.
-func (c *cluster) account(seconds float64) {
-	for _, d := range c.domains {
-		serving := 0
-		for _, i := range d.instances {
-			switch {
-			case i.serving:
-				serving++
-			case i.reporting() && !i.draining:
-				c.result.StrandedAcceleratorSeconds += seconds * float64(c.shape.accelerators)
-			}
+func (c *cluster) account(d *domainState, seconds float64) {
+	serving := 0
+	for _, i := range d.instances {
+		switch {
+		case i.serving:
+			serving++
+		case i.reporting() && !i.draining:
+			c.result.StrandedAcceleratorSeconds += seconds * float64(c.shape.accelerators)
 		}
-		missing := d.target - serving/c.shape.groupSize
-		c.result.DowntimeGroupSeconds += seconds * float64(max(missing, 0))
 	}
+	missing := d.target - serving/c.shape.groupSize
+	c.result.DowntimeGroupSeconds += seconds * float64(max(missing, 0))
 }
--- a/internal/bench/grouppolicy/grouppolicy.go
+++ b/internal/bench/grouppolicy/grouppolicy.go
@@ -6,10 +6,14 @@
 import (
 	"fmt"
 	"math/rand"
-	"sync"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
+// maxParallel leaves cores to other work of the machine.
+const maxParallel = 4
+
 // Weights are the costs of a group-second without service and of an
 // accelerator-second out of use.
 type Weights struct {
@@ -76,23 +80,46 @@
 	for d := range s.fabrics {
 		r.Groups += s.groups(d)
 	}
-	play := func(name string, make func(int) planner) Outcome {
-		c := newCluster(s, make)
-		c.run(faults, total)
-		c.result.Policy = name
-		c.result.WeightedCost = o.Profile.Downtime*c.result.DowntimeGroupSeconds + o.Profile.Stranded*c.result.StrandedAcceleratorSeconds
-		return c.result
+	policies := []struct {
+		name string
+		make func(domain int) planner
+	}{{"expected cost", func(d int) planner { return newControlled(s, d, o.Profile) }}}
+	for _, name := range []string{Immediate, WaitOnly, FixedSpares} {
+		policies = append(policies, struct {
+			name string
+			make func(domain int) planner
+		}{name, func(int) planner { return newBaseline(s, name) }})
+	}
+	parts := make([][]Outcome, len(policies))
+	var group errgroup.Group
+	group.SetLimit(maxParallel)
+	for n, p := range policies {
+		parts[n] = make([]Outcome, len(s.fabrics))
+		for d := range s.fabrics {
+			group.Go(func() error {
+				c := newCluster(s, d, p.make)
+				c.run(faults, total)
+				parts[n][d] = c.result
+				return nil
+			})
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return Result{}, err
 	}
-	names := []string{Immediate, WaitOnly, FixedSpares}
-	r.Baselines = make([]Outcome, len(names))
-	var wait sync.WaitGroup
-	wait.Go(func() {
-		r.Policy = play("expected cost", func(d int) planner { return newControlled(s, d, o.Profile) })
-	})
-	for n, name := range names {
-		wait.Go(func() { r.Baselines[n] = play(name, func(int) planner { return newBaseline(s, name) }) })
+	for n, p := range policies {
+		sum := Outcome{Policy: p.name}
+		for _, part := range parts[n] {
+			sum.DowntimeGroupSeconds += part.DowntimeGroupSeconds
+			sum.StrandedAcceleratorSeconds += part.StrandedAcceleratorSeconds
+		}
+		sum.WeightedCost = o.Profile.Downtime*sum.DowntimeGroupSeconds + o.Profile.Stranded*sum.StrandedAcceleratorSeconds
+		if n == 0 {
+			r.Policy = sum
+		} else {
+			r.Baselines = append(r.Baselines, sum)
+		}
 	}
-	wait.Wait()
 	for _, b := range r.Baselines {
 		r.Better = r.Better && r.Policy.WeightedCost < b.WeightedCost
 	}
