--- a/admission/types.go
+++ b/admission/types.go
@@ -5,7 +5,10 @@
 // connection: callers pass the time in and execute what it returns.
 package admission
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Class orders the accounts of a service: paying work goes before free work.
 type Class uint8
@@ -185,20 +188,14 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxStreams, DefaultMaxStreams)
-	setDefault(&o.Backlog, DefaultBacklog)
-	setDefault(&o.BacklogInOrder, DefaultBacklogInOrder)
-	setDefault(&o.MaxPreemptions, DefaultMaxPreemptions)
-	setDefault(&o.NearEnd, DefaultNearEnd)
-	setDefault(&o.Burst, DefaultBurst)
+	o.MaxStreams = cmp.Or(o.MaxStreams, DefaultMaxStreams)
+	o.Backlog = cmp.Or(o.Backlog, DefaultBacklog)
+	o.BacklogInOrder = cmp.Or(o.BacklogInOrder, DefaultBacklogInOrder)
+	o.MaxPreemptions = cmp.Or(o.MaxPreemptions, DefaultMaxPreemptions)
+	o.NearEnd = cmp.Or(o.NearEnd, DefaultNearEnd)
+	o.Burst = cmp.Or(o.Burst, DefaultBurst)
 	if o.Service == (ServiceRules{}) {
 		o.Service = ServiceRules{QueueSize: DefaultQueueSize, AccountQueueSize: DefaultAccountQueueSize, MaxQueue: DefaultMaxQueue}
 	}
 	return o
 }
-
-func setDefault[T int | float64 | time.Duration](value *T, def T) {
-	if *value == 0 {
-		*value = def
-	}
-}
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -10,6 +10,7 @@
 package consensus
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"time"
@@ -61,22 +62,15 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.ElectionTimeout, DefaultElectionTimeout)
-	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
-	setDefault(&c.MaxClockDrift, DefaultMaxClockDrift)
-	setDefault(&c.MaxBatchBytes, DefaultMaxBatchBytes)
-	setDefault(&c.MaxInFlight, DefaultMaxInFlight)
-	setDefault(&c.MaxPendingBytes, DefaultMaxPendingBytes)
+	c.ElectionTimeout = cmp.Or(c.ElectionTimeout, DefaultElectionTimeout)
+	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, DefaultHeartbeatInterval)
+	c.MaxClockDrift = cmp.Or(c.MaxClockDrift, DefaultMaxClockDrift)
+	c.MaxBatchBytes = cmp.Or(c.MaxBatchBytes, DefaultMaxBatchBytes)
+	c.MaxInFlight = cmp.Or(c.MaxInFlight, DefaultMaxInFlight)
+	c.MaxPendingBytes = cmp.Or(c.MaxPendingBytes, DefaultMaxPendingBytes)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // EntryKind tells what an entry carries.
 type EntryKind uint8
 
--- a/domainstate/domainstate.go
+++ b/domainstate/domainstate.go
@@ -148,18 +148,9 @@
 	if err := json.Unmarshal(payload, &records); err != nil {
 		return err
 	}
-	tree := m.tree.Load()
-	var taken []settings.Record
-	for _, r := range records {
-		if r.Revision <= tree.Revision() {
-			continue
-		}
-		next, err := tree.Advance(r)
-		if err != nil {
-			return err
-		}
-		tree = next
-		taken = append(taken, r)
+	tree, taken, err := m.tree.Load().Follow(records)
+	if err != nil {
+		return err
 	}
 	m.records = append(m.records, taken...)
 	m.records = slices.Delete(m.records, 0, max(len(m.records)-maxRecords, 0))
--- a/internal/bench/routingload/routingload.go
+++ b/internal/bench/routingload/routingload.go
@@ -7,6 +7,7 @@
 package routingload
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -49,28 +50,21 @@
 
 func (o Options) withDefaults() Options {
 	d := DefaultOptions()
-	setDefault(&o.Entries, d.Entries)
-	setDefault(&o.Engines, d.Engines)
-	setDefault(&o.Domains, d.Domains)
-	setDefault(&o.RequestsPerEngine, d.RequestsPerEngine)
-	setDefault(&o.Warmup, d.Warmup)
-	setDefault(&o.Duration, d.Duration)
-	setDefault(&o.ReportLag, d.ReportLag)
-	setDefault(&o.EventLoss, d.EventLoss)
-	setDefault(&o.EventDelay, d.EventDelay)
+	o.Entries = cmp.Or(o.Entries, d.Entries)
+	o.Engines = cmp.Or(o.Engines, d.Engines)
+	o.Domains = cmp.Or(o.Domains, d.Domains)
+	o.RequestsPerEngine = cmp.Or(o.RequestsPerEngine, d.RequestsPerEngine)
+	o.Warmup = cmp.Or(o.Warmup, d.Warmup)
+	o.Duration = cmp.Or(o.Duration, d.Duration)
+	o.ReportLag = cmp.Or(o.ReportLag, d.ReportLag)
+	o.EventLoss = cmp.Or(o.EventLoss, d.EventLoss)
+	o.EventDelay = cmp.Or(o.EventDelay, d.EventDelay)
 	if len(o.Policies) == 0 {
 		o.Policies = d.Policies
 	}
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Result holds the figures of a run.
 type Result struct {
 	Options  Options        `json:"options"`
--- a/internal/daemon/admit.go
+++ b/internal/daemon/admit.go
@@ -288,18 +288,7 @@
 }
 
 // run makes the time of the controller and of the shares pass.
-func (a *admitter) run(ctx context.Context) {
-	ticker := time.NewTicker(admissionTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			a.tick(time.Now())
-		}
-	}
-}
+func (a *admitter) run(ctx context.Context) { every(ctx, admissionTick, a.tick) }
 
 func (a *admitter) tick(now time.Time) {
 	tree := a.tree()
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -96,16 +96,7 @@
 
 // run makes the actor's time pass.
 func (m *members) run(ctx context.Context) {
-	ticker := time.NewTicker(membershipTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.system.Root.Send(m.pid, &tickMessage{})
-		}
-	}
+	every(ctx, membershipTick, func(time.Time) { m.system.Root.Send(m.pid, &tickMessage{}) })
 }
 
 // View returns the upstreams as this daemon knows them.
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -362,6 +362,20 @@
 	}
 }
 
+// every calls f once in each period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			f(now)
+		}
+	}
+}
+
 // wait returns when c is closed, the time has passed, or ctx ends.
 func wait(ctx context.Context, c <-chan struct{}, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -181,16 +181,11 @@
 		if err := json.Unmarshal(reply.Records, &records); err != nil {
 			return err
 		}
-		for _, r := range records {
-			if r.Revision <= tree.Revision() {
-				continue
-			}
-			next, err := tree.Advance(r)
-			if err != nil {
-				return err
-			}
-			tree = next
+		next, _, err := tree.Follow(records)
+		if err != nil {
+			return err
 		}
+		tree = next
 	}
 	if tree.Revision() > before {
 		c.tree.Store(tree)
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -8,6 +8,7 @@
 package outlier
 
 import (
+	"cmp"
 	"sync"
 	"time"
 )
@@ -108,31 +109,24 @@
 
 func (c Config) withDefaults() Config {
 	d := DefaultConfig()
-	setDefault(&c.MaxEjected, d.MaxEjected)
-	setDefault(&c.Failures, d.Failures)
-	setDefault(&c.Timeouts, d.Timeouts)
-	setDefault(&c.ProbeFaults, d.ProbeFaults)
-	setDefault(&c.Ejection, d.Ejection)
-	setDefault(&c.MaxEjection, d.MaxEjection)
-	setDefault(&c.Forgive, d.Forgive)
-	setDefault(&c.Step, d.Step)
-	setDefault(&c.PauseGap, d.PauseGap)
-	setDefault(&c.Window, d.Window)
-	setDefault(&c.MinSamples, d.MinSamples)
-	setDefault(&c.MinPeers, d.MinPeers)
-	setDefault(&c.SlowFactor, d.SlowFactor)
-	setDefault(&c.SlowDeviations, d.SlowDeviations)
-	setDefault(&c.SlowMargin, d.SlowMargin)
+	c.MaxEjected = cmp.Or(c.MaxEjected, d.MaxEjected)
+	c.Failures = cmp.Or(c.Failures, d.Failures)
+	c.Timeouts = cmp.Or(c.Timeouts, d.Timeouts)
+	c.ProbeFaults = cmp.Or(c.ProbeFaults, d.ProbeFaults)
+	c.Ejection = cmp.Or(c.Ejection, d.Ejection)
+	c.MaxEjection = cmp.Or(c.MaxEjection, d.MaxEjection)
+	c.Forgive = cmp.Or(c.Forgive, d.Forgive)
+	c.Step = cmp.Or(c.Step, d.Step)
+	c.PauseGap = cmp.Or(c.PauseGap, d.PauseGap)
+	c.Window = cmp.Or(c.Window, d.Window)
+	c.MinSamples = cmp.Or(c.MinSamples, d.MinSamples)
+	c.MinPeers = cmp.Or(c.MinPeers, d.MinPeers)
+	c.SlowFactor = cmp.Or(c.SlowFactor, d.SlowFactor)
+	c.SlowDeviations = cmp.Or(c.SlowDeviations, d.SlowDeviations)
+	c.SlowMargin = cmp.Or(c.SlowMargin, d.SlowMargin)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Change is a new share of an upstream of a service.
 type Change struct {
 	Service, Upstream string
--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -9,15 +10,15 @@
 // New returns a book of an entry that knows no other entries.
 func New(cfg Config) *Book {
 	d := DefaultConfig()
-	setDefault(&cfg.Quarantine, d.Quarantine)
-	setDefault(&cfg.Settle, d.Settle)
-	setDefault(&cfg.Linger, d.Linger)
-	setDefault(&cfg.Resend, d.Resend)
-	setDefault(&cfg.Proven, d.Proven)
-	setDefault(&cfg.MaxCrashes, d.MaxCrashes)
-	setDefault(&cfg.MaxDigests, d.MaxDigests)
-	setDefault(&cfg.MaxVerdicts, d.MaxVerdicts)
-	setDefault(&cfg.MaxProven, d.MaxProven)
+	cfg.Quarantine = cmp.Or(cfg.Quarantine, d.Quarantine)
+	cfg.Settle = cmp.Or(cfg.Settle, d.Settle)
+	cfg.Linger = cmp.Or(cfg.Linger, d.Linger)
+	cfg.Resend = cmp.Or(cfg.Resend, d.Resend)
+	cfg.Proven = cmp.Or(cfg.Proven, d.Proven)
+	cfg.MaxCrashes = cmp.Or(cfg.MaxCrashes, d.MaxCrashes)
+	cfg.MaxDigests = cmp.Or(cfg.MaxDigests, d.MaxDigests)
+	cfg.MaxVerdicts = cmp.Or(cfg.MaxVerdicts, d.MaxVerdicts)
+	cfg.MaxProven = cmp.Or(cfg.MaxProven, d.MaxProven)
 	return &Book{
 		cfg: cfg, entries: []string{cfg.Self}, upstreams: map[string][]string{}, owned: map[string][]string{},
 		crashes: map[Target]*crash{}, suspects: map[Digest][]*crash{},
@@ -27,13 +28,6 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // SetQuarantine changes the time for which requests are refused from now on.
 func (b *Book) SetQuarantine(d time.Duration) {
 	b.mu.Lock()
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -8,6 +8,7 @@
 package retry
 
 import (
+	"cmp"
 	"sync"
 	"time"
 )
@@ -78,23 +79,16 @@
 
 func (c Config) withDefaults() Config {
 	d := DefaultConfig()
-	setDefault(&c.Entry, d.Entry)
-	setDefault(&c.Account, d.Account)
-	setDefault(&c.MaxAttempts, d.MaxAttempts)
-	setDefault(&c.BaseBackoff, d.BaseBackoff)
-	setDefault(&c.MaxBackoff, d.MaxBackoff)
-	setDefault(&c.MaxAccounts, d.MaxAccounts)
-	setDefault(&c.HedgeSamples, d.HedgeSamples)
+	c.Entry = cmp.Or(c.Entry, d.Entry)
+	c.Account = cmp.Or(c.Account, d.Account)
+	c.MaxAttempts = cmp.Or(c.MaxAttempts, d.MaxAttempts)
+	c.BaseBackoff = cmp.Or(c.BaseBackoff, d.BaseBackoff)
+	c.MaxBackoff = cmp.Or(c.MaxBackoff, d.MaxBackoff)
+	c.MaxAccounts = cmp.Or(c.MaxAccounts, d.MaxAccounts)
+	c.HedgeSamples = cmp.Or(c.HedgeSamples, d.HedgeSamples)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Attempt describes an attempt that has ended without an answer.
 type Attempt struct {
 	Account    string
--- a/routing/prefix_index.go
+++ b/routing/prefix_index.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"math"
 	"sync"
 	"time"
@@ -118,9 +119,9 @@
 
 // NewPrefixIndex returns an empty index.
 func NewPrefixIndex(cfg PrefixConfig) *PrefixIndex {
-	setDefault(&cfg.UpstreamBlocks, 4096)
-	setDefault(&cfg.TotalBlocks, 1<<18)
-	setDefault(&cfg.HalfLife, 10*time.Minute)
+	cfg.UpstreamBlocks = cmp.Or(cfg.UpstreamBlocks, 4096)
+	cfg.TotalBlocks = cmp.Or(cfg.TotalBlocks, 1<<18)
+	cfg.HalfLife = cmp.Or(cfg.HalfLife, 10*time.Minute)
 	return &PrefixIndex{cfg: cfg, free: none, holders: map[uint64]int32{}, slots: map[string]int32{}}
 }
 
--- a/routing/types.go
+++ b/routing/types.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"errors"
 	"time"
 )
@@ -188,22 +189,15 @@
 
 func (c Config) withDefaults() Config {
 	d := DefaultConfig()
-	setDefault(&c.Entries, d.Entries)
-	setDefault(&c.MaxAge, d.MaxAge)
-	setDefault(&c.QueueFactor, d.QueueFactor)
-	setDefault(&c.ScanLimit, d.ScanLimit)
-	setDefault(&c.Sample, d.Sample)
-	setDefault(&c.Finalists, d.Finalists)
-	setDefault(&c.StickyMargin, d.StickyMargin)
-	setDefault(&c.Weights, d.Weights)
-	setDefault(&c.Costs, d.Costs)
+	c.Entries = cmp.Or(c.Entries, d.Entries)
+	c.MaxAge = cmp.Or(c.MaxAge, d.MaxAge)
+	c.QueueFactor = cmp.Or(c.QueueFactor, d.QueueFactor)
+	c.ScanLimit = cmp.Or(c.ScanLimit, d.ScanLimit)
+	c.Sample = cmp.Or(c.Sample, d.Sample)
+	c.Finalists = cmp.Or(c.Finalists, d.Finalists)
+	c.StickyMargin = cmp.Or(c.StickyMargin, d.StickyMargin)
+	c.Weights = cmp.Or(c.Weights, d.Weights)
+	c.Costs = cmp.Or(c.Costs, d.Costs)
 	c.Finalists = min(c.Finalists, maxFinalists)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -50,6 +50,24 @@
 	return next, nil
 }
 
+// Follow returns the tree after those of the records that follow its revision,
+// and these records. Records that the tree contains already are passed over.
+func (t *Tree) Follow(records []Record) (*Tree, []Record, error) {
+	next := t
+	var taken []Record
+	for _, r := range records {
+		if r.Revision <= next.revision {
+			continue
+		}
+		advanced, err := next.Advance(r)
+		if err != nil {
+			return t, nil, err
+		}
+		next, taken = advanced, append(taken, r)
+	}
+	return next, taken, nil
+}
+
 // Revision returns the number of changes that led to the tree.
 func (t *Tree) Revision() uint64 { return t.revision }
 
