--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -208,8 +208,12 @@
 	return nil
 }
 
+// inFlightGauge reports the callers' requests being served.
+const inFlightGauge = "requests.in_flight"
+
 // runAll starts the actors and everything that goes on in the background.
 func (d *Daemon) runAll() {
+	_ = d.registry.Register(inFlightGauge, metrics.NewFunctionalGauge(func() int64 { return int64(d.InFlight()) }))
 	d.members.start(d.system)
 	d.spawn(d.members.run)
 	d.shared.run(d.spawn)
