--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -300,6 +300,28 @@
 	require.ErrorIs(t, err, ErrNotProposed)
 }
 
+// Guards against damaged logs that pass for new ones, so that an instance that
+// lost its data creates a second log.
+func TestDamagedLogsAreNotNew(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	propose(t, c.members["a"], 0, 1)
+	requireSame(t, 1, c.members["a"], c.members["b"], c.members["c"])
+	for _, id := range ids {
+		c.members[id].stop(c.n)
+		files, err := filepath.Glob(filepath.Join(c.paths[id], "global", "*.snapshot"))
+		require.NoError(t, err)
+		require.NoError(t, os.Truncate(files[0], 5))
+	}
+	c.paths["a"] = filepath.Join(t.TempDir(), "data")
+	for _, id := range ids {
+		c.start(t, id, storage.OS{}, nil)
+	}
+	fresh := c.members["a"]
+	await(t, "the others have answered", func() bool { return len(fresh.Status().Strangers) == 2 })
+	require.Empty(t, fresh.Status().Members.Voters)
+}
+
 // Guards against a replica without a disk that votes or that cannot follow.
 func TestLearnerWithoutDisk(t *testing.T) {
 	t.Parallel()
