--- a/group/controller_test.go
+++ b/group/controller_test.go
@@ -17,12 +17,13 @@
 	ctrl     *Controller
 	observed []Observation
 	silent   map[string]bool
+	deaf     map[string]bool
 	commands []Command
 	settings Settings
 }
 
 func newBench(instances int, demands ...Demand) *bench {
-	b := &bench{now: time.Unix(1_700_000_000, 0), state: NewState(), silent: map[string]bool{}, settings: Settings{Demands: demands}}
+	b := &bench{now: time.Unix(1_700_000_000, 0), state: NewState(), silent: map[string]bool{}, deaf: map[string]bool{}, settings: Settings{Demands: demands}}
 	b.ctrl = NewController(Config{FailureDomain: "a", NoPreload: true}, 1, b.now)
 	for i := range instances {
 		b.observed = append(b.observed, Observation{
@@ -49,7 +50,7 @@
 		for _, o := range out.Orders {
 			for i := range b.observed {
 				switch e := &b.observed[i]; {
-				case e.ID != o.Instance:
+				case e.ID != o.Instance || b.deaf[e.ID]:
 				case o.Kind == OrderForm:
 					e.InForce = membership.GroupRef{Group: o.Group, Epoch: o.Epoch, Rank: o.Rank}
 				case o.Kind == OrderRelease:
@@ -139,6 +140,22 @@
 	require.Equal(t, 1, b.serving("m"))
 }
 
+// Guards against a replacement that keeps a member which is not heard at the
+// moment: it panicked when the view had forgotten that member.
+func TestSilentMemberIsNoSurvivor(t *testing.T) {
+	b := newBench(3, demand("m", 1))
+	b.deaf["i0"] = true
+	b.run(59 * time.Second)
+	b.observed = append(b.observed[:1:1], b.observed[2])
+	b.run(4 * time.Second)
+	for _, c := range b.commands {
+		for _, m := range c.Members {
+			require.NotEqual(t, "i1", m.ID, "%s keeps the silent member", c.Kind)
+		}
+	}
+	require.Empty(t, b.state.Check())
+}
+
 // Guards against a second loss right after a repair that leaves two broken
 // groups although one can be completed from the other.
 func TestTwoBrokenGroupsMakeOneWhole(t *testing.T) {
--- a/group/repair.go
+++ b/group/repair.go
@@ -146,7 +146,7 @@
 		}
 		mark.at = c.conflictSince(g)
 	}
-	if c.now.Sub(mark.at) > limit {
+	if c.now.Sub(mark.at) > limit && len(k.absent) == 0 {
 		ids := make([]string, 0, len(k.pending))
 		for _, o := range k.pending {
 			ids = append(ids, o.ID)
