--- a/cmd/bluebellctl/main.go
+++ b/cmd/bluebellctl/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/bluebellfield/bluebellfield/internal/bench/experiments"
 	"github.com/bluebellfield/bluebellfield/internal/ctl"
 )
 
@@ -17,6 +18,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	app, err := ctl.New(os.Stdout, os.Stderr)
+	if err == nil {
+		err = experiments.Register(app)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "bluebellctl:", err)
 		return ctl.ExitError
--- /dev/null
+++ b/internal/bench/experiments/experiments.go
@@ -0,0 +1,62 @@
+// Package experiments lists the experiments and adds them to the command line
+// of bluebellctl as "bench".
+package experiments
+
+import (
+	"fmt"
+
+	"github.com/bluebellfield/bluebellfield/internal/bench"
+	"github.com/bluebellfield/bluebellfield/internal/ctl"
+)
+
+// All returns every experiment.
+func All() []bench.Experiment {
+	return []bench.Experiment{
+		{Name: "admission", Description: "Overload with nine tenths free traffic", Run: admission},
+		{Name: "group", Description: "Group repair under fault traces", Run: group},
+		{Name: "routing", Description: "Prefix-cache routing, quarantine and retries", Run: routing},
+	}
+}
+
+// command runs one experiment.
+type command struct {
+	app        *ctl.App
+	experiment bench.Experiment
+	Seed       int64 `long:"seed" default:"1" description:"seed of everything random"`
+	Short      bool  `long:"short" description:"quick run with rough figures"`
+}
+
+// Execute implements flags.Commander. A missed target is part of the result and
+// not a failure of the command.
+func (c *command) Execute(args []string) error {
+	if len(args) > 0 {
+		return &ctl.ExitStatus{Code: ctl.ExitUsage, Err: fmt.Errorf("unexpected argument %q", args[0])}
+	}
+	o := bench.Options{Seed: c.Seed, Short: c.Short, Progress: func(format string, args ...any) {
+		fmt.Fprintf(c.app.Err, c.experiment.Name+": "+format+"\n", args...)
+	}}
+	r, err := c.experiment.Run(c.app.Context(), o)
+	if err != nil {
+		return fmt.Errorf("experiment %s: %w", c.experiment.Name, err)
+	}
+	r.Experiment, r.Seed, r.Short = c.experiment.Name, c.Seed, c.Short
+	if c.app.JSON() {
+		return r.WriteJSON(c.app.Out)
+	}
+	return r.WriteTable(c.app.Out)
+}
+
+// Register adds the command "bench" to the command line.
+func Register(app *ctl.App) error {
+	parent, err := app.Parser.AddCommand("bench", "Run an experiment",
+		"Runs an experiment and prints its figures and whether its targets are met.", &struct{}{})
+	if err != nil {
+		return fmt.Errorf("command bench: %w", err)
+	}
+	for _, e := range All() {
+		if _, err := parent.AddCommand(e.Name, e.Description, "", &command{app: app, experiment: e}); err != nil {
+			return fmt.Errorf("command bench %s: %w", e.Name, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/fit.go
@@ -0,0 +1,36 @@
+package bench
+
+// Fit is a least-squares line through measured points.
+type Fit struct {
+	Slope     float64 `json:"slope"`
+	Intercept float64 `json:"intercept"`
+	// R2 is the share of the variance that the line explains. It is 1 for
+	// points that do not vary.
+	R2 float64 `json:"r2"`
+}
+
+// At returns the value of the line at x.
+func (f Fit) At(x float64) float64 { return f.Intercept + f.Slope*x }
+
+// FitLine fits a line through at least two points with different x.
+func FitLine(x, y []float64) Fit {
+	n := float64(len(x))
+	var meanX, meanY float64
+	for i := range x {
+		meanX += x[i] / n
+		meanY += y[i] / n
+	}
+	var xx, xy, yy float64
+	for i := range x {
+		dx, dy := x[i]-meanX, y[i]-meanY
+		xx += dx * dx
+		xy += dx * dy
+		yy += dy * dy
+	}
+	f := Fit{Slope: xy / xx, R2: 1}
+	f.Intercept = meanY - f.Slope*meanX
+	if yy > 0 {
+		f.R2 = xy * xy / (xx * yy)
+	}
+	return f
+}
