Flush stream events that arrived together in one write

System calls were half of the CPU time of relayed streams that bring tokens faster than the relay flushes them. Events that the reader already holds are now written before the flush. Paced streams, whose events arrive one by one, are flushed one by one as before.

--- a/internal/edge/caller/stream.go
+++ b/internal/edge/caller/stream.go
@@ -125,6 +125,10 @@
 		if err := s.deliver(t, &e); err != nil {
 			return err
 		}
+		// Events that arrived together leave together, with one system call.
+		if in.Pending() {
+			continue
+		}
 		if err := out.Flush(); err != nil {
 			return t.fail(callerGone(err))
 		}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -68,6 +68,17 @@
 	}
 }
 
+// Pending reports whether the next Read returns an event without waiting for
+// more input. It may report false for an event that is complete but unusual.
+func (r *Reader) Pending() bool {
+	buffered, _ := r.in.Peek(r.in.Buffered())
+	// A block of comments is no event, so Read would wait after it.
+	if !bytes.HasPrefix(buffered, []byte("id:")) && !bytes.HasPrefix(buffered, []byte("data:")) {
+		return false
+	}
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
+
 func readError(err error, partial bool) error {
 	switch {
 	case errors.Is(err, bufio.ErrBufferFull):
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -45,3 +45,32 @@
 		require.ErrorIs(t, r.Read(&out), io.EOF)
 	})
 }
+
+// Guards against waiting for input that does not come while events that were
+// read are held back.
+func TestPending(t *testing.T) {
+	cases := []struct {
+		name, rest string
+		want       bool
+	}{
+		{"nothing", "", false},
+		{"part of an event", "data: b\n", false},
+		{"comment", ": ping\n\n", false},
+		{"comment, then part of an event", ": ping\n\ndata: b\n", false},
+		{"event", "data: b\n\n", true},
+		{"event with position", "id: 2\ndata: b\n\n", true},
+		{"carriage returns", "id: 2\r\ndata: b\r\n\r\n", true},
+		{"bad position only", "id: x\n\n", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := NewReader(strings.NewReader("data: a\n\n"+c.rest), 64)
+			var e Event
+			require.NoError(t, r.Read(&e))
+			require.Equal(t, c.want, r.Pending())
+			if c.want {
+				require.NoError(t, r.Read(&e))
+			}
+		})
+	}
+}
