--- a/internal/bench/serving/caller.go
+++ b/internal/bench/serving/caller.go
@@ -17,21 +17,22 @@
 // caller sends requests over connections that are kept open.
 type caller struct {
 	url    string
+	model  string
 	client *http.Client
 }
 
 // timing is what was seen of one answer.
 type timing struct{ first, total time.Duration }
 
-func newCaller(url string) caller {
-	return caller{url, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxConcurrent, DisableCompression: true}}}
+func newCaller(url, model string) caller {
+	return caller{url, model, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxConcurrent, DisableCompression: true}}}
 }
 
 func (c caller) close() { c.client.CloseIdleConnections() }
 
 func (c caller) send(ctx context.Context, tokens int, stream bool) (*http.Response, error) {
 	body, err := json.Marshal(map[string]any{
-		"model": service, "stream": stream, "max_tokens": tokens,
+		"model": c.model, "stream": stream, "max_tokens": tokens,
 		"messages": []map[string]string{{"role": "user", "content": "wash the rug in the morning"}},
 	})
 	if err != nil {
--- a/internal/bench/serving/serving.go
+++ b/internal/bench/serving/serving.go
@@ -21,26 +21,39 @@
 
 const (
 	service       = "model"
+	pacedService  = "paced"
 	key           = "key"
 	readyTimeout  = 30 * time.Second
 	maxConcurrent = 256
 	shortTokens   = 8
 	longTokens    = 256
 	concurrency   = 32
+	// Paced streams bring a token every 25 ms, the planned time between tokens.
+	pacedTokens      = 80
+	pacedDelay       = 25 * time.Millisecond
+	pacedConcurrency = 200
+	// plannedTokens is the planned rate of one daemon: 2 million tokens/s
+	// through 400 daemons.
+	plannedTokens = 2_000_000 / 400
 	// maxAddedMillis is the target for the median.
 	maxAddedMillis = 0.3
 )
 
 var tree = fmt.Sprintf(`{
   "accounts": {"stable": {"class": "paying", "keyHashes": [%q]}},
-  "services": {%q: {"kind": "model", "model": %q, "groupSize": 1}},
-}`, cluster.KeyHash(key), service, service)
+  "services": {
+    %q: {"kind": "model", "model": %q, "groupSize": 1},
+    %q: {"kind": "model", "model": %q, "groupSize": 1},
+  },
+}`, cluster.KeyHash(key), service, service, pacedService, pacedService)
 
 // rig is one daemon with one engine.
 type rig struct {
 	cluster *cluster.Cluster
 	direct  caller
 	through caller
+	// pacedDirect and pacedThrough call an engine that takes time for tokens.
+	pacedDirect, pacedThrough caller
 }
 
 func start(folder string) (*rig, error) {
@@ -62,26 +75,37 @@
 	if err := r.cluster.WaitReady(readyTimeout); err != nil {
 		return err
 	}
-	cfg := fake.EngineConfig{}
-	cfg.ID, cfg.FailureDomain, cfg.FabricDomain, cfg.Accelerators = "e1", "a", "a-f", 2
-	cfg.Services, cfg.Models = []string{service}, []membership.Model{{Name: service}}
+	var err error
+	if r.direct, r.through, err = r.addEngine(service, 0); err != nil {
+		return err
+	}
+	r.pacedDirect, r.pacedThrough, err = r.addEngine(pacedService, pacedDelay)
+	return err
+}
+
+// addEngine starts an engine for a model and waits until the daemon serves it.
+func (r *rig) addEngine(model string, delay time.Duration) (direct, through caller, err error) {
+	cfg := fake.EngineConfig{TokenDelay: delay}
+	cfg.ID, cfg.FailureDomain, cfg.FabricDomain, cfg.Accelerators = model, "a", "a-f", 2
+	cfg.Services, cfg.Models = []string{model}, []membership.Model{{Name: model}}
 	cfg.MaxConcurrent = maxConcurrent
 	cfg.Features.Priorities, cfg.Features.Fencing = true, true
 	e, err := r.cluster.AddEngine(cfg)
 	if err != nil {
-		return err
+		return direct, through, err
 	}
-	r.direct = newCaller("http://" + e.Announcement().Address)
-	r.through = newCaller(r.cluster.CallerURL("a1"))
-	return cluster.WaitFor(readyTimeout, "an answer through the daemon", func() bool {
-		_, err := r.through.stream(context.Background(), shortTokens)
+	direct = newCaller("http://"+e.Announcement().Address, model)
+	through = newCaller(r.cluster.CallerURL("a1"), model)
+	return direct, through, cluster.WaitFor(readyTimeout, "an answer through the daemon", func() bool {
+		_, err := through.stream(context.Background(), shortTokens)
 		return err == nil
 	})
 }
 
 func (r *rig) close() error {
-	r.direct.close()
-	r.through.close()
+	for _, c := range []caller{r.direct, r.through, r.pacedDirect, r.pacedThrough} {
+		c.close()
+	}
 	return r.cluster.Close()
 }
 
--- a/internal/bench/serving/serving_test.go
+++ b/internal/bench/serving/serving_test.go
@@ -13,10 +13,10 @@
 func TestShortRun(t *testing.T) {
 	r, err := run(t.Context(), bench.Options{Seed: 1, Short: true})
 	require.NoError(t, err)
-	require.Len(t, r.Targets, 2)
+	require.Len(t, r.Targets, 5)
 	require.Len(t, r.Tables, 2)
 	require.Len(t, r.Tables[0].Rows, 9)
-	require.Len(t, r.Tables[1].Rows, 4)
+	require.Len(t, r.Tables[1].Rows, 6)
 }
 
 // BenchmarkStream is one streamed answer through the daemon, for profiles.
--- a/internal/bench/serving/throughput.go
+++ b/internal/bench/serving/throughput.go
@@ -25,7 +25,11 @@
 // load is a kind of request.
 type load struct {
 	name     string
+	tokens   int
 	requests int
+	callers  int
+	direct   caller
+	through  caller
 	call     func(ctx context.Context, c caller) error
 }
 
@@ -35,40 +39,44 @@
 func (r *rig) throughput(ctx context.Context, o bench.Options, result *bench.Result) error {
 	rounds := bench.Pick(o, 1, 5)
 	loads := []load{
-		{fmt.Sprintf("streams of %d tokens", longTokens), bench.Pick(o, 64, 512), func(ctx context.Context, c caller) error {
+		{"streams", longTokens, bench.Pick(o, 64, 512), concurrency, r.direct, r.through, func(ctx context.Context, c caller) error {
 			_, err := c.stream(ctx, longTokens)
 			return err
 		}},
-		{fmt.Sprintf("whole answers of %d tokens", shortTokens), bench.Pick(o, 500, 8000), func(ctx context.Context, c caller) error {
+		{"paced streams", pacedTokens, pacedConcurrency, pacedConcurrency, r.pacedDirect, r.pacedThrough, func(ctx context.Context, c caller) error {
+			_, err := c.stream(ctx, pacedTokens)
+			return err
+		}},
+		{"whole answers", shortTokens, bench.Pick(o, 500, 8000), concurrency, r.direct, r.through, func(ctx context.Context, c caller) error {
 			_, err := c.whole(ctx, shortTokens)
 			return err
 		}},
 	}
 	table := bench.Table{
-		Title: fmt.Sprintf("throughput, %d callers, engine, daemon and callers in one process", concurrency),
-		Columns: []string{"load", "way", "requests", "requests/s", "tokens/s", "CPU µs/request", "cores used",
+		Title: "throughput; engine, daemon and callers in one process",
+		Columns: []string{"load", "tokens", "callers", "way", "requests", "requests/s", "tokens/s", "CPU µs/request", "cores used",
 			"daemon CPU µs/request", "requests/s per daemon core", "tokens/s per daemon core"},
 	}
-	for i, l := range loads {
-		tokens := []int{longTokens, shortTokens}[i]
+	for _, l := range loads {
 		var direct, through amount
 		for round := range rounds {
 			o.Report("throughput, %s, round %d of %d", l.name, round+1, rounds)
-			if err := l.run(ctx, r.direct, &direct); err != nil {
+			if err := l.run(ctx, l.direct, &direct); err != nil {
 				return fmt.Errorf("direct call: %w", err)
 			}
-			if err := l.run(ctx, r.through, &through); err != nil {
+			if err := l.run(ctx, l.through, &through); err != nil {
 				return fmt.Errorf("call through the daemon: %w", err)
 			}
 		}
 		own := through.cpuPerRequest() - direct.cpuPerRequest()
 		perCore := time.Second.Seconds() / own.Seconds()
 		row := func(way string, a amount, rest ...any) {
-			table.Row(append([]any{l.name, way, a.requests, a.perSecond(1), a.perSecond(tokens),
+			table.Row(append([]any{l.name, l.tokens, l.callers, way, a.requests, a.perSecond(1), a.perSecond(l.tokens),
 				float64(a.cpuPerRequest().Nanoseconds()) / 1000, a.cpu.Seconds() / a.wall.Seconds()}, rest...)...)
 		}
 		row("direct", direct, "", "", "")
-		row("through daemon", through, float64(own.Nanoseconds())/1000, perCore, perCore*float64(tokens))
+		row("through daemon", through, float64(own.Nanoseconds())/1000, perCore, perCore*float64(l.tokens))
+		result.AtLeast("tokens/s through one daemon, "+l.name, through.perSecond(l.tokens), plannedTokens, "")
 	}
 	result.Tables = append(result.Tables, table)
 	return nil
@@ -81,7 +89,7 @@
 	}
 	started := time.Now()
 	g, ctx := errgroup.WithContext(ctx)
-	g.SetLimit(concurrency)
+	g.SetLimit(l.callers)
 	for range l.requests {
 		g.Go(func() error { return l.call(ctx, c) })
 	}
