--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -21,8 +22,11 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		now := time.Now()
 		inbox, requests, closed := r.take()
+		// The clock is read after the messages are taken: a contact must not be
+		// dated before the leader's message was sent, or the promise behind its
+		// lease would end too early.
+		now := time.Now()
 		if closed {
 			r.shutDown(requests)
 			return
@@ -173,8 +177,12 @@
 		}
 		m = r.offered(now, m)
 	}
-	if err := r.node.Step(now, m); err != nil {
-		r.o.Logger.Debug("message refused", zap.Stringer("peer", m.From), zap.Error(err))
+	err := r.node.Step(now, m)
+	switch {
+	case errors.Is(err, consensus.ErrMisaddressed):
+		r.o.Logger.Debug("message is for a former storage id", zap.Stringer("peer", m.From))
+	case err != nil:
+		r.o.Logger.Error("message contradicts the log", zap.Stringer("peer", m.From), zap.Error(err))
 	}
 }
 
