--- a/internal/fake/partition.go
+++ b/internal/fake/partition.go
@@ -17,6 +17,7 @@
 	// owners maps an address to the name of its process.
 	owners map[string]string
 	cut    func(from, to string) bool
+	block  func(from, to string) bool
 	conns  map[*partitionConn]struct{}
 }
 
@@ -38,6 +39,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cut = cut
+	p.breakConns()
+}
+
+// Block cuts one way: the processes for which the function returns true cannot
+// connect, while connections that the other side opens work. Nil heals all.
+func (p *Partition) Block(block func(from, to string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.block = block
+	p.breakConns()
+}
+
+// breakConns closes the connections that are cut or blocked.
+func (p *Partition) breakConns() {
 	for c := range p.conns {
 		if p.isCut(c.from, c.to) {
 			_ = c.Conn.Close()
@@ -54,7 +69,7 @@
 }
 
 func (p *Partition) isCut(from, to string) bool {
-	return p.cut != nil && (p.cut(from, to) || p.cut(to, from))
+	return p.cut != nil && (p.cut(from, to) || p.cut(to, from)) || p.block != nil && p.block(from, to)
 }
 
 // Dialer returns a dial function for a process.
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,8 +63,24 @@
 	RequestID string
 	Attempt   string
 	Body      string
+	// Group and Epoch are those that the entry dispatched to.
+	Group string
+	Epoch uint64
+	At    time.Time
 }
 
+// Assignment is an order that an upstream obeyed. Group is empty after a
+// release.
+type Assignment struct {
+	membership.GroupRef
+	Members []string
+	At      time.Time
+}
+
+// Absence is a time in which an upstream answered and reported nothing. Until
+// is zero while it lasts.
+type Absence struct{ From, Until time.Time }
+
 // Server is what a fake engine and a fake plain service have in common: the
 // announcements, the load report, the switches and the record of runs.
 type Server struct {
@@ -86,6 +103,8 @@
 	sequence uint64
 	echoes   map[string]echo
 	runs     []Run
+	assigned []Assignment
+	absences []Absence
 	dead     chan struct{}
 	killed   bool
 }
@@ -190,6 +209,20 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// Assignments returns the orders that the upstream obeyed.
+func (s *Server) Assignments() []Assignment {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Assignment(nil), s.assigned...)
+}
+
+// Absences returns when the upstream was paused or dead.
+func (s *Server) Absences() []Absence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Absence(nil), s.absences...)
+}
+
 // Tokens returns the number of stream tokens that were sent.
 func (s *Server) Tokens() int64 { return s.tokens.Load() }
 
@@ -202,6 +235,7 @@
 	defer s.mu.Unlock()
 	if s.paused == nil {
 		s.paused = make(chan struct{})
+		s.absences = append(s.absences, Absence{From: time.Now()})
 	}
 }
 
@@ -210,6 +244,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.paused != nil {
+		s.absences[len(s.absences)-1].Until = time.Now()
 		close(s.paused)
 		s.paused = nil
 	}
@@ -222,6 +257,7 @@
 	if !s.killed {
 		s.killed = true
 		close(s.dead)
+		s.absences = append(s.absences, Absence{From: time.Now()})
 	}
 	s.mu.Unlock()
 	if !killed {
@@ -258,7 +294,11 @@
 	s.running.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.runs = append(s.runs, Run{r.Header.Get(upstream.HeaderRequestID), r.Header.Get(upstream.HeaderAttempt), body})
+	epoch, _ := strconv.ParseUint(r.Header.Get(upstream.HeaderEpoch), 10, 64)
+	s.runs = append(s.runs, Run{
+		RequestID: r.Header.Get(upstream.HeaderRequestID), Attempt: r.Header.Get(upstream.HeaderAttempt), Body: body,
+		Group: r.Header.Get(upstream.HeaderGroup), Epoch: epoch, At: time.Now(),
+	})
 	return true
 }
 
@@ -300,6 +340,11 @@
 	case upstream.OrderRelease:
 		s.inForce = membership.GroupRef{}
 	}
+	taken := Assignment{GroupRef: s.inForce, At: time.Now()}
+	for _, m := range order.Members {
+		taken.Members = append(taken.Members, m.ID)
+	}
+	s.assigned = append(s.assigned, taken)
 	return true
 }
 
@@ -417,3 +462,13 @@
 	case <-ctx.Done():
 	}
 }
+
+// Dead reports whether the upstream was killed.
+func (s *Server) Dead() bool {
+	select {
+	case <-s.dead:
+		return true
+	default:
+		return false
+	}
+}
