--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -184,6 +185,25 @@
 	return logs
 }
 
+// clusters counts the clusters of this process.
+var clusters atomic.Uint32
+
+// loopback returns the IP address of the next cluster. Outgoing connections
+// take their ports from 127.0.0.1, so the ports of a cluster with another
+// address stay free while a daemon is down. Hosts that have only 127.0.0.1 get
+// that one.
+func loopback() string {
+	const octet = 250 // keeps clear of 0 and 255
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid/octet%octet, 1+pid%octet, 1+clusters.Add(1)%octet)
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "127.0.0.1"
+	}
+	_ = l.Close()
+	return host
+}
+
 // freeAddresses returns five addresses for each daemon. The listeners are
 // closed together at the end, so that no address is given out twice.
 func freeAddresses(layout Layout) (*[]string, error) {
@@ -191,9 +211,10 @@
 	for _, d := range layout.Domains {
 		count += 5 * d.Daemons
 	}
+	host := loopback()
 	addresses := make([]string, 0, count)
 	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", host+":0")
 		if err != nil {
 			return nil, err
 		}
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -88,6 +88,7 @@
 // Guards against an entry that cannot serve through upstreams that announced
 // themselves to another one.
 func TestEveryEntryServes(t *testing.T) {
+	t.Parallel()
 	c := start(t, 1)
 	c.engine("e1", "a")
 	for _, id := range c.IDs() {
@@ -98,6 +99,7 @@
 // Guards against an order with an idempotency key running twice when it is
 // sent at once through every entry of every failure domain.
 func TestOrderRunsOnceThroughAllEntries(t *testing.T) {
+	t.Parallel()
 	c := start(t, 1)
 	p := c.orders("o1", "a")
 	c.eventually("the first order", func() bool {
@@ -122,6 +124,7 @@
 // Guards against an order running again after the leader of the global log and
 // the entry that ran it have gone.
 func TestOrderSurvivesLeaderAndEntry(t *testing.T) {
+	t.Parallel()
 	c := start(t, 1)
 	p := c.orders("o1", "c")
 	send := func(entry string) Answer {
@@ -157,6 +160,7 @@
 // Guards against a cut-off failure domain that stops serving, runs an order
 // that it cannot prove to be the first, or does not recover.
 func TestCutOffDomain(t *testing.T) {
+	t.Parallel()
 	c := start(t, 1)
 	c.engine("ea", "a")
 	c.engine("ec", "c")
@@ -181,6 +185,7 @@
 // Guards against a replica group that serves without one of its members, and
 // against one that is not repaired.
 func TestGroupIsRepaired(t *testing.T) {
+	t.Parallel()
 	c := start(t, 2)
 	engines := map[string]*fake.Engine{}
 	for i := range 5 {
@@ -226,6 +231,7 @@
 // Guards against a planned stop that breaks a stream or refuses one before its
 // readiness check has failed.
 func TestPlannedStopFinishesStreams(t *testing.T) {
+	t.Parallel()
 	c := start(t, 1)
 	c.engine("e1", "a")
 	c.served("b1")
@@ -247,6 +253,7 @@
 
 // Guards against work sent to an upstream that said it leaves.
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	c := start(t, 1)
 	leaving, staying := c.engine("e1", "a"), c.engine("e2", "a")
 	for _, id := range c.IDs() {
--- /dev/null
+++ b/internal/cluster/harness_test.go
@@ -0,0 +1,137 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellfield/bluebellfield/globalstate"
+	"github.com/bluebellfield/bluebellfield/settings"
+)
+
+// attemptTimeout bounds one try of a proposal, so that a try through a daemon
+// that cannot decide it is followed by another one.
+const attemptTimeout = 3 * time.Second
+
+func startLayout(t *testing.T, layout Layout) *testCluster {
+	c, err := Start(t.TempDir(), layout)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	tc := &testCluster{Cluster: c, t: t, paying: Caller{Key: "paying-key"}, free: Caller{Key: "free-key"}}
+	require.NoError(t, c.WaitReady(patience))
+	return tc
+}
+
+// aChange is a settings change that gives a setting a new value.
+func aChange(id string, base uint64, value int) settings.Change {
+	return settings.Change{ID: id, Base: base, Author: "test", Ops: []settings.Op{
+		{Op: settings.OpSet, Path: "/", Key: settings.KeyClaimMaxRecords, Value: settings.Number(float64(value))},
+	}}
+}
+
+// propose makes one try to commit a change through a daemon.
+func (c *testCluster) propose(entry string, change settings.Change) (settings.Result, error) {
+	d := c.Daemon(entry)
+	if d == nil {
+		return settings.Result{}, fmt.Errorf("%s is down", entry)
+	}
+	command, err := globalstate.EncodeChange(change)
+	if err != nil {
+		return settings.Result{}, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+	defer cancel()
+	answer, err := d.ProposeCommand(ctx, command)
+	if err != nil {
+		return settings.Result{}, err
+	}
+	return globalstate.DecodeChangeResult(answer)
+}
+
+// decide resends a change by its id through a daemon until it is answered.
+func (c *testCluster) decide(entry string, change settings.Change) settings.Result {
+	c.t.Helper()
+	var r settings.Result
+	c.eventually("an answer to change "+change.ID+" through "+entry, func() bool {
+		var err error
+		r, err = c.propose(entry, change)
+		return err == nil
+	})
+	return r
+}
+
+// inForce reports whether the running entries out of ids have a revision.
+func (c *testCluster) inForce(revision uint64, ids ...string) bool {
+	for _, id := range ids {
+		if d := c.Daemon(id); d != nil && (!d.Ready() || d.Revision() < revision) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *testCluster) restart(id string) {
+	c.t.Helper()
+	require.NoError(c.t, c.KillDaemon(id))
+	require.NoError(c.t, c.StartDaemon(id))
+	c.eventually("readiness of "+id, func() bool { return c.Daemon(id).Ready() })
+}
+
+// leader returns the running daemon that leads a log.
+func (c *testCluster) leader(log string) string {
+	c.t.Helper()
+	var leader string
+	c.eventually("a leader of "+log, func() bool {
+		leader = ""
+		for _, id := range c.IDs() {
+			if d := c.Daemon(id); d != nil && d.Leads(log) {
+				leader = id
+			}
+		}
+		return leader != ""
+	})
+	return leader
+}
+
+// watchRevisions samples the revision that each ready entry has in force, and
+// fails the test at its end if one went back, restarts included.
+func (c *testCluster) watchRevisions() {
+	stop := make(chan struct{})
+	var done sync.WaitGroup
+	done.Go(func() {
+		newest := map[string]uint64{}
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(pollPause):
+			}
+			for _, id := range c.IDs() {
+				d := c.Daemon(id)
+				if d == nil || !d.Ready() {
+					continue
+				}
+				revision := d.Revision()
+				if revision < newest[id] {
+					c.t.Errorf("entry %s went back from revision %d to %d", id, newest[id], revision)
+				}
+				newest[id] = max(newest[id], revision)
+			}
+		}
+	})
+	c.t.Cleanup(func() { close(stop); done.Wait() })
+}
+
+func (c *testCluster) others(id string) []string {
+	var list []string
+	for _, other := range c.IDs() {
+		if other != id {
+			list = append(list, other)
+		}
+	}
+	return list
+}
