--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -41,12 +41,7 @@
 }
 
 func start(t *testing.T, groupSize int) *testCluster {
-	c, err := Start(t.TempDir(), Today(treeFor(groupSize)))
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = c.Close() })
-	tc := &testCluster{Cluster: c, t: t, paying: Caller{Key: "paying-key"}, free: Caller{Key: "free-key"}}
-	require.NoError(t, c.WaitReady(patience))
-	return tc
+	return startLayout(t, Today(treeFor(groupSize)))
 }
 
 func (c *testCluster) engine(id, domain string) *fake.Engine {
--- a/internal/cluster/harness_test.go
+++ b/internal/cluster/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +24,9 @@
 	t.Cleanup(func() { _ = c.Close() })
 	tc := &testCluster{Cluster: c, t: t, paying: Caller{Key: "paying-key"}, free: Caller{Key: "free-key"}}
 	require.NoError(t, c.WaitReady(patience))
+	// Until the settings of the deployment are committed, the instance that
+	// creates the global log may be the only one that holds it.
+	tc.eventually("the first settings", func() bool { return tc.inForce(1, c.IDs()...) })
 	return tc
 }
 
@@ -52,15 +56,32 @@
 	return globalstate.DecodeChangeResult(answer)
 }
 
+// describe returns the state of a log on each running daemon, for the messages
+// of failed tests.
+func (c *testCluster) describe(log string) string {
+	var b strings.Builder
+	for _, id := range c.IDs() {
+		if d := c.Daemon(id); d != nil {
+			if s, ok := d.LogStatus(log); ok {
+				fmt.Fprintf(&b, "%s: role %v term %d leader %s commit %d last %d applied %d volatile %v voters %v\n",
+					id, s.Role, s.Term, s.Leader, s.Commit, s.LastIndex, s.Applied, s.Volatile, s.Members.Voters)
+			}
+		}
+	}
+	return b.String()
+}
+
 // decide resends a change by its id through a daemon until it is answered.
 func (c *testCluster) decide(entry string, change settings.Change) settings.Result {
 	c.t.Helper()
 	var r settings.Result
-	c.eventually("an answer to change "+change.ID+" through "+entry, func() bool {
-		var err error
-		r, err = c.propose(entry, change)
-		return err == nil
-	})
+	var last error
+	if err := WaitFor(patience, "an answer to change "+change.ID+" through "+entry, func() bool {
+		r, last = c.propose(entry, change)
+		return last == nil
+	}); err != nil {
+		require.NoError(c.t, err, "last error: %v\n%s", last, c.describe("global"))
+	}
 	return r
 }
 
