--- a/group/controller_test.go
+++ b/group/controller_test.go
@@ -238,3 +238,28 @@
 		w.ctrl.Decide(w.now, w.state, w.observed, w.settings)
 	}
 }
+
+// Guards against a member's absence that the settings no longer tolerate being
+// waited out because members usually return.
+func TestPatienceEndsTheWait(t *testing.T) {
+	absentFor := func(patience time.Duration) []Kind {
+		d := demand("m", 1)
+		d.Patience = patience
+		b := newBench(3, d)
+		// Members have always returned after 20 s, so that waiting is cheapest.
+		b.ctrl.history = nil
+		for range 50 {
+			b.ctrl.history = append(b.ctrl.history, 20*time.Second)
+		}
+		b.run(30 * time.Second)
+		require.Equal(t, 1, b.serving("m"))
+		b.ctrl.cfg.StartTime = time.Minute
+		for _, g := range b.state.Groups {
+			b.silent[g.Members[1].ID] = true
+		}
+		b.run(15 * time.Second)
+		return b.kinds()
+	}
+	require.Empty(t, absentFor(0))
+	require.Contains(t, absentFor(5*time.Second), Replace)
+}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -297,3 +297,19 @@
 		DigestOf("account", "service", body)
 	}
 }
+
+// Guards against a changed quarantine time being ignored until a restart.
+func TestQuarantineTimeChanges(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{Self: "e0"})
+	b.SetUpstreams("s", []string{"u1", "u2", "u3"})
+	b.SetQuarantine(20 * time.Minute)
+	x := digest("x")
+	for i, upstream := range []string{"u1", "u2", "u3"} {
+		target := Target{upstream, 1}
+		_, ok := b.Start(now, "s", uint64(i), x, target)
+		require.True(t, ok)
+		b.Crashed(now, target)
+	}
+	require.Equal(t, Ruling{Action: Refuse, Until: now.Add(20 * time.Minute)}, b.Admit(now, x))
+}
