--- a/admission/share/holder.go
+++ b/admission/share/holder.go
@@ -50,10 +50,7 @@
 	r := &Report{Incarnation: n.cfg.Incarnation, Seq: l.seq, AckIncarnation: l.incarnation, Ack: l.ack}
 	sent := sentReport{seq: l.seq, at: now}
 	l.set = l.set[:0]
-	for _, h := range n.ordered {
-		if h.owner != l.id {
-			continue
-		}
+	for _, h := range l.limits {
 		if now.Sub(h.since) >= n.cfg.exclusive() {
 			l.set = append(l.set, h.limit.ID)
 			r.Digest ^= uint64(h.limit.ID)
--- a/admission/share/node.go
+++ b/admission/share/node.go
@@ -47,7 +47,9 @@
 
 // ownerLink is an entry's exchange with one owner.
 type ownerLink struct {
-	id               string
+	id string
+	// limits are those that the owner has, by id.
+	limits           []*held
 	incarnation, ack uint64
 	seq              uint64
 	sent             []sentReport
@@ -117,6 +119,7 @@
 	}
 	n.links = n.links[:0]
 	for id, l := range n.out {
+		l.limits = l.limits[:0]
 		if !used[id] {
 			// Report numbers must not repeat within an incarnation, so the link
 			// is kept, without being reported to.
@@ -125,6 +128,11 @@
 		n.links = append(n.links, l)
 	}
 	sort.Slice(n.links, func(i, j int) bool { return n.links[i].id < n.links[j].id })
+	for _, h := range n.ordered {
+		if l := n.out[h.owner]; l != nil {
+			l.limits = append(l.limits, h)
+		}
+	}
 }
 
 // SetLimits replaces the limits in force.
