--- a/internal/bench/experiments/experiments.go
+++ b/internal/bench/experiments/experiments.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"github.com/bluebellfield/bluebellfield/internal/bench"
+	"github.com/bluebellfield/bluebellfield/internal/bench/control"
 	"github.com/bluebellfield/bluebellfield/internal/bench/serving"
 	"github.com/bluebellfield/bluebellfield/internal/ctl"
 )
@@ -16,6 +17,7 @@
 		{Name: "admission", Description: "Overload with nine tenths free traffic", Run: admission},
 		{Name: "group", Description: "Group repair under fault traces", Run: group},
 		{Name: "routing", Description: "Prefix-cache routing, quarantine and retries", Run: routing},
+		control.Experiment,
 		serving.Experiment,
 	}
 }
