Tell callers when to try again, and operators why an upstream was chosen

Cause: admission estimates the wait, but callers got a constant; the routing span named the upstream without a reason. Change: errors carry a retry delay; the span has the estimated load, the cached blocks and whether the cache decided. Before: Retry-After was always 1 s. After: admission's estimate, at least 1 s. Conclusion: tests of the caller edge and the cluster pass.

--- a/internal/daemon/admit.go
+++ b/internal/daemon/admit.go
@@ -108,7 +108,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.streams[service.ID] >= service.MaxStreams {
-		return nil, refusal(admission.TooManyStreams)
+		return nil, refusal(admission.TooManyStreams, 0)
 	}
 	s := &slot{
 		owner: a, key: accountService{account.ID, service.ID}, admitted: make(chan error, 1), preempted: make(chan struct{}),
@@ -128,14 +128,15 @@
 	case admission.Queued:
 		a.waiting[s.ticket] = s
 	default:
-		return nil, refusal(d.Reason)
+		return nil, refusal(d.Reason, d.RetryAfter)
 	}
 	a.streams[s.key.service]++
 	return s, nil
 }
 
-func refusal(reason admission.Reason) error {
-	return fault.New(fault.Code(reason), fault.At{Step: caller.StepAdmit}, fault.NotRun, "the request was not admitted: "+string(reason))
+func refusal(reason admission.Reason, retryAfter time.Duration) error {
+	err := fault.New(fault.Code(reason), fault.At{Step: caller.StepAdmit}, fault.NotRun, "the request was not admitted: "+string(reason))
+	return fault.WithRetryAfter(err, retryAfter)
 }
 
 // rules returns the limits of this entry for an account at a service.
@@ -254,7 +255,7 @@
 		if s := a.waiting[r.Ticket]; s != nil {
 			delete(a.waiting, r.Ticket)
 			a.streams[s.key.service]--
-			s.admitted <- refusal(r.Reason)
+			s.admitted <- refusal(r.Reason, r.RetryAfter)
 		}
 	}
 }
--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -180,9 +181,11 @@
 	if _, ok := p.crashes.book.Start(now, w.Route.Service, run, digestOf(w), target); !ok {
 		return nil, &retryPick{upstream: u.ID, suspect: true}
 	}
+	load := u.EstimatedLoad()
 	p.router.Begin(now, u, req.Prefix)
 	return &choice{
 		picker: p, upstream: u, features: known.Features, service: w.Route.Service, run: run, begun: now, target: target,
+		load: load, blocks: picked.Blocks, sticky: picked.Sticky,
 	}, nil
 }
 
@@ -421,6 +424,10 @@
 	target   quarantine.Target
 	begun    time.Time
 	first    time.Duration
+	// load, blocks and sticky are what the pick went by.
+	load   float64
+	blocks int
+	sticky bool
 }
 
 // Target implements caller.Choice.
@@ -432,6 +439,15 @@
 	return t
 }
 
+// Reason implements caller.Choice.
+func (c *choice) Reason() string {
+	reason := fmt.Sprintf("load %.1f of %d, %d prompt blocks cached", c.load, c.upstream.MaxConcurrent, c.blocks)
+	if c.sticky {
+		reason += ", chosen for its cache"
+	}
+	return reason
+}
+
 // HonoursPriority implements caller.Choice.
 func (c *choice) HonoursPriority() bool { return c.features.Priorities }
 
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -93,7 +93,9 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.CodeOf(err), fault.At{Step: StepPick}, fault.NotRun)
 	}
-	span.SetAttributes(attribute.String("upstream", choice.Target().ID))
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("upstream", choice.Target().ID), attribute.String("reason", choice.Reason()))
+	}
 	return choice, nil
 }
 
--- a/internal/edge/caller/deps.go
+++ b/internal/edge/caller/deps.go
@@ -112,6 +112,8 @@
 // Choice is a chosen upstream and the record of an attempt at it.
 type Choice interface {
 	Target() upstream.Target
+	// Reason says in a few words why the upstream was chosen.
+	Reason() string
 	// HonoursPriority reports whether the engine orders its batch by priority.
 	HonoursPriority() bool
 	// CanResume reports whether the engine resumes streams.
--- a/internal/edge/caller/errors.go
+++ b/internal/edge/caller/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -29,9 +30,9 @@
 	StepRelay        = "relay"
 )
 
-// retryAfter is the delay suggested to a caller whose request was refused for
-// lack of capacity.
-const retryAfter = time.Second
+// leastRetryAfter is the delay suggested to a caller whose request was refused
+// for lack of capacity without a better estimate.
+const leastRetryAfter = time.Second
 
 // errorBody is the JSON shape of an error, compatible with OpenAI clients.
 type errorBody struct {
@@ -66,7 +67,8 @@
 	h.Set(HeaderRequestID, requestID)
 	h.Set(HeaderOutcome, string(fault.OutcomeOf(err)))
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
+		delay := max(fault.RetryAfterOf(err), leastRetryAfter)
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(delay.Seconds()))))
 	}
 	w.WriteHeader(status)
 	_, _ = w.Write(encodeError(requestID, err))
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -124,6 +124,7 @@
 }
 
 func (c harnessChoice) Target() upstream.Target { return c.target }
+func (c harnessChoice) Reason() string          { return "" }
 func (c harnessChoice) HonoursPriority() bool   { return false }
 func (c harnessChoice) CanResume() bool         { return c.canResume }
 func (c harnessChoice) FirstByte()              {}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -93,6 +94,7 @@
 	stepKey
 	peerKey
 	outcomeKey
+	retryAfterKey
 )
 
 // At locates an error: the step of processing and the peer it concerned. Peer
@@ -150,6 +152,18 @@
 	return Unknown
 }
 
+// WithRetryAfter adds the delay after which the caller may try again.
+func WithRetryAfter(err error, delay time.Duration) error {
+	return merry.Wrap(err, merry.NoCaptureStack(), merry.WithValue(retryAfterKey, delay))
+}
+
+// RetryAfterOf returns the delay after which the caller may try again, 0 when
+// err names none.
+func RetryAfterOf(err error) time.Duration {
+	delay, _ := merry.Value(err, retryAfterKey).(time.Duration)
+	return delay
+}
+
 // Location returns the step and the peer at which err arose.
 func Location(err error) At {
 	step, _ := merry.Value(err, stepKey).(string)
