Look at upstreams and demand five times a second instead of at each tick

Cause: every 20 ms the entry summed its upstreams and put the limits of all active accounts in force again. Change: that part runs every 200 ms, and at once for an account that was idle.

--- a/internal/daemon/admit.go
+++ b/internal/daemon/admit.go
@@ -22,6 +22,10 @@
 	// admissionTick bounds how late a change of capacity or a deadline takes
 	// effect on queued requests.
 	admissionTick = 20 * time.Millisecond
+	// reportPeriod is the time between two looks at the upstreams and the demand.
+	// Both take time in proportion to upstreams and accounts, so they are not
+	// part of every admission tick.
+	reportPeriod = 200 * time.Millisecond
 	// expectedRun estimates a request's run time until its service has been
 	// measured.
 	expectedRun = 2 * time.Second
@@ -51,6 +55,8 @@
 	streams  map[string]int
 	revision uint64
 	entries  int
+	// reported is when the demand was last reported.
+	reported time.Time
 }
 
 type accountService struct{ account, service string }
@@ -118,6 +124,9 @@
 		ID: w.RequestID, Account: account.ID, Service: service.ID, Rules: rules,
 		Tokens: w.Tokens, Deadline: w.Deadline, Expected: expectedRun,
 	})
+	if _, known := a.active[s.key]; !known {
+		a.reported = time.Time{} // its limits need shares
+	}
 	a.active[s.key] = rules.Class
 	a.refuse(d.Dropped)
 	s.ticket = d.Ticket
@@ -298,10 +307,13 @@
 		a.configure(now, tree, live)
 	}
 	services := tree.Services()
-	for _, service := range services {
-		a.offer(now, service)
+	if now.Sub(a.reported) >= reportPeriod {
+		a.reported = now
+		for _, service := range services {
+			a.offer(now, service)
+		}
+		a.reportDemand(now, tree)
 	}
-	a.reportDemand(now, tree)
 	a.refuse(a.controller.Expire(now))
 	for _, service := range services {
 		a.admitNext(now, service)
