--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -13,7 +14,9 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"github.com/bluebellfield/bluebellfield/internal/fake"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/internal/tlsfiles"
 )
 
 // testNet is a set of networks on loopback whose connections can be cut.
@@ -191,6 +194,51 @@
 	require.Error(t, err)
 }
 
+// Guards against a peer that holds another daemon's certificate, or one of
+// another authority, being taken for the daemon that it claims to be.
+func TestCertificateMustBelongToThePeer(t *testing.T) {
+	ours, err := fake.NewAuthority()
+	require.NoError(t, err)
+	theirs, err := fake.NewAuthority()
+	require.NoError(t, err)
+	secured := func(ca *fake.Authority, name string) *tls.Config {
+		files, err := ca.Write(t.TempDir(), name)
+		require.NoError(t, err)
+		source, err := tlsfiles.Open(tlsfiles.Files(files))
+		require.NoError(t, err)
+		return source.Config()
+	}
+	cases := []struct {
+		name string
+		peer *tls.Config
+		ok   bool
+	}{
+		{"own certificate", secured(ours, "b"), true},
+		{"another daemon's certificate", secured(ours, "c"), false},
+		{"another authority", secured(theirs, "b"), false},
+		{"no TLS", nil, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			la, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			lb, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			addresses := map[string]string{"a": la.Addr().String(), "b": lb.Addr().String()}
+			a := Listen(la, Options{ID: "a", Addresses: addresses, TLS: secured(ours, "a"), Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
+			b := Listen(lb, Options{ID: "b", Addresses: addresses, TLS: c.peer, Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
+			defer a.Close()
+			defer b.Close()
+			a.Handle("c", echo)
+			b.Handle("c", echo)
+			_, err = a.Call(t.Context(), "b", "c", nil)
+			require.Equal(t, c.ok, err == nil, err)
+			_, err = b.Call(t.Context(), "a", "c", nil)
+			require.Equal(t, c.ok, err == nil, err)
+		})
+	}
+}
+
 func BenchmarkCall(b *testing.B) {
 	l1, _ := net.Listen("tcp", "127.0.0.1:0")
 	l2, _ := net.Listen("tcp", "127.0.0.1:0")
