--- a/internal/bench/experiments/experiments.go
+++ b/internal/bench/experiments/experiments.go
@@ -8,6 +8,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/bench"
 	"github.com/bluebellfield/bluebellfield/internal/bench/control"
 	"github.com/bluebellfield/bluebellfield/internal/bench/serving"
+	"github.com/bluebellfield/bluebellfield/internal/bench/settingsfeed"
 	"github.com/bluebellfield/bluebellfield/internal/ctl"
 )
 
@@ -17,6 +18,7 @@
 		{Name: "admission", Description: "Overload with nine tenths free traffic", Run: admission},
 		{Name: "group", Description: "Group repair under fault traces", Run: group},
 		{Name: "routing", Description: "Prefix-cache routing, quarantine and retries", Run: routing},
+		settingsfeed.Experiment,
 		control.Experiment,
 		serving.Experiment,
 	}
--- /dev/null
+++ b/internal/bench/settingsfeed/settingsfeed_test.go
@@ -0,0 +1,17 @@
+package settingsfeed
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellfield/bluebellfield/internal/bench"
+)
+
+// Guards against a condition in which a change does not reach an entry, and
+// against one that is left out.
+func TestShortRun(t *testing.T) {
+	r, err := run(t.Context(), bench.Options{Seed: 1, Short: true})
+	require.NoError(t, err)
+	require.Len(t, r.Tables[0].Rows, 9)
+}
--- a/internal/fake/partition.go
+++ b/internal/fake/partition.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
 // errPartitioned is returned for connections across a partition.
@@ -18,7 +19,9 @@
 	owners map[string]string
 	cut    func(from, to string) bool
 	block  func(from, to string) bool
-	conns  map[*partitionConn]struct{}
+	// slow gives the time that each write takes longer.
+	slow  func(from, to string) time.Duration
+	conns map[*partitionConn]struct{}
 }
 
 // NewPartition returns a network without cuts.
@@ -51,6 +54,23 @@
 	p.breakConns()
 }
 
+// Slow makes each write of a connection, in either direction, take longer by the
+// time that the function returns. Nil ends it.
+func (p *Partition) Slow(slow func(from, to string) time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slow = slow
+}
+
+func (p *Partition) pause(c *partitionConn) {
+	p.mu.Lock()
+	slow := p.slow
+	p.mu.Unlock()
+	if slow != nil {
+		time.Sleep(slow(c.from, c.to))
+	}
+}
+
 // breakConns closes the connections that are cut or blocked.
 func (p *Partition) breakConns() {
 	for c := range p.conns {
@@ -98,6 +118,20 @@
 	from, to string
 }
 
+// Write implements net.Conn.
+func (c *partitionConn) Write(p []byte) (int, error) {
+	c.network.pause(c)
+	return c.Conn.Write(p)
+}
+
+// Read implements net.Conn. The other side's writes are delayed here, since its
+// end of the connection is not tracked.
+func (c *partitionConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.network.pause(c)
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *partitionConn) Close() error {
 	c.network.mu.Lock()
