--- a/internal/bench/experiments/experiments.go
+++ b/internal/bench/experiments/experiments.go
@@ -7,6 +7,7 @@
 
 	"github.com/bluebellfield/bluebellfield/internal/bench"
 	"github.com/bluebellfield/bluebellfield/internal/bench/control"
+	"github.com/bluebellfield/bluebellfield/internal/bench/recovery"
 	"github.com/bluebellfield/bluebellfield/internal/bench/serving"
 	"github.com/bluebellfield/bluebellfield/internal/bench/settingsfeed"
 	"github.com/bluebellfield/bluebellfield/internal/ctl"
@@ -19,6 +20,7 @@
 		{Name: "group", Description: "Group repair under fault traces", Run: group},
 		{Name: "routing", Description: "Prefix-cache routing, quarantine and retries", Run: routing},
 		settingsfeed.Experiment,
+		recovery.Experiment,
 		control.Experiment,
 		serving.Experiment,
 	}
