--- a/internal/bench/control/settings.go
+++ b/internal/bench/control/settings.go
@@ -15,8 +15,6 @@
 const (
 	changesPerDay = 10_000
 	secondsPerDay = 86_400
-	// followers of a control instance at the planned size.
-	followers = 27
 	// pollSeconds is how long the feed holds a question without news.
 	pollSeconds   = 10
 	settingRounds = 20
