Ask other voters when the own replica of the global log is no member or is behind

Cause: a daemon that is named as a voter asked only its own replica. After the loss of its data folder that replica is no member, so every settings change and claim through the daemon was refused until a voter change. A replica that was behind also told a resend that the running order had not run. Change: commands and lookups go to the other voters unless the own replica is a member; a lookup that finds nothing is repeated behind a barrier. Conclusion: an entry without its data folder serves orders and settings.

--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -35,6 +35,13 @@
 	key := claim.Key(req.Key)
 	ctx, cancel := context.WithTimeout(ctx, lookupHold)
 	defer cancel()
+	if _, found := l.global.machine.Lookup(key); !found {
+		// The claim that the entry waits for may not have been applied here
+		// yet, which must not be taken for a released one.
+		if err := l.global.Barrier(ctx); err != nil {
+			return nil, err
+		}
+	}
 	for {
 		changed := l.global.Watch()
 		record, found := l.global.machine.Lookup(key)
@@ -159,10 +166,14 @@
 func (c *claims) lookup(ctx context.Context, payload []byte) (*feed.LookupReply, error) {
 	var answer []byte
 	var err error
-	if c.local.global != nil {
+	if c.local.global != nil && c.local.global.member() {
 		answer, err = c.local.serveLookup(ctx, "", payload)
 	} else {
+		err = fault.New(fault.Unavailable, fault.At{Step: "claim lookup"}, fault.Unknown, "no voter of the global log is known")
 		for _, voter := range nearestFirst(c.global.cfg, c.global.cfg.Logs.Global) {
+			if voter == c.entry {
+				continue
+			}
 			if answer, err = c.global.network.Call(ctx, voter, channelClaim, payload); err == nil {
 				break
 			}
--- a/internal/daemon/logs.go
+++ b/internal/daemon/logs.go
@@ -45,6 +45,14 @@
 	machine *globalstate.Machine
 }
 
+// member reports whether the replica belongs to the log. It does not on an
+// instance that lost its data folder, until a voter change adds it again; such
+// a replica knows neither the leader nor the state.
+func (g *globalReplica) member() bool {
+	members := g.Status().Members
+	return slices.Contains(members.Voters, g.ID()) || slices.Contains(members.Learners, g.ID())
+}
+
 type domainReplica struct {
 	*replica.Replica
 	failureDomain string
@@ -186,11 +194,14 @@
 // Propose commits a command and returns its result. The outcome of an error
 // says whether the command can have been committed.
 func (g *globalClient) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	if g.local != nil {
+	if g.local != nil && g.local.member() {
 		return g.local.Propose(ctx, command)
 	}
 	err := fault.New(fault.Unavailable, fault.At{Step: "global log"}, fault.NotRun, "no voter of the global log is known")
 	for _, voter := range nearestFirst(g.cfg, g.cfg.Logs.Global) {
+		if voter == g.cfg.ID {
+			continue
+		}
 		var result []byte
 		result, err = g.network.Call(ctx, voter, channelPropose, command)
 		if err == nil || fault.OutcomeOf(err) != fault.NotRun {
