Report the deadline of an order's answer as deadline_exceeded

Cause: a timeout while the body of an order's or a probe's answer was read had the code upstream_failed. Change: take the code from the error, as for the headers. Add the fault table of the client against a raw listener: faults before, within and after the request, cut points in bytes, reused connections, claimed requests, orders. Before: TestOrderResults/silent_after_the_headers failed. After: passes. Conclusion: no other fault found in the client; not-run is reported only when no write began, and no request with Once or with a body arrived twice.

--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -203,5 +203,8 @@
 	case resp.StatusCode != http.StatusOK:
 		return fault.New(fault.UpstreamFailed, at, fault.Unknown, fmt.Sprintf("the upstream answered %s", resp.Status))
 	}
-	return fault.Wrap(json.NewDecoder(body).Decode(reply), fault.UpstreamFailed, at, fault.Unknown)
+	if err := json.NewDecoder(body).Decode(reply); err != nil {
+		return fault.Wrap(err, failureCode(err), at, fault.Unknown)
+	}
+	return nil
 }
--- /dev/null
+++ b/internal/edge/upstream/client_test.go
@@ -0,0 +1,482 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/membership"
+)
+
+const okReply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// rawServer is an upstream whose connections a test handles byte by byte.
+type rawServer struct {
+	address string
+	// requests counts the requests that were read to their end.
+	requests atomic.Int64
+	// arrived is closed after the first of them.
+	arrived chan struct{}
+	done    sync.WaitGroup
+}
+
+// startRaw serves each connection with handle; number counts them from 1.
+func startRaw(t testing.TB, handle func(s *rawServer, conn *net.TCPConn, number int)) *rawServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &rawServer{address: listener.Addr().String(), arrived: make(chan struct{})}
+	s.done.Go(func() {
+		for number := 1; ; number++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.done.Go(func() {
+				defer conn.Close()
+				handle(s, conn.(*net.TCPConn), number)
+			})
+		}
+	})
+	t.Cleanup(func() { listener.Close(); s.done.Wait() })
+	return s
+}
+
+// read takes one request off the connection.
+func (s *rawServer) read(in *bufio.Reader) (*http.Request, error) {
+	req, err := http.ReadRequest(in)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return nil, err
+	}
+	if s.requests.Add(1) == 1 {
+		close(s.arrived)
+	}
+	return req, nil
+}
+
+// expireAfter returns a context that ends as at its deadline once the server
+// has read a request, whatever the speed of the machine.
+func expireAfter(t *testing.T, s *rawServer) context.Context {
+	ctx, expire := context.WithCancelCause(t.Context())
+	go func() {
+		select {
+		case <-s.arrived:
+			expire(context.DeadlineExceeded)
+		case <-ctx.Done():
+		}
+	}()
+	t.Cleanup(func() { expire(nil) })
+	return ctx
+}
+
+// expireInBody returns a context that ends as at its deadline a little after
+// the first byte of the answer.
+func expireInBody(t *testing.T) context.Context {
+	ctx, expire := context.WithCancelCause(t.Context())
+	t.Cleanup(func() { expire(nil) })
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		time.AfterFunc(50*time.Millisecond, func() { expire(context.DeadlineExceeded) })
+	}})
+}
+
+func reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// countedConn counts the writes that reached the connection.
+type countedConn struct {
+	net.Conn
+	writes *atomic.Int64
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(p)
+}
+
+func newTestClient(t testing.TB) (*Client, *atomic.Int64) {
+	writes := &atomic.Int64{}
+	c := NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{conn, writes}, nil
+	})
+	t.Cleanup(c.Close)
+	return c, writes
+}
+
+func post(s *rawServer, once bool) Dispatch {
+	return Dispatch{
+		Target: Target{ID: "u", Address: s.address}, Method: http.MethodPost, URI: "/order", Body: []byte("cut the rug"),
+		RequestID: "r", Attempt: 1, Once: once,
+	}
+}
+
+// send makes an attempt and reads the whole answer.
+func send(ctx context.Context, c *Client, d Dispatch) (string, error) {
+	resp, err := c.Do(ctx, d)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// Guards against a fault of an upstream being reported with an outcome that
+// is not proven, and against a request that the transport sends again.
+func TestDispatchFaults(t *testing.T) {
+	readThen := func(after func(conn *net.TCPConn)) func(*rawServer, *net.TCPConn, int) {
+		return func(s *rawServer, conn *net.TCPConn, _ int) {
+			if _, err := s.read(bufio.NewReader(conn)); err == nil {
+				after(conn)
+			}
+		}
+	}
+	cases := []struct {
+		name     string
+		handle   func(*rawServer, *net.TCPConn, int)
+		expires  bool
+		code     fault.Code
+		requests int64
+	}{
+		{"closed after part of the request", func(_ *rawServer, conn *net.TCPConn, _ int) {
+			_, _ = io.ReadFull(conn, make([]byte, 10))
+		}, false, fault.UpstreamFailed, 0},
+		{"closed after the request", readThen(func(*net.TCPConn) {}), false, fault.UpstreamFailed, 1},
+		{"reset after the request", readThen(reset), false, fault.UpstreamFailed, 1},
+		{"closed within the headers", readThen(func(conn *net.TCPConn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Le")
+		}), false, fault.UpstreamFailed, 1},
+		{"answer that is not HTTP", readThen(func(conn *net.TCPConn) {
+			_, _ = io.WriteString(conn, "ready\r\n\r\n")
+		}), false, fault.UpstreamFailed, 1},
+		{"headers that do not come in time", readThen(func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn) }), true, fault.DeadlineExceeded, 1},
+	}
+	for _, c := range cases {
+		for _, once := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, once=%v", c.name, once), func(t *testing.T) {
+				s := startRaw(t, c.handle)
+				client, _ := newTestClient(t)
+				ctx := t.Context()
+				if c.expires {
+					ctx = expireAfter(t, s)
+				}
+				_, err := send(ctx, client, post(s, once))
+				require.Error(t, err)
+				require.Equal(t, fault.Unknown, fault.OutcomeOf(err))
+				require.Equal(t, c.code, fault.CodeOf(err))
+				require.Equal(t, fault.At{Step: StepDispatch, Peer: "u"}, fault.Location(err))
+				require.Equal(t, c.requests, s.requests.Load())
+			})
+		}
+	}
+}
+
+// Guards against not-run being missed where nothing was sent, which would keep
+// a claimed request from being sent elsewhere.
+func TestNothingSentIsNotRun(t *testing.T) {
+	s := startRaw(t, func(*rawServer, *net.TCPConn, int) {})
+	client, writes := newTestClient(t)
+	expired, cancel := context.WithDeadline(t.Context(), time.Unix(0, 0))
+	defer cancel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	refused := post(s, true)
+	refused.Target.Address = listener.Addr().String()
+	require.NoError(t, listener.Close())
+	malformed := post(s, true)
+	malformed.Method = "CUT RUG"
+	cases := []struct {
+		name string
+		ctx  context.Context
+		d    Dispatch
+		code fault.Code
+	}{
+		{"refused", t.Context(), refused, fault.UpstreamUnreachable},
+		{"expired before the start", expired, post(s, true), fault.UpstreamUnreachable},
+		{"request that cannot be built", t.Context(), malformed, fault.BadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := client.Do(c.ctx, c.d)
+			require.Equal(t, fault.NotRun, fault.OutcomeOf(err))
+			require.Equal(t, c.code, fault.CodeOf(err))
+			require.Zero(t, writes.Load())
+		})
+	}
+}
+
+// Guards against a request that is reported as not-run and sent afterwards,
+// when its connection is opened after it was given up.
+func TestGivenUpRequestIsNotSentLater(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		t.Run(fmt.Sprintf("once=%v", once), func(t *testing.T) {
+			s := startRaw(t, func(s *rawServer, conn *net.TCPConn, _ int) {
+				in := bufio.NewReader(conn)
+				for {
+					if _, err := s.read(in); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, okReply)
+				}
+			})
+			dialing, open, opened := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			var first sync.Once
+			client := NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+				first.Do(func() {
+					close(dialing)
+					<-open
+					defer close(opened)
+				})
+				return net.Dial("tcp", address)
+			})
+			defer client.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { <-dialing; cancel() }()
+			_, err := client.Do(ctx, post(s, once))
+			require.Equal(t, fault.NotRun, fault.OutcomeOf(err))
+			close(open)
+			<-opened
+			body, err := send(t.Context(), client, post(s, once))
+			require.NoError(t, err)
+			require.Equal(t, "ok", body)
+			require.Equal(t, int64(1), s.requests.Load(), "only the second request may arrive")
+		})
+	}
+}
+
+// Guards against a write that begins after its request was ruled not sent.
+func TestSealedConnectionSendsNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	conn := &trackedConn{Conn: near}
+	proof := &sendProof{}
+	proof.gotConn(httptrace.GotConnInfo{Conn: conn})
+	require.True(t, proof.notSent())
+	_, err := conn.Write([]byte("x"))
+	require.ErrorIs(t, err, errSealed)
+}
+
+// Guards against not-run after some part of a request was sent, at whatever
+// byte the connection breaks.
+func TestCutRequest(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := Dispatch{
+			Method: http.MethodPost, URI: "/", RequestID: "r", Attempt: 1, Once: rapid.Bool().Draw(rt, "once"),
+			Body: []byte(strings.Repeat("x", rapid.SampledFrom([]int{1, 100, 5000, 70_000}).Draw(rt, "body"))),
+		}
+		cut := rapid.IntRange(0, len(d.Body)+300).Draw(rt, "cut")
+		cutOff := rapid.SampledFrom([]func(*net.TCPConn){reset, func(c *net.TCPConn) { c.Close() }}).Draw(rt, "break")
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(rt, err)
+		read := make(chan int64, 1)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				read <- 0
+				return
+			}
+			n, _ := io.CopyN(io.Discard, conn, int64(cut))
+			cutOff(conn.(*net.TCPConn))
+			read <- n
+		}()
+		client, writes := newTestClient(t)
+		d.Target = Target{ID: "u", Address: listener.Addr().String()}
+		// The cut may lie after the end of the request.
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err = client.Do(ctx, d)
+		client.Close()
+		listener.Close()
+		require.Error(rt, err)
+		sent := <-read
+		if fault.OutcomeOf(err) == fault.NotRun {
+			require.Zero(rt, sent)
+			require.Zero(rt, writes.Load())
+			return
+		}
+		require.Equal(rt, fault.Unknown, fault.OutcomeOf(err))
+		require.NotZero(rt, writes.Load(), "unknown is reported only when something may have been sent")
+	})
+}
+
+// Guards against the transport sending a request again by itself on a reused
+// connection that the upstream closes after reading it.
+func TestReusedConnection(t *testing.T) {
+	// The first request of a connection is answered, the second one is read
+	// and the connection closed.
+	handle := func(s *rawServer, conn *net.TCPConn, _ int) {
+		in := bufio.NewReader(conn)
+		if _, err := s.read(in); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, okReply)
+		_, _ = s.read(in)
+	}
+	withKey := func(d Dispatch) Dispatch {
+		d.Header = http.Header{"Idempotency-Key": {"k"}}
+		return d
+	}
+	get := func(d Dispatch) Dispatch {
+		d.Method, d.Body = http.MethodGet, nil
+		return d
+	}
+	cases := []struct {
+		name  string
+		shape func(Dispatch) Dispatch
+		once  bool
+		fails bool
+	}{
+		{"POST", func(d Dispatch) Dispatch { return d }, false, true},
+		{"POST with a key", withKey, false, true},
+		{"POST once", func(d Dispatch) Dispatch { return d }, true, false},
+		{"POST with a key once", withKey, true, false},
+		{"GET with a key once", func(d Dispatch) Dispatch { return get(withKey(d)) }, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := startRaw(t, handle)
+			client, _ := newTestClient(t)
+			_, err := send(t.Context(), client, c.shape(post(s, false)))
+			require.NoError(t, err)
+			_, err = send(t.Context(), client, c.shape(post(s, c.once)))
+			require.Equal(t, c.fails, err != nil, "error: %v", err)
+			if c.fails {
+				require.Equal(t, fault.Unknown, fault.OutcomeOf(err))
+			}
+			require.Equal(t, int64(2), s.requests.Load(), "each request may arrive once")
+		})
+	}
+}
+
+// Guards against a claimed request that arrives twice because its own fresh
+// connection is closed after the request was read.
+func TestOnceArrivesOnce(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodPut, http.MethodDelete} {
+		t.Run(method, func(t *testing.T) {
+			s := startRaw(t, func(s *rawServer, conn *net.TCPConn, _ int) { _, _ = s.read(bufio.NewReader(conn)) })
+			client, _ := newTestClient(t)
+			d := post(s, true)
+			d.Method, d.Header = method, http.Header{"Idempotency-Key": {"k"}}
+			if method == http.MethodGet {
+				d.Body = nil
+			}
+			for want := int64(1); want <= 3; want++ {
+				_, err := send(t.Context(), client, d)
+				require.Equal(t, fault.Unknown, fault.OutcomeOf(err))
+				require.Equal(t, want, s.requests.Load())
+			}
+		})
+	}
+}
+
+// Guards against headers of the protocol being missing or taken from a caller.
+func TestDispatchHeaders(t *testing.T) {
+	got := make(chan http.Header, 1)
+	s := startRaw(t, func(s *rawServer, conn *net.TCPConn, _ int) {
+		req, err := s.read(bufio.NewReader(conn))
+		if err == nil {
+			got <- req.Header
+			_, _ = io.WriteString(conn, okReply)
+		}
+	})
+	client, _ := newTestClient(t)
+	d := post(s, false)
+	d.Target.Group = membership.GroupRef{Group: "g", Epoch: 7}
+	d.Resume, d.Priority, d.Attempt = &Resume{Token: "t", Position: 4}, "free", 2
+	d.Header = http.Header{HeaderAttempt: {"9"}, "Accept": {"text/plain"}}
+	_, err := send(t.Context(), client, d)
+	require.NoError(t, err)
+	header := <-got
+	for name, want := range map[string]string{
+		HeaderRequestID: "r", HeaderAttempt: "2", HeaderPriority: "free", HeaderGroup: "g", HeaderEpoch: "7",
+		HeaderResumeToken: "t", HeaderResumePosition: "4", "Accept": "text/plain",
+	} {
+		require.Equal(t, []string{want}, header.Values(name), name)
+	}
+	require.Equal(t, []string{"9"}, d.Header.Values(HeaderAttempt), "the dispatch's own header must not change")
+}
+
+// Guards against an order whose fate is unknown being taken as refused, and
+// against a refusal being taken as unknown.
+func TestOrderResults(t *testing.T) {
+	result, err := json.Marshal(OrderResult{InForce: membership.GroupRef{Group: "g", Epoch: 3}})
+	require.NoError(t, err)
+	reply := func(status int, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	}
+	cases := []struct {
+		name    string
+		reply   string
+		hold    bool
+		code    fault.Code
+		outcome fault.Outcome
+	}{
+		{"in force", reply(200, string(result)), false, "", ""},
+		{"old epoch", reply(409, "old epoch"), false, fault.Conflict, fault.NotRun},
+		{"failed", reply(500, ""), false, fault.UpstreamFailed, fault.Unknown},
+		{"no such path", reply(404, ""), false, fault.UpstreamFailed, fault.Unknown},
+		{"malformed", reply(200, "{"), false, fault.UpstreamFailed, fault.Unknown},
+		{"too large", reply(200, `{"x":"`+strings.Repeat("x", maxReplyBytes)+`"}`), false, fault.UpstreamFailed, fault.Unknown},
+		{"cut off", "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{", false, fault.UpstreamFailed, fault.Unknown},
+		{"silent", "", true, fault.DeadlineExceeded, fault.Unknown},
+		{"silent after the headers", "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{", true, fault.DeadlineExceeded, fault.Unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := startRaw(t, func(s *rawServer, conn *net.TCPConn, _ int) {
+				if _, err := s.read(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, c.reply)
+				if c.hold {
+					_, _ = io.Copy(io.Discard, conn)
+				}
+			})
+			client, _ := newTestClient(t)
+			ctx := t.Context()
+			switch {
+			case c.hold && c.reply != "":
+				ctx = expireInBody(t)
+			case c.hold:
+				ctx = expireAfter(t, s)
+			}
+			got, err := client.Order(ctx, Target{ID: "u", Address: s.address}, "secret", Order{ID: "o", Kind: OrderForm, Epoch: 3})
+			if c.code == "" {
+				require.NoError(t, err)
+				require.Equal(t, uint64(3), got.InForce.Epoch)
+				return
+			}
+			require.Equal(t, c.code, fault.CodeOf(err))
+			require.Equal(t, c.outcome, fault.OutcomeOf(err))
+			require.Equal(t, fault.At{Step: StepOrder, Peer: "u"}, fault.Location(err))
+		})
+	}
+	client, _ := newTestClient(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	_, err = client.Order(t.Context(), Target{ID: "u", Address: listener.Addr().String()}, "", Order{})
+	require.Equal(t, fault.NotRun, fault.OutcomeOf(err), "an order that reached no engine may be given to another")
+}
