Answer cache events with 204 and oversized reports with 413

Cause: cache events were answered with status 200 and an empty object, though the upstream protocol says 204; an oversized report was answered like a malformed one. Change: status 204 for calls without a lease, 413 for a body over the bound. Before: TestReports failed in 3 cases. After: passes.

--- a/internal/edge/upstream/server.go
+++ b/internal/edge/upstream/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 
 	"github.com/bluebellfield/bluebellfield/internal/fault"
@@ -23,33 +24,53 @@
 func NewHandler(registry Registry) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+PathAnnouncements, func(w http.ResponseWriter, r *http.Request) {
-		serveReport(w, r, registry.Announce)
+		serveReport(w, r, leaseOf(registry.Announce))
 	})
 	mux.HandleFunc("POST "+PathHeartbeats, func(w http.ResponseWriter, r *http.Request) {
-		serveReport(w, r, registry.Heartbeat)
+		serveReport(w, r, leaseOf(registry.Heartbeat))
 	})
 	mux.HandleFunc("POST "+PathCacheEvents, func(w http.ResponseWriter, r *http.Request) {
-		serveReport(w, r, func(events CacheEvents) (struct{}, error) {
-			return struct{}{}, registry.CacheEvents(events)
+		serveReport(w, r, func(events CacheEvents) (*membership.Lease, error) {
+			return nil, registry.CacheEvents(events)
 		})
 	})
 	return mux
 }
 
-// serveReport decodes a report, passes it on and writes the reply as JSON.
-func serveReport[In, Out any](w http.ResponseWriter, r *http.Request, handle func(In) (Out, error)) {
+// leaseOf adapts a call that answers with a lease.
+func leaseOf[In any](handle func(In) (membership.Lease, error)) func(In) (*membership.Lease, error) {
+	return func(in In) (*membership.Lease, error) {
+		lease, err := handle(in)
+		return &lease, err
+	}
+}
+
+// serveReport decodes a report, passes it on and writes the lease as JSON, or
+// status 204 when there is none.
+func serveReport[In any](w http.ResponseWriter, r *http.Request, handle func(In) (*membership.Lease, error)) {
 	var in In
 	body := http.MaxBytesReader(w, r.Body, maxReportBytes)
 	if err := json.NewDecoder(body).Decode(&in); err != nil {
-		http.Error(w, "decode report: "+err.Error(), http.StatusBadRequest)
+		http.Error(w, "decode report: "+err.Error(), decodeStatus(err))
 		return
 	}
-	out, err := handle(in)
-	if err != nil {
+	lease, err := handle(in)
+	switch {
+	case err != nil:
 		http.Error(w, err.Error(), fault.Status(fault.CodeOf(err)))
-		return
+	case lease == nil:
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		// The upstream repeats a report whose reply it did not get.
+		_ = json.NewEncoder(w).Encode(lease)
+	}
+}
+
+func decodeStatus(err error) int {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge
 	}
-	w.Header().Set("Content-Type", "application/json")
-	// The upstream repeats a report whose reply it did not get.
-	_ = json.NewEncoder(w).Encode(out)
+	return http.StatusBadRequest
 }
--- /dev/null
+++ b/internal/edge/upstream/server_test.go
@@ -0,0 +1,76 @@
+package upstream
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/membership"
+)
+
+// fakeRegistry records reports and answers with err.
+type fakeRegistry struct {
+	err     error
+	reports int
+}
+
+func (r *fakeRegistry) Announce(membership.Announcement) (membership.Lease, error) {
+	r.reports++
+	return membership.Lease{HeartbeatMillis: 1000}, r.err
+}
+
+func (r *fakeRegistry) Heartbeat(membership.Heartbeat) (membership.Lease, error) {
+	r.reports++
+	return membership.Lease{Announce: true}, r.err
+}
+
+func (r *fakeRegistry) CacheEvents(CacheEvents) error {
+	r.reports++
+	return r.err
+}
+
+// Guards against reports that are taken although they cannot be read, and
+// against answers that do not tell the upstream what to do next.
+func TestReports(t *testing.T) {
+	refusal := func(code fault.Code) error { return fault.New(code, fault.At{}, fault.NotRun, "no") }
+	large := `{"id":"` + strings.Repeat("x", maxReportBytes) + `"}`
+	cases := []struct {
+		name, method, path, body string
+		err                      error
+		status, reports          int
+		answer                   string
+	}{
+		{"announcement", "POST", PathAnnouncements, `{"id":"u"}`, nil, 200, 1, `"heartbeatMillis":1000`},
+		{"heartbeat", "POST", PathHeartbeats, `{"id":"u"}`, nil, 200, 1, `"announce":true`},
+		{"cache events", "POST", PathCacheEvents, `{"id":"u"}`, nil, 204, 1, ""},
+		{"malformed announcement", "POST", PathAnnouncements, `{`, nil, 400, 0, "decode report"},
+		{"malformed heartbeat", "POST", PathHeartbeats, `[]`, nil, 400, 0, "decode report"},
+		{"malformed cache events", "POST", PathCacheEvents, ``, nil, 400, 0, "decode report"},
+		{"large announcement", "POST", PathAnnouncements, large, nil, 413, 0, ""},
+		{"large cache events", "POST", PathCacheEvents, large, nil, 413, 0, ""},
+		{"unknown path", "POST", "/v1/other", `{}`, nil, 404, 0, ""},
+		{"wrong method", "GET", PathHeartbeats, ``, nil, 405, 0, ""},
+		{"registry unavailable", "POST", PathHeartbeats, `{}`, refusal(fault.Unavailable), 503, 1, "no"},
+		{"registry refuses", "POST", PathAnnouncements, `{}`, refusal(fault.Conflict), 409, 1, "no"},
+		{"registry refuses events", "POST", PathCacheEvents, `{}`, refusal(fault.NotFound), 404, 1, "no"},
+		{"registry fails", "POST", PathAnnouncements, `{}`, errors.New("broken"), 500, 1, "broken"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			registry := &fakeRegistry{err: c.err}
+			w := httptest.NewRecorder()
+			NewHandler(registry).ServeHTTP(w, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+			require.Equal(t, c.status, w.Code)
+			require.Equal(t, c.reports, registry.reports)
+			require.Contains(t, w.Body.String(), c.answer)
+			if c.status == http.StatusNoContent {
+				require.Empty(t, w.Body.String())
+			}
+		})
+	}
+}
