--- a/group/controller_test.go
+++ b/group/controller_test.go
@@ -17,12 +17,13 @@
 	ctrl     *Controller
 	observed []Observation
 	silent   map[string]bool
+	deaf     map[string]bool
 	commands []Command
 	settings Settings
 }
 
 func newBench(instances int, demands ...Demand) *bench {
-	b := &bench{now: time.Unix(1_700_000_000, 0), state: NewState(), silent: map[string]bool{}, settings: Settings{Demands: demands}}
+	b := &bench{now: time.Unix(1_700_000_000, 0), state: NewState(), silent: map[string]bool{}, deaf: map[string]bool{}, settings: Settings{Demands: demands}}
 	b.ctrl = NewController(Config{FailureDomain: "a", NoPreload: true}, 1, b.now)
 	for i := range instances {
 		b.observed = append(b.observed, Observation{
@@ -49,7 +50,7 @@
 		for _, o := range out.Orders {
 			for i := range b.observed {
 				switch e := &b.observed[i]; {
-				case e.ID != o.Instance:
+				case e.ID != o.Instance || b.deaf[e.ID]:
 				case o.Kind == OrderForm:
 					e.InForce = membership.GroupRef{Group: o.Group, Epoch: o.Epoch, Rank: o.Rank}
 				case o.Kind == OrderRelease:
@@ -139,6 +140,22 @@
 	require.Equal(t, 1, b.serving("m"))
 }
 
+// Guards against a replacement that keeps a member which is not heard at the
+// moment: it panicked when the view had forgotten that member.
+func TestSilentMemberIsNoSurvivor(t *testing.T) {
+	b := newBench(3, demand("m", 1))
+	b.deaf["i0"] = true
+	b.run(59 * time.Second)
+	b.observed = append(b.observed[:1:1], b.observed[2])
+	b.run(4 * time.Second)
+	for _, c := range b.commands {
+		for _, m := range c.Members {
+			require.NotEqual(t, "i1", m.ID, "%s keeps the silent member", c.Kind)
+		}
+	}
+	require.Empty(t, b.state.Check())
+}
+
 // Guards against a second loss right after a repair that leaves two broken
 // groups although one can be completed from the other.
 func TestTwoBrokenGroupsMakeOneWhole(t *testing.T) {
@@ -221,3 +238,28 @@
 		w.ctrl.Decide(w.now, w.state, w.observed, w.settings)
 	}
 }
+
+// Guards against a member's absence that the settings no longer tolerate being
+// waited out because members usually return.
+func TestPatienceEndsTheWait(t *testing.T) {
+	absentFor := func(patience time.Duration) []Kind {
+		d := demand("m", 1)
+		d.Patience = patience
+		b := newBench(3, d)
+		// Members have always returned after 20 s, so that waiting is cheapest.
+		b.ctrl.history = nil
+		for range 50 {
+			b.ctrl.history = append(b.ctrl.history, 20*time.Second)
+		}
+		b.run(30 * time.Second)
+		require.Equal(t, 1, b.serving("m"))
+		b.ctrl.cfg.StartTime = time.Minute
+		for _, g := range b.state.Groups {
+			b.silent[g.Members[1].ID] = true
+		}
+		b.run(15 * time.Second)
+		return b.kinds()
+	}
+	require.Empty(t, absentFor(0))
+	require.Contains(t, absentFor(5*time.Second), Replace)
+}
