Report a deadline within an answer as deadline_exceeded

Cause: an answer that was not whole at the request's deadline had the code upstream_truncated. The attempt then counted as a broken connection: the upstream was ejected as after a reset and probed as after a crash, although it was only slow, and the caller got 502 for 504. Change: take the code from the cause of the attempt's context, for streams and whole answers.

--- a/internal/edge/caller/stream.go
+++ b/internal/edge/caller/stream.go
@@ -175,6 +175,8 @@
 		return errPreempted
 	case errors.Is(cause, errStalled):
 		code, err = fault.DeadlineExceeded, errStalled
+	case errors.Is(cause, context.DeadlineExceeded):
+		code = fault.DeadlineExceeded
 	case errors.Is(err, io.EOF):
 		err = io.ErrUnexpectedEOF
 	}
--- a/internal/edge/caller/whole.go
+++ b/internal/edge/caller/whole.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -78,9 +79,14 @@
 	return nil
 }
 
+// truncated returns the error of an answer that broke off, or that was not
+// whole at the request's deadline.
 func (x *exchange) truncated(t *try, err error) error {
-	at := fault.At{Step: StepRelay, Peer: t.choice.Target().ID}
-	return fault.Wrap(err, fault.UpstreamTruncated, at, fault.Unknown)
+	code := fault.UpstreamTruncated
+	if errors.Is(context.Cause(t.ctx), context.DeadlineExceeded) {
+		code = fault.DeadlineExceeded
+	}
+	return fault.Wrap(err, code, fault.At{Step: StepRelay, Peer: t.choice.Target().ID}, fault.Unknown)
 }
 
 // writeAnswer sends a whole answer.
