Let an isolated run go on when its caller goes away

Cause: only a request that is certainly in flight at a crash can be condemned for it (quarantine.Isolate), but every attempt was cancelled upstream when its caller disconnected, so a caller that leaves early could crash upstreams without being condemned. An attempt was also begun for a caller that had left, which counted as a failure of the upstream. Change: Choice.OutlivesCaller, true when quarantine ruled Isolate. Such an attempt keeps the request's deadline and its values but not its cancellation, and reads the answer to its end for streams, whole answers and requests without a key. No attempt begins once the request's context has ended.

--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -178,14 +178,16 @@
 	}
 	target := quarantine.Target{Upstream: u.ID, Incarnation: u.Incarnation}
 	run := p.next.Add(1)
-	if _, ok := p.crashes.book.Start(now, w.Route.Service, run, digestOf(w), target); !ok {
+	ruling, ok := p.crashes.book.Start(now, w.Route.Service, run, digestOf(w), target)
+	if !ok {
 		return nil, &retryPick{upstream: u.ID, suspect: true}
 	}
 	load := u.EstimatedLoad()
 	p.router.Begin(now, u, req.Prefix)
 	return &choice{
 		picker: p, upstream: u, features: known.Features, service: w.Route.Service, run: run, begun: now, target: target,
-		load: load, blocks: picked.Blocks, sticky: picked.Sticky,
+		isolated: ruling.Action == quarantine.Isolate,
+		load:     load, blocks: picked.Blocks, sticky: picked.Sticky,
 	}, nil
 }
 
@@ -428,6 +430,8 @@
 	load   float64
 	blocks int
 	sticky bool
+	// isolated means that quarantine ruled that the run is apart from others.
+	isolated bool
 }
 
 // Target implements caller.Choice.
@@ -454,6 +458,10 @@
 // CanResume implements caller.Choice.
 func (c *choice) CanResume() bool { return c.features.Resume }
 
+// OutlivesCaller implements caller.Choice. An isolated run goes on, since only
+// a request that is certainly in flight at a crash is condemned for it.
+func (c *choice) OutlivesCaller() bool { return c.isolated }
+
 // FirstByte implements caller.Choice.
 func (c *choice) FirstByte() { c.first = time.Since(c.begun) }
 
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -42,6 +42,8 @@
 	cancel context.CancelCauseFunc
 	ctx    context.Context
 	span   trace.Span
+	// release frees the deadline of an attempt that outlives its caller.
+	release context.CancelFunc
 	// sent is false while no byte can have reached the upstream.
 	sent bool
 }
@@ -49,6 +51,7 @@
 // end closes the attempt and reports its result.
 func (t *try) end(result Result) {
 	t.cancel(nil)
+	t.release()
 	if t.resp != nil {
 		_ = t.resp.Body.Close()
 	}
@@ -101,6 +104,9 @@
 
 // send starts the next attempt and waits for the response headers.
 func (x *exchange) send(ctx context.Context, resume *upstream.Resume, once bool) (*try, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fault.Wrap(err, endedCode(err), fault.At{Step: StepPick}, fault.NotRun)
+	}
 	x.attempt++
 	choice, err := x.pick(ctx)
 	if err != nil {
@@ -109,10 +115,13 @@
 	target := choice.Target()
 	x.tried = append(x.tried, target.ID)
 	x.finished.Upstream = target.ID
-	t := &try{choice: choice}
+	t := &try{choice: choice, release: func() {}}
 	spanCtx, span := x.Tracer.Start(ctx, "dispatch", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("upstream", target.ID), attribute.Int("attempt", x.attempt)))
 	t.span = span
+	if choice.OutlivesCaller() {
+		spanCtx, t.release = context.WithDeadline(context.WithoutCancel(spanCtx), x.work.Deadline)
+	}
 	t.ctx, t.cancel = context.WithCancelCause(spanCtx)
 	timer := time.AfterFunc(x.work.Route.FirstByteTimeout, func() { t.cancel(errFirstByte) })
 	defer timer.Stop()
@@ -131,6 +140,14 @@
 	return t, nil
 }
 
+// endedCode is the code of an error of a request's context.
+func endedCode(err error) fault.Code {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fault.DeadlineExceeded
+	}
+	return fault.Unavailable
+}
+
 // timeoutError names the first-byte timeout as the reason of a failed attempt.
 func timeoutError(ctx context.Context, err error) error {
 	if errors.Is(context.Cause(ctx), errFirstByte) {
--- a/internal/edge/caller/deps.go
+++ b/internal/edge/caller/deps.go
@@ -118,6 +118,9 @@
 	HonoursPriority() bool
 	// CanResume reports whether the engine resumes streams.
 	CanResume() bool
+	// OutlivesCaller reports whether the attempt runs to its end, or to the
+	// request's deadline, although its caller goes away.
+	OutlivesCaller() bool
 	// FirstByte records the time to the first byte of the answer.
 	FirstByte()
 	// Finish ends the attempt.
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -42,6 +42,9 @@
 	quarantine error
 	preempt    []chan struct{}
 	finished   []Finished
+	// outlives is what choices say, results what attempts ended with.
+	outlives bool
+	results  []Result
 }
 
 type fakeClaim struct {
@@ -121,6 +124,8 @@
 type harnessChoice struct {
 	target    upstream.Target
 	canResume bool
+	outlives  bool
+	finish    func(Result)
 }
 
 func (c harnessChoice) Target() upstream.Target { return c.target }
@@ -128,7 +133,8 @@
 func (c harnessChoice) HonoursPriority() bool   { return false }
 func (c harnessChoice) CanResume() bool         { return c.canResume }
 func (c harnessChoice) FirstByte()              {}
-func (c harnessChoice) Finish(Result)           {}
+func (c harnessChoice) OutlivesCaller() bool    { return c.outlives }
+func (c harnessChoice) Finish(r Result)         { c.finish(r) }
 
 func (h *harness) Pick(w *Work, _ int, tried []string) (Choice, error) {
 	var all []harnessChoice
@@ -140,10 +146,11 @@
 	} else {
 		for _, e := range h.engines {
 			a := e.Announcement()
-			all = append(all, harnessChoice{upstream.Target{ID: a.ID, Address: a.Address}, a.Features.Resume})
+			all = append(all, harnessChoice{target: upstream.Target{ID: a.ID, Address: a.Address}, canResume: a.Features.Resume})
 		}
 	}
 	for _, c := range all {
+		c.outlives, c.finish = h.outlives, h.noteResult
 		if !slices.Contains(tried, c.target.ID) {
 			return c, nil
 		}
@@ -151,7 +158,15 @@
 	if len(all) == 0 {
 		return nil, fault.New(fault.NoUpstream, fault.At{}, fault.NotRun, "none")
 	}
-	return all[len(all)-1], nil
+	last := all[len(all)-1]
+	last.outlives, last.finish = h.outlives, h.noteResult
+	return last, nil
+}
+
+func (h *harness) noteResult(r Result) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.results = append(h.results, r)
 }
 
 func (h *harness) First(*Work) {}
--- a/internal/edge/caller/stream.go
+++ b/internal/edge/caller/stream.go
@@ -34,6 +34,8 @@
 	delivered int64
 	token     string
 	buf       []byte
+	// gone is why nothing more can be sent to the caller.
+	gone error
 }
 
 // serveStream answers a streamed chat completion. A stream that breaks or is
@@ -129,12 +131,32 @@
 		if in.Pending() {
 			continue
 		}
-		if err := out.Flush(); err != nil {
-			return t.fail(callerGone(err))
+		if err := s.flush(t, out); err != nil {
+			return err
 		}
 	}
 }
 
+func (s *stream) flush(t *try, out *http.ResponseController) error {
+	if s.gone != nil {
+		return nil
+	}
+	if err := out.Flush(); err != nil {
+		return s.leave(t, err)
+	}
+	return nil
+}
+
+// leave ends an attempt whose caller has gone away, unless it outlives its
+// caller: the rest of the stream is then read and discarded.
+func (s *stream) leave(t *try, err error) error {
+	if t.choice.OutlivesCaller() {
+		s.gone = err
+		return nil
+	}
+	return t.fail(callerGone(err))
+}
+
 // deliver sends an event to the caller unless it was sent before.
 func (s *stream) deliver(t *try, e *sse.Event) error {
 	switch {
@@ -145,15 +167,18 @@
 	case e.Position > s.delivered+1:
 		return s.broken(t, fault.UpstreamProtocol, errGap)
 	}
+	s.delivered = e.Position
+	s.finished.Tokens = int(s.delivered) + 1
+	if s.gone != nil {
+		return nil
+	}
 	if !s.wrote {
 		s.writeHead(t.resp.StatusCode, t.resp.Header)
 	}
 	s.buf = sse.Append(s.buf[:0], e)
 	if _, err := s.w.Write(s.buf); err != nil {
-		return t.fail(callerGone(err))
+		return s.leave(t, err)
 	}
-	s.delivered = e.Position
-	s.finished.Tokens = int(s.delivered) + 1
 	return nil
 }
 
@@ -218,6 +243,7 @@
 	return func() { close(quit) }
 }
 
+// callerGone is the error of a request whose caller went away, nil for nil.
 func callerGone(err error) error {
 	return fault.Wrap(err, fault.Unavailable, fault.At{Step: StepRelay, Peer: "caller"}, fault.Unknown)
 }
--- a/internal/edge/caller/whole.go
+++ b/internal/edge/caller/whole.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -62,21 +63,40 @@
 // relay passes on an answer that is larger than the spool.
 func (x *exchange) relay(t *try, head []byte) error {
 	x.writeHead(t.resp.StatusCode, t.resp.Header)
-	_, err := x.w.Write(head)
-	if err != nil {
-		return t.fail(fault.Wrap(err, fault.Unavailable, fault.At{Step: StepRelay, Peer: "caller"}, fault.Unknown))
+	out := &relayWriter{w: x.w, discards: t.choice.OutlivesCaller()}
+	limit := x.work.Route.MaxResponseBytes
+	n, err := io.Copy(out, io.LimitReader(io.MultiReader(bytes.NewReader(head), t.resp.Body), limit+1))
+	if out.gone != nil && !out.discards {
+		return t.fail(callerGone(out.gone))
 	}
-	rest := x.work.Route.MaxResponseBytes - int64(len(head))
-	n, err := io.Copy(x.w, io.LimitReader(t.resp.Body, rest+1))
 	if err != nil {
 		return t.fail(x.truncated(t, err))
 	}
-	if n > rest {
+	if n > limit {
 		at := fault.At{Step: StepRelay, Peer: t.choice.Target().ID}
-		return t.fail(fault.New(fault.DeadlineExceeded, at, fault.Unknown, fmt.Sprintf("the answer exceeds %d bytes", x.work.Route.MaxResponseBytes)))
+		return t.fail(fault.New(fault.DeadlineExceeded, at, fault.Unknown, fmt.Sprintf("the answer exceeds %d bytes", limit)))
 	}
 	t.end(Result{OK: true})
-	return nil
+	return callerGone(out.gone)
+}
+
+// relayWriter passes an answer on. When the caller has gone away it fails, or
+// discards the rest so that the answer is read to its end.
+type relayWriter struct {
+	w        io.Writer
+	discards bool
+	gone     error
+}
+
+// Write implements io.Writer.
+func (r *relayWriter) Write(p []byte) (int, error) {
+	if r.gone == nil {
+		_, r.gone = r.w.Write(p)
+	}
+	if r.gone != nil && !r.discards {
+		return 0, r.gone
+	}
+	return len(p), nil
 }
 
 // truncated returns the error of an answer that broke off, or that was not
