--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -20,9 +20,10 @@
 
 const (
 	// lookupHold is how long a voter holds the question about a running claim.
-	lookupHold  = 2 * time.Second
-	claimPause  = 100 * time.Millisecond
-	claimExtend = time.Minute
+	lookupHold = 2 * time.Second
+	claimPause = 100 * time.Millisecond
+	// settleTimeout bounds the attempts to record how a claimed request ended.
+	settleTimeout = time.Minute
 )
 
 // serveLookup answers with the record of a key. While the key's request runs
@@ -219,7 +220,7 @@
 // A resend that comes before it finds the request running and waits.
 func (c *claims) settle(command claim.Command) {
 	c.settling.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), claimExtend)
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		for ctx.Err() == nil {
 			if _, err := c.propose(ctx, command); err == nil {
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -24,8 +24,6 @@
 	// leaseCheck bounds the proof of leadership before orders are sent.
 	leaseCheck       = time.Second
 	preferLocalPause = 2 * time.Second
-	// addressless marks a member of an order that is not known any more.
-	addressless = ""
 )
 
 // groupManager runs the decisions on replica groups while this instance leads
@@ -44,7 +42,6 @@
 	// The fields below belong to the actor.
 	controller *group.Controller
 	term       uint64
-	totals     map[string]int
 
 	mu       sync.Mutex
 	accounts []group.Account
@@ -54,7 +51,7 @@
 type decideMessage struct{}
 
 func newGroupManager(cfg *config.Daemon, d *domainReplica, m *members, client *upstream.Client, tree func() *settings.Tree, registry metrics.Registry, logger *zap.Logger) *groupManager {
-	return &groupManager{cfg: cfg, domain: d, members: m, client: client, tree: tree, registry: registry, logger: logger, totals: map[string]int{}}
+	return &groupManager{cfg: cfg, domain: d, members: m, client: client, tree: tree, registry: registry, logger: logger}
 }
 
 func (g *groupManager) start(system *actor.ActorSystem) {
@@ -251,7 +248,8 @@
 		ID: o.ID, Kind: upstream.OrderKind(o.Kind), Group: o.Group, Epoch: o.Epoch, Rank: o.Rank, Model: o.Model,
 	}
 	for _, m := range o.Members {
-		member := upstream.Member{ID: m.ID, Address: addressless}
+		// A member that is no longer known has no address.
+		member := upstream.Member{ID: m.ID}
 		if u := view.Get(m.ID); u != nil {
 			member.Address = u.Address
 		}
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -42,7 +42,6 @@
 	client  *feed.Client
 	// sources answer the followers of each domain log that is hosted here.
 	sources map[string]*feed.Source
-	started time.Time
 
 	feeds   []*domainFeed
 	changed *signal
@@ -56,7 +55,7 @@
 
 func newSharedState(cfg *config.Daemon, network *peer.Network, l *logs, logger *zap.Logger, onTree func(*settings.Tree)) *sharedState {
 	s := &sharedState{
-		cfg: cfg, network: network, logs: l, logger: logger, sources: map[string]*feed.Source{}, started: time.Now(),
+		cfg: cfg, network: network, logs: l, logger: logger, sources: map[string]*feed.Source{},
 		groups: map[string]*group.State{}, changed: newSignal(), onTree: onTree,
 	}
 	s.global = &globalClient{cfg: cfg, network: network, local: l.global}
