--- a/internal/daemon/admit.go
+++ b/internal/daemon/admit.go
@@ -19,9 +19,10 @@
 
 const (
 	channelShares = "shares"
-	// admissionTick bounds how late a change of capacity or a deadline takes
-	// effect on queued requests.
-	admissionTick = 20 * time.Millisecond
+	// admissionTick bounds how late a deadline or a refilled rate limit takes
+	// effect on queued requests. What frees a slot here admits the next request
+	// at once.
+	admissionTick = 100 * time.Millisecond
 	// reportPeriod is the time between two looks at the upstreams and the demand.
 	// Both take time in proportion to upstreams and accounts, so they are not
 	// part of every admission tick.
@@ -136,6 +137,7 @@
 		a.running[s.ticket] = s
 	case admission.Queued:
 		a.waiting[s.ticket] = s
+		a.preempt(now)
 	default:
 		return nil, refusal(d.Reason, d.RetryAfter)
 	}
@@ -318,14 +320,19 @@
 	for _, service := range services {
 		a.admitNext(now, service)
 	}
+	a.preempt(now)
+	out := a.shares.Tick(now)
+	a.mu.Unlock()
+	a.send(out)
+}
+
+// preempt stops free work for waiting paying work. The caller holds mu.
+func (a *admitter) preempt(now time.Time) {
 	for _, ticket := range a.controller.Preempt(now) {
 		if s := a.running[ticket]; s != nil {
 			close(s.preempted)
 		}
 	}
-	out := a.shares.Tick(now)
-	a.mu.Unlock()
-	a.send(out)
 }
 
 // configure puts settings or a changed set of entries in force.
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -21,6 +21,9 @@
 	// groupTick is the time between two decisions while nothing else asks for
 	// one. It adds to the time to repair a group.
 	groupTick = 250 * time.Millisecond
+	// followerPause is the longest wait for a change of the log's leader, which
+	// ends the wait by itself.
+	followerPause = 5 * time.Second
 	// leaseCheck bounds the proof of leadership before orders are sent.
 	leaseCheck       = time.Second
 	preferLocalPause = 2 * time.Second
@@ -66,7 +69,11 @@
 		// The reply is waited for, so that requests do not pile up behind a
 		// slow log.
 		_, _ = g.system.Root.RequestFuture(g.pid, &decideMessage{}, proposeTimeout).Result()
-		wait(ctx, changed, groupTick)
+		pause := groupTick
+		if !g.domain.Status().Leads() {
+			pause = followerPause
+		}
+		wait(ctx, changed, pause)
 	}
 }
 
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -18,10 +18,11 @@
 
 const (
 	channelMembership = "membership"
-	// membershipTick bounds the delay of urgent batches, which is part of the
-	// bound on the departure of an upstream.
-	membershipTick = 50 * time.Millisecond
-	probeTimeout   = 700 * time.Millisecond
+	// The registry says when its next work is due. It is asked no more often
+	// than leastTick, and at least every longestTick to look at its peers.
+	leastTick    = 10 * time.Millisecond
+	longestTick  = 250 * time.Millisecond
+	probeTimeout = 700 * time.Millisecond
 	// replyTimeout bounds the wait for the membership actor.
 	replyTimeout = 2 * time.Second
 )
@@ -53,6 +54,10 @@
 	pid     *actor.PID
 	view    atomic.Pointer[membership.View]
 	live    atomic.Pointer[[]string]
+	// due is when the registry's next work is due, in Unix nanoseconds; sooner
+	// gets a value when it was brought forward.
+	due    atomic.Int64
+	sooner chan struct{}
 	// onEvents is called by the actor with the events of each turn.
 	onEvents func([]membership.Event)
 	cache    func(upstream.CacheEvents)
@@ -63,7 +68,7 @@
 func newMembers(cfg *config.Daemon, incarnation uint64, network *peer.Network, client *upstream.Client, logger *zap.Logger) *members {
 	now := time.Now()
 	m := &members{
-		cfg: cfg, network: network, client: client, logger: logger,
+		sooner: make(chan struct{}, 1), cfg: cfg, network: network, client: client, logger: logger,
 		registry: membership.New(membership.Config{
 			ID: cfg.ID, Address: cfg.Listen.Upstream, FailureDomain: cfg.FailureDomain, Incarnation: incarnation,
 		}, now),
@@ -96,7 +101,28 @@
 
 // run makes the actor's time pass.
 func (m *members) run(ctx context.Context) {
-	every(ctx, membershipTick, func(time.Time) { m.system.Root.Send(m.pid, &tickMessage{}) })
+	for ctx.Err() == nil {
+		m.system.Root.Send(m.pid, &tickMessage{})
+		// A message may bring the next work forward, so the wait ends early.
+		select {
+		case <-m.sooner:
+		default:
+		}
+		due := time.Until(time.Unix(0, m.due.Load()))
+		wait(ctx, m.sooner, min(max(due, leastTick), longestTick))
+	}
+}
+
+// schedule notes when the registry's next work is due.
+func (m *members) schedule() {
+	due := m.registry.NextTick().UnixNano()
+	if m.due.Swap(due) <= due {
+		return
+	}
+	select {
+	case m.sooner <- struct{}{}:
+	default:
+	}
 }
 
 // View returns the upstreams as this daemon knows them.
@@ -165,6 +191,7 @@
 		return
 	}
 	m.execute(now, m.registry.Tick(now))
+	m.schedule()
 	m.view.Store(m.registry.View())
 }
 
