--- a/internal/daemon/admit.go
+++ b/internal/daemon/admit.go
@@ -13,7 +13,6 @@
 	"github.com/bluebellfield/bluebellfield/internal/config"
 	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
-	"github.com/bluebellfield/bluebellfield/internal/peer"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
@@ -34,7 +33,7 @@
 // the shares of the limits that this entry holds.
 type admitter struct {
 	cfg      *config.Daemon
-	network  *peer.Network
+	network  messenger
 	logger   *zap.Logger
 	tree     func() *settings.Tree
 	live     func() []string
@@ -64,7 +63,7 @@
 	preempted chan struct{}
 }
 
-func newAdmitter(cfg *config.Daemon, incarnation uint64, network *peer.Network, tree func() *settings.Tree, logger *zap.Logger) *admitter {
+func newAdmitter(cfg *config.Daemon, incarnation uint64, network messenger, tree func() *settings.Tree, logger *zap.Logger) *admitter {
 	now := time.Now()
 	a := &admitter{
 		cfg: cfg, network: network, logger: logger, tree: tree,
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -10,7 +10,6 @@
 	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
-	"github.com/bluebellfield/bluebellfield/internal/peer"
 	"github.com/bluebellfield/bluebellfield/membership"
 	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/quarantine/quarantinepb"
@@ -27,14 +26,14 @@
 // entries.
 type crashWatch struct {
 	book    *quarantine.Book
-	network *peer.Network
+	network messenger
 	client  *upstream.Client
 	live    func() []string
 	tree    func() *settings.Tree
 	logger  *zap.Logger
 }
 
-func newCrashWatch(self string, network *peer.Network, client *upstream.Client, live func() []string, tree func() *settings.Tree, logger *zap.Logger) *crashWatch {
+func newCrashWatch(self string, network messenger, client *upstream.Client, live func() []string, tree func() *settings.Tree, logger *zap.Logger) *crashWatch {
 	c := &crashWatch{
 		book: quarantine.New(quarantine.Config{Self: self}), network: network, client: client, live: live, tree: tree, logger: logger,
 	}
--- a/internal/daemon/logs.go
+++ b/internal/daemon/logs.go
@@ -115,6 +115,13 @@
 	return r, nil
 }
 
+// messenger is what the parts of a daemon use of the network between daemons.
+type messenger interface {
+	Send(to, channel string, payload []byte) bool
+	Call(ctx context.Context, to, channel string, payload []byte) ([]byte, error)
+	Handle(channel string, h peer.Handler)
+}
+
 // transport sends log messages over the peer network.
 type transport struct{ network *peer.Network }
 
@@ -179,7 +186,7 @@
 // globalClient reaches the global log from any daemon.
 type globalClient struct {
 	cfg     *config.Daemon
-	network *peer.Network
+	network messenger
 	local   *globalReplica
 }
 
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -11,7 +11,6 @@
 	"github.com/bluebellfield/bluebellfield/internal/config"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
-	"github.com/bluebellfield/bluebellfield/internal/peer"
 	"github.com/bluebellfield/bluebellfield/membership"
 	"github.com/bluebellfield/bluebellfield/membership/wire"
 )
@@ -46,7 +45,7 @@
 // members owns the registry of upstreams and publishes its view.
 type members struct {
 	cfg     *config.Daemon
-	network *peer.Network
+	network messenger
 	client  *upstream.Client
 	logger  *zap.Logger
 	system  *actor.ActorSystem
@@ -60,7 +59,7 @@
 	registry *membership.Registry
 }
 
-func newMembers(cfg *config.Daemon, incarnation uint64, network *peer.Network, client *upstream.Client, logger *zap.Logger) *members {
+func newMembers(cfg *config.Daemon, incarnation uint64, network messenger, client *upstream.Client, logger *zap.Logger) *members {
 	now := time.Now()
 	m := &members{
 		cfg: cfg, network: network, client: client, logger: logger,
