Keep callers without a known key when their account has no node

Cause: the account of callers without a known key needs no node in the settings, but admission looked accounts up in the tree only. Where the settings let unknown keys in and anonymous callers not, every such request was refused with 404; where they let anonymous callers in, the queued ones were refused with 401 at the next tick, within 20 ms. A request of an account that was removed between authentication and admission ran as an anonymous one. Change: accountOf finds that account by its id, for submission and for updates. Before: TestAnonymousCallersQueue failed in 2 of 4 cases, TestAdmitRefusals in 1.

--- a/internal/daemon/admit.go
+++ b/internal/daemon/admit.go
@@ -97,10 +97,7 @@
 	now := time.Now()
 	tree := a.tree()
 	service, ok := tree.Service(w.Route.Service)
-	account, known := tree.Account(w.Account.ID)
-	if !known {
-		account, known = tree.Global().Anonymous, tree.Global().Anonymous != nil
-	}
+	account, known := accountOf(tree, w.Account.ID)
 	if !ok || !known {
 		return nil, fault.New(fault.NotFound, fault.At{Step: caller.StepAdmit}, fault.NotRun, "the account or the service was removed")
 	}
@@ -133,6 +130,20 @@
 	return s, nil
 }
 
+// accountOf returns an account by id. The account of callers without a known
+// key exists without a node of its own while the settings let them in.
+func accountOf(tree *settings.Tree, id string) (*settings.Account, bool) {
+	if account, ok := tree.Account(id); ok {
+		return account, true
+	}
+	for _, account := range []*settings.Account{tree.Global().Anonymous, tree.Global().UnknownKey} {
+		if account != nil && account.ID == id {
+			return account, true
+		}
+	}
+	return nil, false
+}
+
 func refusal(reason admission.Reason, retryAfter time.Duration) error {
 	err := fault.New(fault.Code(reason), fault.At{Step: caller.StepAdmit}, fault.NotRun, "the request was not admitted: "+string(reason))
 	return fault.WithRetryAfter(err, retryAfter)
@@ -362,7 +373,7 @@
 // updateRules puts changed limits in force for the accounts with work here.
 func (a *admitter) updateRules(now time.Time, tree *settings.Tree) {
 	for key := range a.active {
-		account, ok := tree.Account(key.account)
+		account, ok := accountOf(tree, key.account)
 		if !ok {
 			a.refuse(a.controller.RemoveAccount(now, key.account))
 			continue
--- /dev/null
+++ b/internal/daemon/admit_test.go
@@ -0,0 +1,265 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellfield/bluebellfield/admission"
+	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/settings"
+)
+
+// admitterTest is an admitter whose time passes within a bubble.
+type admitterTest struct {
+	*admitter
+	settings atomic.Pointer[settings.Tree]
+	slots    atomic.Int64
+	cancel   context.CancelFunc
+	callers  sync.WaitGroup
+}
+
+func startAdmitter(t require.TestingT, slots int64, ops ...settings.Op) *admitterTest {
+	a := &admitterTest{}
+	a.settings.Store(testTree(t, ops...))
+	a.slots.Store(slots)
+	cfg := testConfig()
+	a.admitter = newAdmitter(cfg, 1, &fakeNetwork{}, a.settings.Load, zap.NewNop())
+	a.live = func() []string { return nil }
+	a.capacity = func(string) admission.Capacity { return admission.Capacity{Slots: int(a.slots.Load())} }
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	a.callers.Go(func() { a.run(ctx) })
+	time.Sleep(time.Second)
+	return a
+}
+
+func (a *admitterTest) stop() {
+	a.cancel()
+	a.callers.Wait()
+}
+
+func admitWork(account, service string, left time.Duration) *caller.Work {
+	w := &caller.Work{RequestID: "r", Deadline: time.Now().Add(left), Tokens: 10}
+	w.Account.ID, w.Route.Service = account, service
+	return w
+}
+
+// counts returns the requests that wait and run, after checking that every
+// count agrees.
+func (a *admitterTest) counts(t require.TestingT) (waiting, running int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	held := map[string]int{}
+	for _, slots := range []map[admission.Ticket]*slot{a.waiting, a.running} {
+		for _, s := range slots {
+			held[s.key.service]++
+		}
+	}
+	for service, n := range a.streams {
+		require.Equal(t, held[service], n, "streams of %s", service)
+	}
+	require.Equal(t, a.controller.Open(), len(a.waiting)+len(a.running), "open tickets")
+	return len(a.waiting), len(a.running)
+}
+
+// Guards against a request that is refused with the wrong code, or that keeps
+// a place after it was refused.
+func TestAdmitRefusals(t *testing.T) {
+	one := setting("/", settings.KeyMaxStreams, settings.Number(1))
+	cases := []struct {
+		name   string
+		ops    []settings.Op
+		work   func() *caller.Work
+		before func(*admitterTest)
+		code   fault.Code
+	}{
+		{"unknown service", nil, func() *caller.Work { return admitWork("rug", "none", time.Minute) }, nil, fault.NotFound},
+		{"removed account", nil, func() *caller.Work { return admitWork("gone", "wash", time.Minute) }, nil, fault.NotFound},
+		{"removed account, anonymous allowed", []settings.Op{setting("/", settings.KeyAnonymous, settings.Text(settings.CallerFree))},
+			func() *caller.Work { return admitWork("gone", "wash", time.Minute) }, nil, fault.NotFound},
+		{"too many streams", []settings.Op{one}, func() *caller.Work { return admitWork("rug", "wash", time.Minute) }, func(a *admitterTest) {
+			_, err := a.submit(admitWork("rug", "wash", time.Minute))
+			if err != nil {
+				panic(err)
+			}
+		}, fault.TooManyStreams},
+		{"no capacity before the deadline", nil, func() *caller.Work { return admitWork("rug", "wash", 100*time.Millisecond) }, func(a *admitterTest) { a.slots.Store(0) }, fault.DeadlineExceeded},
+		{"no capacity in time", nil, func() *caller.Work { return admitWork("rug", "wash", time.Hour) }, func(a *admitterTest) { a.slots.Store(0) }, fault.QueueTimeout},
+		{"past its deadline", nil, func() *caller.Work { return admitWork("rug", "wash", -time.Second) }, nil, fault.DeadlineExceeded},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := startAdmitter(t, 1, c.ops...)
+				defer a.stop()
+				if c.before != nil {
+					c.before(a)
+					time.Sleep(time.Second)
+				}
+				_, before := a.counts(t)
+				_, err := a.Admit(t.Context(), c.work())
+				require.Equal(t, c.code, fault.CodeOf(err))
+				require.Equal(t, fault.NotRun, fault.OutcomeOf(err))
+				waiting, running := a.counts(t)
+				require.Zero(t, waiting)
+				require.Equal(t, before, running)
+			})
+		})
+	}
+}
+
+// Guards against callers without a known key being refused where the settings
+// let them in but do not describe their account.
+func TestAnonymousCallersQueue(t *testing.T) {
+	for _, key := range []string{settings.KeyAnonymous, settings.KeyUnknownKey} {
+		for _, described := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, described=%v", key, described), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ops := []settings.Op{setting("/", key, settings.Text(settings.CallerFree))}
+					if described {
+						ops = append(ops, setting("/accounts/"+settings.AnonymousAccount, settings.KeyWeight, settings.Number(1)))
+					}
+					a := startAdmitter(t, 0, ops...)
+					defer a.stop()
+					time.AfterFunc(200*time.Millisecond, func() { a.slots.Store(1) })
+					s, err := a.Admit(t.Context(), admitWork(settings.AnonymousAccount, "wash", time.Minute))
+					require.NoError(t, err)
+					s.Release(caller.Usage{})
+					_, running := a.counts(t)
+					require.Zero(t, running)
+				})
+			})
+		}
+	}
+}
+
+// Guards against queued requests of an account that is removed waiting on, and
+// against its running ones being interrupted.
+func TestRemovedAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startAdmitter(t, 1)
+		defer a.stop()
+		running, err := a.Admit(t.Context(), admitWork("visitor", "wash", time.Minute))
+		require.NoError(t, err)
+		a.slots.Store(0)
+		time.Sleep(time.Second)
+		time.AfterFunc(time.Second, func() {
+			tree, problems := settings.NewTree(append(testOps(), settings.Op{Op: settings.OpDelete, Path: "/accounts/visitor"}))
+			require.Empty(t, problems)
+			tree, err := settings.Empty().Advance(settings.Record{Revision: 1, Ops: settings.OpsBetween(settings.Empty(), tree)})
+			require.NoError(t, err)
+			a.settings.Store(tree)
+		})
+		began := time.Now()
+		_, err = a.Admit(t.Context(), admitWork("visitor", "wash", time.Minute))
+		require.Error(t, err)
+		require.Less(t, time.Since(began), 2*time.Second)
+		_, n := a.counts(t)
+		require.Equal(t, 1, n)
+		running.Release(caller.Usage{Tokens: 3})
+		_, n = a.counts(t)
+		require.Zero(t, n)
+	})
+}
+
+// request goes through the admitter as a stream does: it yields when it is
+// preempted and ends when it is told to.
+func (a *admitterTest) request(ctx context.Context, w *caller.Work, finish <-chan struct{}) {
+	ctx, cancel := context.WithDeadline(ctx, w.Deadline)
+	defer cancel()
+	s, err := a.Admit(ctx, w)
+	if err != nil {
+		return
+	}
+	defer s.Release(caller.Usage{Tokens: 5})
+	for {
+		select {
+		case <-finish:
+			return
+		case <-ctx.Done():
+			return
+		case <-s.Preempted():
+			if s.Yield(ctx) != nil {
+				return
+			}
+		}
+	}
+}
+
+// Guards against a place, a stream or a ticket that is never given back,
+// whatever the order of ends, cancels, preemptions and settings changes.
+func TestEverySlotReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(struct{ testing.TB }{t}, func(rt *rapid.T) {
+			a := startAdmitter(rt, 2)
+			defer a.stop()
+			var finishes []chan struct{}
+			var cancels []context.CancelFunc
+			revision := uint64(1)
+			for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+				switch rapid.IntRange(0, 6).Draw(rt, "step") {
+				case 0, 1, 2:
+					account := rapid.SampledFrom([]string{"rug", "visitor"}).Draw(rt, "account")
+					service := rapid.SampledFrom([]string{"wash", "rug-model"}).Draw(rt, "service")
+					left := time.Duration(rapid.IntRange(-1, 20_000).Draw(rt, "left")) * time.Millisecond
+					ctx, cancel := context.WithCancel(context.Background())
+					finish := make(chan struct{})
+					finishes, cancels = append(finishes, finish), append(cancels, cancel)
+					a.callers.Go(func() { a.request(ctx, admitWork(account, service, left), finish) })
+				case 3:
+					if n := len(finishes); n > 0 {
+						close(finishes[0])
+						finishes = finishes[1:]
+					}
+				case 4:
+					if n := len(cancels); n > 0 {
+						cancels[n-1]()
+					}
+				case 5:
+					a.slots.Store(rapid.Int64Range(0, 4).Draw(rt, "slots"))
+				case 6:
+					ops := []settings.Op{
+						setting("/", settings.KeyQueueSize, settings.Number(float64(rapid.IntRange(1, 8).Draw(rt, "queue")))),
+						setting("/", settings.KeyMaxStreams, settings.Number(float64(rapid.IntRange(1, 8).Draw(rt, "streams")))),
+						setting("/", settings.KeyMaxConcurrent, settings.Number(float64(rapid.IntRange(0, 3).Draw(rt, "concurrent")))),
+					}
+					if rapid.Bool().Draw(rt, "remove") {
+						ops = append(ops, settings.Op{Op: settings.OpDelete, Path: rapid.SampledFrom([]string{"/accounts/visitor", "/services/wash"}).Draw(rt, "path")})
+					}
+					tree, err := settings.Empty().Advance(settings.Record{Revision: 1, Ops: append(testOps(), ops...)})
+					for next := uint64(2); err == nil && next <= revision; next++ {
+						tree, err = tree.Advance(settings.Record{Revision: next})
+					}
+					require.NoError(rt, err)
+					revision++
+					a.settings.Store(tree)
+				}
+				time.Sleep(time.Duration(rapid.IntRange(0, 500).Draw(rt, "wait")) * time.Millisecond)
+				synctest.Wait()
+				a.counts(rt)
+			}
+			for _, cancel := range cancels {
+				cancel()
+			}
+			time.Sleep(time.Second)
+			synctest.Wait()
+			waiting, running := a.counts(rt)
+			require.Zero(rt, waiting)
+			require.Zero(rt, running)
+			for _, service := range []string{"wash", "rug-model"} {
+				paying, free := a.controller.Demand(service)
+				require.Zero(rt, paying.Queued+paying.Running+free.Queued+free.Running)
+			}
+		})
+	})
+}
--- a/internal/daemon/claims_test.go
+++ b/internal/daemon/claims_test.go
@@ -220,10 +220,11 @@
 				require.Equal(t, caller.ClaimRunning, state)
 				// The record is written although the log fails at first.
 				g.next = endings(notProposed, lost, unanswered)
-				go func() {
+				var ended sync.WaitGroup
+				ended.Go(func() {
 					time.Sleep(time.Second)
 					c.end(first)
-				}()
+				})
 				g.lookups = networkFault(fault.NotRun)
 				time.AfterFunc(500*time.Millisecond, func() {
 					g.mu.Lock()
@@ -231,6 +232,7 @@
 					g.lookups = nil
 				})
 				state, answer, err := second.Await(withDeadline(t), claimID("r2"), orderBody)
+				ended.Wait()
 				first.settling.Wait()
 				if c.outcome != "" {
 					require.Equal(t, c.outcome, fault.OutcomeOf(err))
