--- a/internal/daemon/admit.go
+++ b/internal/daemon/admit.go
@@ -13,7 +13,6 @@
 	"github.com/bluebellfield/bluebellfield/internal/config"
 	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
-	"github.com/bluebellfield/bluebellfield/internal/peer"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
@@ -39,7 +38,7 @@
 // the shares of the limits that this entry holds.
 type admitter struct {
 	cfg      *config.Daemon
-	network  *peer.Network
+	network  messenger
 	logger   *zap.Logger
 	tree     func() *settings.Tree
 	live     func() []string
@@ -71,7 +70,7 @@
 	preempted chan struct{}
 }
 
-func newAdmitter(cfg *config.Daemon, incarnation uint64, network *peer.Network, tree func() *settings.Tree, logger *zap.Logger) *admitter {
+func newAdmitter(cfg *config.Daemon, incarnation uint64, network messenger, tree func() *settings.Tree, logger *zap.Logger) *admitter {
 	now := time.Now()
 	a := &admitter{
 		cfg: cfg, network: network, logger: logger, tree: tree,
@@ -105,10 +104,7 @@
 	now := time.Now()
 	tree := a.tree()
 	service, ok := tree.Service(w.Route.Service)
-	account, known := tree.Account(w.Account.ID)
-	if !known {
-		account, known = tree.Global().Anonymous, tree.Global().Anonymous != nil
-	}
+	account, known := accountOf(tree, w.Account.ID)
 	if !ok || !known {
 		return nil, fault.New(fault.NotFound, fault.At{Step: caller.StepAdmit}, fault.NotRun, "the account or the service was removed")
 	}
@@ -145,6 +141,20 @@
 	return s, nil
 }
 
+// accountOf returns an account by id. The account of callers without a known
+// key exists without a node of its own while the settings let them in.
+func accountOf(tree *settings.Tree, id string) (*settings.Account, bool) {
+	if account, ok := tree.Account(id); ok {
+		return account, true
+	}
+	for _, account := range []*settings.Account{tree.Global().Anonymous, tree.Global().UnknownKey} {
+		if account != nil && account.ID == id {
+			return account, true
+		}
+	}
+	return nil, false
+}
+
 func refusal(reason admission.Reason, retryAfter time.Duration) error {
 	err := fault.New(fault.Code(reason), fault.At{Step: caller.StepAdmit}, fault.NotRun, "the request was not admitted: "+string(reason))
 	return fault.WithRetryAfter(err, retryAfter)
@@ -382,7 +392,7 @@
 // updateRules puts changed limits in force for the accounts with work here.
 func (a *admitter) updateRules(now time.Time, tree *settings.Tree) {
 	for key := range a.active {
-		account, ok := tree.Account(key.account)
+		account, ok := accountOf(tree, key.account)
 		if !ok {
 			a.refuse(a.controller.RemoveAccount(now, key.account))
 			continue
