Let free requests in an engine's queue, whole answers and overdue requests give way

Cause: with every engine without priorities filled by free streams, paying streams waited 11.3 to 11.5 s. Requests past their expected run time were never preempted; requests that had no response headers yet, and whole answers, did not notice a preemption; each entry rounded its backlog up to one request, which put 14 on 8 slots. A stream preempted before its first event could also be reported as not-run. Change: attempts watch for preemption from the dispatch on, overdue requests can give way, the backlog for engines in order of arrival is rounded to the nearest, and the outcome of a preempted attempt counts. The slot of the caller tests now gives a new right to run after Yield, as the daemon's does.

--- a/admission/commands.go
+++ b/admission/commands.go
@@ -199,7 +199,8 @@
 	return out
 }
 
-// mayYield returns whether a running free request can be asked to give way.
+// mayYield returns whether a running free request can be asked to give way. One
+// that has run for longer than expected may go on for any time, so it can.
 func (c *Controller) mayYield(now time.Time, t *ticket) bool {
 	if t.preemptions >= c.opts.MaxPreemptions {
 		return false
@@ -208,7 +209,7 @@
 		return true
 	}
 	left := t.admittedAt.Add(t.req.Expected).Sub(now)
-	return left > c.opts.NearEnd
+	return left <= 0 || left > c.opts.NearEnd
 }
 
 // SetCapacity replaces what is known of the upstreams of a service.
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -162,6 +162,33 @@
 	require.Empty(t, c.Preempt(start.Add(9800*time.Millisecond)), "the last candidate is close to its end")
 }
 
+// Guards against a free request that can no longer be preempted once it has run
+// for longer than expected.
+func TestPreemptOverdue(t *testing.T) {
+	c := New(exact(Options{}))
+	c.SetCapacity("s", oneEntry(1, false))
+	free := request("f", rules(Free, 1))
+	free.Expected = 2 * time.Second
+	running := c.Submit(start, free).Ticket
+	now := start.Add(5 * time.Second)
+	c.Submit(now, request("p", rules(Paying, 1)))
+	require.Equal(t, []Ticket{running}, c.Preempt(now))
+}
+
+// Guards against a backlog that many entries with few slots each round up to a
+// request, which together doubles the work in front of paying requests.
+func TestBacklogOfSmallShares(t *testing.T) {
+	for _, test := range []struct{ share, admitted int }{{1, 1}, {2, 2}, {40, 42}} {
+		c := New(Options{})
+		c.SetCapacity("s", Capacity{Slots: 7 * test.share, Load: 7 * test.share, Entries: 7, Share: float64(test.share)})
+		for range 2*test.share + 2 {
+			c.Submit(start, request("f", rules(Free, 1)))
+		}
+		_, free := c.Demand("s")
+		require.Equal(t, test.admitted, free.Running, "share %d", test.share)
+	}
+}
+
 // Guards against settings that apply only to requests submitted later.
 func TestSettingsReachQueuedRequests(t *testing.T) {
 	setup := func() (*Controller, []Ticket) {
--- a/admission/state.go
+++ b/admission/state.go
@@ -103,11 +103,13 @@
 // that show idle slots let every entry take its part of them beyond its share.
 func (c *Controller) limit(s *service) int {
 	share := s.share()
-	backlog := c.opts.BacklogInOrder
 	if s.capacity.Priorities {
-		backlog = c.opts.Backlog
+		share += math.Ceil(share * c.opts.Backlog)
+	} else {
+		// One request more at each of many entries with small shares would
+		// double the work and put paying work behind it, so it is not rounded up.
+		share += math.Round(share * c.opts.BacklogInOrder)
 	}
-	share += math.Ceil(share * backlog)
 	idle := (s.capacity.Slots - s.capacity.Load) / max(1, s.capacity.Entries)
 	if idle <= 0 {
 		// Work beyond the share, left from a time with idle slots or a larger
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -44,6 +45,37 @@
 	span   trace.Span
 	// sent is false while no byte can have reached the upstream.
 	sent bool
+	// keep ends the watch for preemption.
+	keep func()
+}
+
+// watch cancels the attempt when paying work needs its place and the engine
+// does not order its batch by priority. A request that waits in the engine's
+// queue gives way as well: paying work would queue behind it.
+func (t *try) watch(preempted <-chan struct{}) {
+	t.keep = func() {}
+	if preempted == nil || t.choice.HonoursPriority() {
+		return
+	}
+	kept := make(chan struct{})
+	t.keep = sync.OnceFunc(func() { close(kept) })
+	go func() {
+		select {
+		case <-preempted:
+			t.cancel(errPreempted)
+		case <-kept:
+		case <-t.ctx.Done():
+		}
+	}()
+}
+
+// gaveWay returns the error of an attempt that was cancelled for paying work,
+// nil for one that ended otherwise. The upstream may have run it in part.
+func (t *try) gaveWay(err error) error {
+	if !errors.Is(context.Cause(t.ctx), errPreempted) {
+		return nil
+	}
+	return fault.Wrap(errPreempted, fault.UpstreamFailed, fault.Location(err), fault.OutcomeOf(err))
 }
 
 // end closes the attempt and reports its result.
@@ -98,7 +130,8 @@
 }
 
 // send starts the next attempt and waits for the response headers.
-func (x *exchange) send(ctx context.Context, resume *upstream.Resume, once bool) (*try, error) {
+// Until keep is called, it is cancelled when preempted is closed.
+func (x *exchange) send(ctx context.Context, resume *upstream.Resume, once bool, preempted <-chan struct{}) (*try, error) {
 	x.attempt++
 	choice, err := x.pick(ctx)
 	if err != nil {
@@ -112,6 +145,7 @@
 		trace.WithAttributes(attribute.String("upstream", target.ID), attribute.Int("attempt", x.attempt)))
 	t.span = span
 	t.ctx, t.cancel = context.WithCancelCause(spanCtx)
+	t.watch(preempted)
 	timer := time.AfterFunc(x.work.Route.FirstByteTimeout, func() { t.cancel(errFirstByte) })
 	defer timer.Stop()
 	t.resp, err = x.Client.Do(t.ctx, upstream.Dispatch{
@@ -119,6 +153,9 @@
 		RequestID: x.work.RequestID, Attempt: x.attempt, Priority: string(x.work.Account.Class), Resume: resume, Once: once,
 	})
 	if err != nil {
+		if preemption := t.gaveWay(err); preemption != nil {
+			return nil, t.fail(preemption)
+		}
 		return nil, t.fail(timeoutError(t.ctx, err))
 	}
 	t.sent = true
@@ -211,6 +248,15 @@
 	}
 }
 
+// yield waits for the right to run again after the attempts before, of which
+// the last one gave way to paying work.
+func (x *exchange) yield(ctx context.Context, slot Slot, before error) error {
+	if err := slot.Yield(ctx); err != nil {
+		return earlier(before, err)
+	}
+	return nil
+}
+
 // earlier combines the outcome of a failed attempt with those before it: once
 // an attempt may have run, the request may have run.
 func earlier(before, now error) error {
--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -133,6 +133,48 @@
 	require.Len(t, h.engines[1].Runs(), 1)
 }
 
+// Guards against free requests that keep their place in an engine's queue when
+// paying work needs it, streamed or whole.
+func TestQueuedRequestGivesWay(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprint("stream ", stream), func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.engines[0].SetFaults(fake.Faults{Delay: time.Hour})
+			go h.preemptFirst()
+			if stream {
+				require.True(t, h.stream("rug", 5).whole)
+			} else {
+				body := `{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"rug"}]}`
+				require.Equal(t, http.StatusOK, h.do(t.Context(), http.MethodPost, chatPath, body, nil).status)
+			}
+			require.Empty(t, h.engines[0].Runs())
+			require.Len(t, h.engines[1].Runs(), 1)
+		})
+	}
+}
+
+// preemptFirst preempts the first request once its attempt has reached an
+// engine.
+func (h *harness) preemptFirst() {
+	for !h.engines[0].Dispatched() {
+		time.Sleep(time.Millisecond)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.preempt[0])
+}
+
+// Guards against a not-run for a request that an engine had when it gave way
+// and that could not run again.
+func TestPreemptedRequestMayHaveRun(t *testing.T) {
+	h := newHarness(t, 1)
+	h.engines[0].SetFaults(fake.Faults{Delay: time.Hour})
+	h.yieldErr = fault.New(fault.DeadlineExceeded, fault.At{Step: StepAdmit}, fault.NotRun, "no place before the deadline")
+	go h.preemptFirst()
+	r := h.stream("rug", 5)
+	require.Equal(t, fault.Unknown, fault.Outcome(r.header.Get(HeaderOutcome)), r.body)
+}
+
 // Guards against answers crossing between concurrent callers.
 func TestConcurrentCallersGetTheirOwnAnswers(t *testing.T) {
 	h := newHarness(t, 2)
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -41,6 +41,7 @@
 	failClaim  error
 	quarantine error
 	preempt    []chan struct{}
+	yieldErr   error
 	finished   []Finished
 }
 
@@ -101,16 +102,25 @@
 
 func (h *harness) Check(*Work) error { return h.quarantine }
 
-type harnessSlot struct{ preempted chan struct{} }
+// harnessSlot gives a new right to run, which can be preempted again, as soon
+// as the request has yielded.
+type harnessSlot struct {
+	preempted chan struct{}
+	yieldErr  error
+}
+
+func (s *harnessSlot) Preempted() <-chan struct{} { return s.preempted }
+func (s *harnessSlot) Release(Usage)              {}
 
-func (s harnessSlot) Preempted() <-chan struct{}  { return s.preempted }
-func (s harnessSlot) Yield(context.Context) error { return nil }
-func (s harnessSlot) Release(Usage)               {}
+func (s *harnessSlot) Yield(context.Context) error {
+	s.preempted = make(chan struct{})
+	return s.yieldErr
+}
 
 func (h *harness) Admit(context.Context, *Work) (Slot, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := harnessSlot{make(chan struct{})}
+	s := &harnessSlot{make(chan struct{}), h.yieldErr}
 	h.preempt = append(h.preempt, s.preempted)
 	return s, nil
 }
--- a/internal/edge/caller/once.go
+++ b/internal/edge/caller/once.go
@@ -120,7 +120,7 @@
 func (x *exchange) attemptOnce(ctx context.Context) claimedResult {
 	x.Retrier.First(&x.work)
 	for {
-		t, err := x.send(ctx, nil, true)
+		t, err := x.send(ctx, nil, true, nil)
 		if err == nil {
 			return x.readOnce(t)
 		}
--- a/internal/edge/caller/stream.go
+++ b/internal/edge/caller/stream.go
@@ -52,13 +52,13 @@
 		if err == nil {
 			return nil
 		}
+		last = earlier(last, err)
 		if errors.Is(err, errPreempted) {
-			if err := slot.Yield(ctx); err != nil {
+			if err := x.yield(ctx, slot, last); err != nil {
 				return s.afterStart(err)
 			}
 			continue
 		}
-		last = earlier(last, err)
 		if ctx.Err() != nil || s.delivered != noPosition && s.token == "" {
 			return last
 		}
@@ -70,7 +70,7 @@
 
 // run makes one attempt.
 func (s *stream) run(ctx context.Context) error {
-	t, err := s.send(ctx, s.resume(), false)
+	t, err := s.send(ctx, s.resume(), false, s.slot.Preempted())
 	if err != nil {
 		return s.afterStart(err)
 	}
@@ -103,8 +103,9 @@
 	} else {
 		s.token = ""
 	}
-	stop := s.watchPreemption(t)
-	defer stop()
+	if s.token == "" {
+		t.keep()
+	}
 	idle := s.work.Route.IdleTimeout
 	stalled := time.AfterFunc(idle, func() { t.cancel(errStalled) })
 	defer stalled.Stop()
@@ -167,8 +168,7 @@
 func (s *stream) broken(t *try, code fault.Code, err error) error {
 	switch cause := context.Cause(t.ctx); {
 	case errors.Is(cause, errPreempted):
-		t.end(Result{Cancelled: true})
-		return errPreempted
+		return t.fail(fault.Wrap(errPreempted, fault.UpstreamFailed, fault.At{Step: StepRelay, Peer: t.choice.Target().ID}, fault.Unknown))
 	case errors.Is(cause, errStalled):
 		code, err = fault.DeadlineExceeded, errStalled
 	case errors.Is(err, io.EOF):
@@ -194,24 +194,6 @@
 	return nil
 }
 
-// watchPreemption cancels the attempt when paying work needs its place and the
-// engine neither orders its batch by priority nor would lose the stream.
-func (s *stream) watchPreemption(t *try) (stop func()) {
-	if t.choice.HonoursPriority() || s.token == "" {
-		return func() {}
-	}
-	quit := make(chan struct{})
-	preempted := s.slot.Preempted()
-	go func() {
-		select {
-		case <-preempted:
-			t.cancel(errPreempted)
-		case <-quit:
-		}
-	}()
-	return func() { close(quit) }
-}
-
 func callerGone(err error) error {
 	return fault.Wrap(err, fault.Unavailable, fault.At{Step: StepRelay, Peer: "caller"}, fault.Unknown)
 }
--- a/internal/edge/caller/whole.go
+++ b/internal/edge/caller/whole.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -27,11 +28,17 @@
 	x.Retrier.First(&x.work)
 	var last error
 	for {
-		err := x.wholeAttempt(ctx)
+		err := x.wholeAttempt(ctx, slot)
 		if err == nil {
 			return nil
 		}
 		last = earlier(last, err)
+		if errors.Is(err, errPreempted) {
+			if err := x.yield(ctx, slot, last); err != nil {
+				return err
+			}
+			continue
+		}
 		if x.wrote || ctx.Err() != nil {
 			return last
 		}
@@ -41,17 +48,24 @@
 	}
 }
 
-func (x *exchange) wholeAttempt(ctx context.Context) error {
-	t, err := x.send(ctx, nil, false)
+// wholeAttempt makes one attempt. It gives way to paying work while nothing was
+// sent to the caller.
+func (x *exchange) wholeAttempt(ctx context.Context, slot Slot) error {
+	t, err := x.send(ctx, nil, false, slot.Preempted())
 	if err != nil {
 		return err
 	}
 	head, err := io.ReadAll(io.LimitReader(t.resp.Body, spoolBytes))
+	t.keep()
 	if err == nil && len(head) == spoolBytes {
 		return x.relay(t, head)
 	}
 	if err != nil {
-		return t.fail(x.truncated(t, err))
+		err = x.truncated(t, err)
+		if preemption := t.gaveWay(err); preemption != nil {
+			return t.fail(preemption)
+		}
+		return t.fail(err)
 	}
 	t.end(Result{OK: true})
 	x.writeAnswer(t.resp.StatusCode, t.resp.Header, head)
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -93,6 +93,8 @@
 	tokens   atomic.Int64
 	running  atomic.Int64
 	queued   atomic.Int64
+	// dispatched is set by the first request that was received whole.
+	dispatched atomic.Bool
 
 	mu       sync.Mutex
 	faults   Faults
@@ -226,6 +228,10 @@
 // Tokens returns the number of stream tokens that were sent.
 func (s *Server) Tokens() int64 { return s.tokens.Load() }
 
+// Dispatched reports whether a request has reached the upstream, whether or not
+// it was started.
+func (s *Server) Dispatched() bool { return s.dispatched.Load() }
+
 // Running returns the number of requests in the batch.
 func (s *Server) Running() int { return int(s.running.Load()) }
 
@@ -275,6 +281,7 @@
 // begin applies the faults that act before a request starts, waits for a batch
 // slot and records the run. It reports whether the request may go on.
 func (s *Server) begin(r *http.Request, body string) bool {
+	s.dispatched.Store(true)
 	faults := s.Faults()
 	if faults.Reset {
 		panic(http.ErrAbortHandler)
