--- a/group/controller.go
+++ b/group/controller.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/membership"
@@ -75,6 +76,9 @@
 	// DowntimeWeight is the cost of a group-second without service and
 	// StrandedWeight that of an accelerator-second out of use.
 	DowntimeWeight, StrandedWeight float64
+	// Patience is the longest absence of a member that is waited out, 0 for no
+	// bound other than the expected cost.
+	Patience time.Duration
 }
 
 // Settings are the rules in force.
@@ -217,9 +221,31 @@
 	c.resolveStuck()
 	c.preload()
 	c.account(before)
+	c.prune()
 	return c.out
 }
 
+// prune drops the memory of groups and instances that no longer exist. Orders
+// are kept until their bound is long past.
+func (c *Controller) prune() {
+	for key := range c.epochSeen {
+		id, _, _ := strings.Cut(key, "\x00")
+		if c.state.Groups[id] == nil {
+			delete(c.epochSeen, key)
+		}
+	}
+	for id, o := range c.orders {
+		if c.state.Instances[id] == nil && c.now.Sub(o.at) > 10*c.cfg.OrderTimeout {
+			delete(c.orders, id)
+		}
+	}
+	for id, at := range c.loadedAt {
+		if c.now.Sub(at) > preloadPause {
+			delete(c.loadedAt, id)
+		}
+	}
+}
+
 func (c *Controller) propose(cmd Command) {
 	cmd.Term, cmd.At = c.term, c.now.UnixMilli()
 	c.out.Commands = append(c.out.Commands, cmd)
@@ -278,11 +304,15 @@
 
 // releaseInstances sends release orders, and notes instances as free.
 func (c *Controller) releaseInstances() {
-	for _, id := range sortedKeys(c.state.Instances) {
-		i, o := c.state.Instances[id], c.obs[id]
-		if i.Group != "" {
-			continue
+	var outside []*Instance
+	for _, i := range c.state.Instances {
+		if i.Group == "" {
+			outside = append(outside, i)
 		}
+	}
+	slices.SortFunc(outside, func(a, b *Instance) int { return strings.Compare(a.ID, b.ID) })
+	for _, i := range outside {
+		id, o := i.ID, c.obs[i.ID]
 		if !c.fresh(o, c.now) {
 			c.forgetAbsent(i)
 			continue
--- a/group/repair.go
+++ b/group/repair.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/membership"
@@ -142,16 +142,16 @@
 	if g.Phase == Serving {
 		limit = 2 * orderPause
 		if mark.at.Before(c.now) && c.conflictSince(g).IsZero() {
-			c.epochSeen[g.ID+"\x00conflict"] = epochMark{g.Epoch, c.now}
+			c.epochSeen[g.ID+conflictMark] = epochMark{g.Epoch, c.now}
 		}
 		mark.at = c.conflictSince(g)
 	}
-	if c.now.Sub(mark.at) > limit {
+	if c.now.Sub(mark.at) > limit && len(k.absent) == 0 {
 		ids := make([]string, 0, len(k.pending))
 		for _, o := range k.pending {
 			ids = append(ids, o.ID)
 		}
-		delete(c.epochSeen, g.ID+"\x00conflict")
+		delete(c.epochSeen, g.ID+conflictMark)
 		c.repair(g, ids, k, d)
 		return
 	}
@@ -171,7 +171,7 @@
 }
 
 func (c *Controller) conflictSince(g *Group) time.Time {
-	if m := c.epochSeen[g.ID+"\x00conflict"]; m.epoch == g.Epoch {
+	if m := c.epochSeen[g.ID+conflictMark]; m.epoch == g.Epoch {
 		return m.at
 	}
 	return time.Time{}
@@ -188,11 +188,16 @@
 
 // waitOver chooses between waiting for absent members and replacing them by
 // expected cost: it compares replacing now with waiting until each length of
-// absence in the history, and returns true when now is cheapest.
+// absence in the history, and returns true when now is cheapest, or when the
+// patience that the settings allow is used up.
 func (c *Controller) waitOver(g *Group, k condition, d Demand) bool {
+	if d.Patience > 0 && k.absence >= d.Patience {
+		return true
+	}
 	repairTime, possible := c.repairTime(g, len(k.absent), d, k)
 	if !possible {
-		return false
+		// Another broken group may give its survivors.
+		repairTime = c.cfg.StartTime + c.widen(c.cfg.AgeBound)
 	}
 	best, at := c.expected(k.absence, 0, repairTime), time.Duration(0)
 	for _, length := range c.history {
@@ -386,9 +391,26 @@
 	return true
 }
 
+// loadLag is the lag of load reports. Entries dispatch to a group that drains
+// until its confirmations are too old, so a report of idle engines counts only
+// after the age bound and this lag.
+const loadLag = 2 * time.Second
+
+// Suffixes of the keys of epochSeen, which cannot occur in a group's id.
+const (
+	drainMark    = "\x00drain"
+	conflictMark = "\x00conflict"
+)
+
 // stepDrain ends a drain when no request is left or its deadline has passed.
 func (c *Controller) stepDrain(g *Group, k condition, d Demand) {
-	if !k.idle && c.now.UnixMilli() < g.Deadline {
+	mark := c.epochSeen[g.ID+drainMark]
+	if mark.epoch != g.Epoch {
+		mark = epochMark{g.Epoch, c.now}
+		c.epochSeen[g.ID+drainMark] = mark
+	}
+	idle := k.idle && c.now.Sub(mark.at) >= c.widen(c.cfg.AgeBound)+loadLag
+	if !idle && len(k.gone) == 0 && c.now.UnixMilli() < g.Deadline {
 		c.again(busyPause)
 		return
 	}
@@ -456,6 +478,8 @@
 	return Demand{Service: g.Service, Model: g.Model, GroupSize: len(g.Members)}
 }
 
+// groupID names the n-th new group of a decision. Each applied command moves
+// the revision, so no name is used twice.
 func (c *Controller) groupID(n int) string {
-	return "g-" + c.cfg.FailureDomain + "-" + strconv.FormatUint(c.state.Epoch+1+uint64(n), 10)
+	return fmt.Sprintf("g-%s-%d-%d", c.cfg.FailureDomain, c.state.Revision, n)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -18,6 +19,7 @@
 
 	"github.com/bluebellfield/bluebellfield/internal/config"
 	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
+	"github.com/bluebellfield/bluebellfield/internal/edge/operator"
 	"github.com/bluebellfield/bluebellfield/internal/edge/platform"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
@@ -56,9 +58,12 @@
 	picker   *picker
 	crashes  *crashWatch
 	claims   *claims
-	groups   *groupManager
+	groups   []*groupManager
 	callers  *caller.Handler
 	stats    *requestStats
+	ops      *operations
+	// operatorTLS is nil when operators are served without TLS.
+	operatorTLS *tls.Config
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -119,6 +124,7 @@
 			return err
 		}
 		options.TLS = source.Config()
+		d.operatorTLS = source.ServerConfig()
 	}
 	address := d.cfg.Listen.Peer
 	if address == "" {
@@ -140,7 +146,7 @@
 	d.shared = newSharedState(d.cfg, d.network, d.logs, d.logger, func(t *settings.Tree) {
 		d.logger.Info("settings in force", zap.Uint64("revision", t.Revision()))
 	})
-	d.crashes = newCrashWatch(d.cfg.ID, d.network, d.client, d.members.Live, d.logger)
+	d.crashes = newCrashWatch(d.cfg.ID, d.network, d.client, d.members.Live, d.shared.Tree, d.logger)
 	d.picker = newPicker(d.cfg, incarnation, d.shared, d.members, d.client, d.crashes, d.logger)
 	d.members.onEvents = d.crashes.onEvents
 	d.members.cache = d.picker.learnCache
@@ -148,13 +154,15 @@
 	d.admitter.live = d.members.Live
 	d.admitter.capacity = d.picker.capacity
 	d.claims = &claims{global: d.shared.global, local: d.logs, entry: d.cfg.ID, incarnation: incarnation, logger: d.logger}
-	if own := d.logs.domains[d.cfg.FailureDomain]; own != nil {
-		d.groups = newGroupManager(d.cfg, own, d.members, d.client, d.shared.Tree, d.registry, d.logger)
+	for _, log := range d.logs.domains {
+		d.groups = append(d.groups, newGroupManager(d.cfg, log, d.members, d.client, d.shared.Tree, d.registry, d.logger))
 	}
 	d.stats = newRequestStats(d.registry)
+	d.ops = newOperations(d)
 	d.callers = caller.NewHandler(caller.Options{
 		Deps: caller.Deps{
-			Policy: policy{d.shared.Tree}, Admitter: d.admitter, Picker: d.picker, Retrier: newRetrier(incarnation),
+			Policy: policy{d.shared.Tree, d.picker.slots}, Admitter: d.admitter, Picker: d.picker,
+			Retrier:    newRetrier(incarnation, d.shared.Tree),
 			Quarantine: d.crashes, Claimer: d.claims, Client: d.client,
 		},
 		Logger: d.logger, Tracer: d.recorder.Provider().Tracer("bluebellfield"), Observe: d.stats.observe,
@@ -165,26 +173,31 @@
 	for _, s := range []struct {
 		address string
 		handler http.Handler
+		tls     *tls.Config
 	}{
-		{d.cfg.Listen.Caller, d.callers},
-		{d.cfg.Listen.Upstream, upstream.NewHandler(d.members)},
-		{d.cfg.Listen.Platform, d.probe.Handler()},
+		{d.cfg.Listen.Caller, d.callers, nil},
+		{d.cfg.Listen.Upstream, upstream.NewHandler(d.members), nil},
+		{d.cfg.Listen.Operator, operator.New(d.ops.options()), d.operatorTLS},
+		{d.cfg.Listen.Platform, d.probe.Handler(), nil},
 	} {
 		if s.address == "" {
 			continue
 		}
-		if err := d.serve(s.address, s.handler); err != nil {
+		if err := d.serve(s.address, s.handler, s.tls); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (d *Daemon) serve(address string, handler http.Handler) error {
+func (d *Daemon) serve(address string, handler http.Handler, secured *tls.Config) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if secured != nil {
+		listener = tls.NewListener(listener, secured)
+	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 	d.servers = append(d.servers, server)
 	d.done.Go(func() {
@@ -195,8 +208,12 @@
 	return nil
 }
 
+// inFlightGauge reports the callers' requests being served.
+const inFlightGauge = "requests.in_flight"
+
 // runAll starts the actors and everything that goes on in the background.
 func (d *Daemon) runAll() {
+	_ = d.registry.Register(inFlightGauge, metrics.NewFunctionalGauge(func() int64 { return int64(d.InFlight()) }))
 	d.members.start(d.system)
 	d.spawn(d.members.run)
 	d.shared.run(d.spawn)
@@ -205,9 +222,12 @@
 	d.spawn(d.crashes.run)
 	d.spawn(d.claims.abandonEarlier)
 	d.spawn(d.becomeReady)
-	if d.groups != nil {
-		d.groups.start(d.system)
-		d.spawn(d.groups.run)
+	for _, g := range d.groups {
+		g.start(d.system)
+		d.spawn(g.run)
+		if g.domain.failureDomain != d.cfg.FailureDomain {
+			d.spawn(g.preferLocal)
+		}
 	}
 }
 
@@ -228,6 +248,9 @@
 // Ready reports whether the daemon lets callers in.
 func (d *Daemon) Ready() bool { return d.probe.Ready() }
 
+// DrainRequested is closed when an operator has asked for a planned stop.
+func (d *Daemon) DrainRequested() <-chan struct{} { return d.ops.drain }
+
 // Failures delivers errors that end the daemon's service.
 func (d *Daemon) Failures() <-chan error { return d.failures }
 
@@ -283,3 +306,8 @@
 
 // Revision returns the revision of the settings in force.
 func (d *Daemon) Revision() uint64 { return d.shared.Tree().Revision() }
+
+// Propose makes a settings change in the name of an operator.
+func (d *Daemon) Propose(ctx context.Context, c settings.Change) (settings.Result, error) {
+	return d.ops.ProposeChange(ctx, c)
+}
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -22,13 +22,12 @@
 	// one. It adds to the time to repair a group.
 	groupTick = 250 * time.Millisecond
 	// leaseCheck bounds the proof of leadership before orders are sent.
-	leaseCheck = time.Second
-	// addressless marks a member of an order that is not known any more.
-	addressless = ""
+	leaseCheck       = time.Second
+	preferLocalPause = 2 * time.Second
 )
 
 // groupManager runs the decisions on replica groups while this instance leads
-// the log of its failure domain.
+// the log of a failure domain.
 type groupManager struct {
 	cfg      *config.Daemon
 	domain   *domainReplica
@@ -43,7 +42,6 @@
 	// The fields below belong to the actor.
 	controller *group.Controller
 	term       uint64
-	totals     map[string]int
 
 	mu       sync.Mutex
 	accounts []group.Account
@@ -53,7 +51,7 @@
 type decideMessage struct{}
 
 func newGroupManager(cfg *config.Daemon, d *domainReplica, m *members, client *upstream.Client, tree func() *settings.Tree, registry metrics.Registry, logger *zap.Logger) *groupManager {
-	return &groupManager{cfg: cfg, domain: d, members: m, client: client, tree: tree, registry: registry, logger: logger, totals: map[string]int{}}
+	return &groupManager{cfg: cfg, domain: d, members: m, client: client, tree: tree, registry: registry, logger: logger}
 }
 
 func (g *groupManager) start(system *actor.ActorSystem) {
@@ -72,6 +70,30 @@
 	}
 }
 
+// preferLocal gives the leadership of another failure domain's log to one of
+// that domain's own instances, which know its upstreams better and are not cut
+// off from them.
+func (g *groupManager) preferLocal(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, nil, preferLocalPause)
+		if !g.domain.Status().Leads() {
+			continue
+		}
+		for _, id := range g.cfg.Logs.Domains[g.domain.failureDomain] {
+			p, known := g.cfg.Peer(id)
+			if !known || p.FailureDomain != g.domain.failureDomain {
+				continue
+			}
+			attempt, cancel := context.WithTimeout(ctx, handOverTimeout)
+			err := g.domain.TransferLeadership(attempt, id)
+			cancel()
+			if err == nil {
+				break
+			}
+		}
+	}
+}
+
 // Accounts returns downtime and stranded accelerators since this instance
 // became the leader.
 func (g *groupManager) Accounts() []group.Account {
@@ -98,11 +120,11 @@
 	now := time.Now()
 	if g.controller == nil || g.term != status.Term {
 		g.term = status.Term
-		g.controller = group.NewController(group.Config{FailureDomain: g.cfg.FailureDomain}, g.term, now)
+		g.controller = group.NewController(g.config(), g.term, now)
 	}
 	tree := g.tree()
 	view := g.members.View()
-	observed := group.Observe(view, g.cfg.FailureDomain, func(u *membership.Upstream) bool { return g.mayFence(tree, u) })
+	observed := group.Observe(view, g.domain.failureDomain, func(u *membership.Upstream) bool { return g.mayFence(tree, u) })
 	state := g.domain.machine.Groups()
 	decision := g.controller.Decide(now, state, observed, g.settings(tree, view, state))
 	g.report()
@@ -114,6 +136,17 @@
 	g.send(decision.Orders)
 }
 
+// config takes the bounds of a leader's term from the settings in force when
+// the term begins.
+func (g *groupManager) config() group.Config {
+	config := group.Config{FailureDomain: g.domain.failureDomain}
+	tree := g.tree()
+	for _, id := range tree.Services() {
+		config.DrainDeadline = max(config.DrainDeadline, tree.GroupPolicy(g.domain.failureDomain, id).DrainTimeout)
+	}
+	return config
+}
+
 // mayFence reports whether settings allow an engine's claim that it rejects
 // old fencing numbers to count.
 func (g *groupManager) mayFence(tree *settings.Tree, u *membership.Upstream) bool {
@@ -132,17 +165,17 @@
 	for d := range g.cfg.Logs.Domains {
 		domains = append(domains, d)
 	}
-	out := group.Settings{StoreRate: tree.WeightStoreRate(g.cfg.FailureDomain, domains)}
+	out := group.Settings{StoreRate: tree.WeightStoreRate(g.domain.failureDomain, domains)}
 	for _, id := range tree.Services() {
 		s, _ := tree.Service(id)
-		policy := tree.GroupPolicy(g.cfg.FailureDomain, id)
+		policy := tree.GroupPolicy(g.domain.failureDomain, id)
 		if !s.Model || policy.GroupSize < 2 {
 			continue
 		}
 		out.Demands = append(out.Demands, group.Demand{
 			Service: id, Model: membership.Model{Name: s.ModelName, Version: policy.ModelVersion},
 			Groups: g.wanted(id, view, state) / policy.GroupSize, GroupSize: policy.GroupSize,
-			DowntimeWeight: policy.DowntimeWeight, StrandedWeight: policy.StrandedWeight,
+			DowntimeWeight: policy.DowntimeWeight, StrandedWeight: policy.StrandedWeight, Patience: policy.RepairPatience,
 		})
 	}
 	return out
@@ -152,7 +185,7 @@
 func (g *groupManager) wanted(service string, view *membership.View, state *group.State) int {
 	seen := map[string]bool{}
 	for _, u := range view.Service(service) {
-		if u.FailureDomain == g.cfg.FailureDomain && u.Kind == membership.ModelEngine && u.State != membership.Leaving {
+		if u.FailureDomain == g.domain.failureDomain && u.Kind == membership.ModelEngine && u.State != membership.Leaving {
 			seen[u.ID] = true
 		}
 	}
@@ -215,7 +248,8 @@
 		ID: o.ID, Kind: upstream.OrderKind(o.Kind), Group: o.Group, Epoch: o.Epoch, Rank: o.Rank, Model: o.Model,
 	}
 	for _, m := range o.Members {
-		member := upstream.Member{ID: m.ID, Address: addressless}
+		// A member that is no longer known has no address.
+		member := upstream.Member{ID: m.ID}
 		if u := view.Get(m.ID); u != nil {
 			member.Address = u.Address
 		}
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -43,9 +43,12 @@
 	cancel context.CancelCauseFunc
 	ctx    context.Context
 	span   trace.Span
+	// release frees the deadline of an attempt that outlives its caller.
+	release context.CancelFunc
 	// sent is false while no byte can have reached the upstream.
 	sent bool
-	// keep ends the watch for preemption.
+	// keep ends the watch for preemption. When it returns, the attempt was
+	// cancelled or will not be.
 	keep func()
 }
 
@@ -57,12 +60,13 @@
 	if preempted == nil || t.choice.HonoursPriority() {
 		return
 	}
+	var decided sync.Once
 	kept := make(chan struct{})
-	t.keep = sync.OnceFunc(func() { close(kept) })
+	t.keep = func() { decided.Do(func() { close(kept) }) }
 	go func() {
 		select {
 		case <-preempted:
-			t.cancel(errPreempted)
+			decided.Do(func() { t.cancel(errPreempted) })
 		case <-kept:
 		case <-t.ctx.Done():
 		}
@@ -81,6 +85,7 @@
 // end closes the attempt and reports its result.
 func (t *try) end(result Result) {
 	t.cancel(nil)
+	t.release()
 	if t.resp != nil {
 		_ = t.resp.Body.Close()
 	}
@@ -125,13 +130,18 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.CodeOf(err), fault.At{Step: StepPick}, fault.NotRun)
 	}
-	span.SetAttributes(attribute.String("upstream", choice.Target().ID))
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("upstream", choice.Target().ID), attribute.String("reason", choice.Reason()))
+	}
 	return choice, nil
 }
 
 // send starts the next attempt and waits for the response headers.
 // Until keep is called, it is cancelled when preempted is closed.
 func (x *exchange) send(ctx context.Context, resume *upstream.Resume, once bool, preempted <-chan struct{}) (*try, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fault.Wrap(err, endedCode(err), fault.At{Step: StepPick}, fault.NotRun)
+	}
 	x.attempt++
 	choice, err := x.pick(ctx)
 	if err != nil {
@@ -140,10 +150,13 @@
 	target := choice.Target()
 	x.tried = append(x.tried, target.ID)
 	x.finished.Upstream = target.ID
-	t := &try{choice: choice}
+	t := &try{choice: choice, release: func() {}}
 	spanCtx, span := x.Tracer.Start(ctx, "dispatch", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("upstream", target.ID), attribute.Int("attempt", x.attempt)))
 	t.span = span
+	if choice.OutlivesCaller() {
+		spanCtx, t.release = context.WithDeadline(context.WithoutCancel(spanCtx), x.work.Deadline)
+	}
 	t.ctx, t.cancel = context.WithCancelCause(spanCtx)
 	t.watch(preempted)
 	timer := time.AfterFunc(x.work.Route.FirstByteTimeout, func() { t.cancel(errFirstByte) })
@@ -166,6 +179,14 @@
 	return t, nil
 }
 
+// endedCode is the code of an error of a request's context.
+func endedCode(err error) fault.Code {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fault.DeadlineExceeded
+	}
+	return fault.Unavailable
+}
+
 // timeoutError names the first-byte timeout as the reason of a failed attempt.
 func timeoutError(ctx context.Context, err error) error {
 	if errors.Is(context.Cause(ctx), errFirstByte) {
--- a/internal/edge/caller/deps.go
+++ b/internal/edge/caller/deps.go
@@ -112,10 +112,15 @@
 // Choice is a chosen upstream and the record of an attempt at it.
 type Choice interface {
 	Target() upstream.Target
+	// Reason says in a few words why the upstream was chosen.
+	Reason() string
 	// HonoursPriority reports whether the engine orders its batch by priority.
 	HonoursPriority() bool
 	// CanResume reports whether the engine resumes streams.
 	CanResume() bool
+	// OutlivesCaller reports whether the attempt runs to its end, or to the
+	// request's deadline, although its caller goes away.
+	OutlivesCaller() bool
 	// FirstByte records the time to the first byte of the answer.
 	FirstByte()
 	// Finish ends the attempt.
--- a/internal/edge/caller/stream.go
+++ b/internal/edge/caller/stream.go
@@ -34,6 +34,8 @@
 	delivered int64
 	token     string
 	buf       []byte
+	// gone is why nothing more can be sent to the caller.
+	gone error
 }
 
 // serveStream answers a streamed chat completion. A stream that breaks or is
@@ -104,7 +106,11 @@
 		s.token = ""
 	}
 	if s.token == "" {
+		// What is sent from here on cannot be resumed.
 		t.keep()
+		if errors.Is(context.Cause(t.ctx), errPreempted) {
+			return s.broken(t, fault.UpstreamTruncated, errPreempted)
+		}
 	}
 	idle := s.work.Route.IdleTimeout
 	stalled := time.AfterFunc(idle, func() { t.cancel(errStalled) })
@@ -126,10 +132,34 @@
 		if err := s.deliver(t, &e); err != nil {
 			return err
 		}
-		if err := out.Flush(); err != nil {
-			return t.fail(callerGone(err))
+		// Events that arrived together leave together, with one system call.
+		if in.Pending() {
+			continue
 		}
+		if err := s.flush(t, out); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *stream) flush(t *try, out *http.ResponseController) error {
+	if s.gone != nil {
+		return nil
+	}
+	if err := out.Flush(); err != nil {
+		return s.leave(t, err)
+	}
+	return nil
+}
+
+// leave ends an attempt whose caller has gone away, unless it outlives its
+// caller: the rest of the stream is then read and discarded.
+func (s *stream) leave(t *try, err error) error {
+	if t.choice.OutlivesCaller() {
+		s.gone = err
+		return nil
 	}
+	return t.fail(callerGone(err))
 }
 
 // deliver sends an event to the caller unless it was sent before.
@@ -142,15 +172,18 @@
 	case e.Position > s.delivered+1:
 		return s.broken(t, fault.UpstreamProtocol, errGap)
 	}
+	s.delivered = e.Position
+	s.finished.Tokens = int(s.delivered) + 1
+	if s.gone != nil {
+		return nil
+	}
 	if !s.wrote {
 		s.writeHead(t.resp.StatusCode, t.resp.Header)
 	}
 	s.buf = sse.Append(s.buf[:0], e)
 	if _, err := s.w.Write(s.buf); err != nil {
-		return t.fail(callerGone(err))
+		return s.leave(t, err)
 	}
-	s.delivered = e.Position
-	s.finished.Tokens = int(s.delivered) + 1
 	return nil
 }
 
@@ -171,6 +204,8 @@
 		return t.fail(fault.Wrap(errPreempted, fault.UpstreamFailed, fault.At{Step: StepRelay, Peer: t.choice.Target().ID}, fault.Unknown))
 	case errors.Is(cause, errStalled):
 		code, err = fault.DeadlineExceeded, errStalled
+	case errors.Is(cause, context.DeadlineExceeded):
+		code = fault.DeadlineExceeded
 	case errors.Is(err, io.EOF):
 		err = io.ErrUnexpectedEOF
 	}
@@ -194,6 +229,7 @@
 	return nil
 }
 
+// callerGone is the error of a request whose caller went away, nil for nil.
 func callerGone(err error) error {
 	return fault.Wrap(err, fault.Unavailable, fault.At{Step: StepRelay, Peer: "caller"}, fault.Unknown)
 }
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -55,10 +55,7 @@
 		leader, others = nil, nil
 		for _, id := range ids {
 			m := c.members[id]
-			c.n.mu.Lock()
-			running := m != nil && c.n.replicas[id] == m.Replica && !c.n.cut[id]
-			c.n.mu.Unlock()
-			if !running {
+			if c.n.find(id, id) != m.Replica {
 				continue
 			}
 			if s := m.Status(); s.Leads() && leader == nil {
@@ -161,10 +158,7 @@
 // before their snapshots in memory.
 func (c *cluster) restart(t testing.TB, adjust func(*Options)) {
 	for _, id := range ids {
-		c.n.mu.Lock()
-		_, running := c.n.replicas[id]
-		c.n.mu.Unlock()
-		if running {
+		if c.n.find(id, id) != nil {
 			c.members[id].stop(c.n)
 			c.start(t, id, storage.OS{}, adjust)
 		}
@@ -306,6 +300,28 @@
 	require.ErrorIs(t, err, ErrNotProposed)
 }
 
+// Guards against damaged logs that pass for new ones, so that an instance that
+// lost its data creates a second log.
+func TestDamagedLogsAreNotNew(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	propose(t, c.members["a"], 0, 1)
+	requireSame(t, 1, c.members["a"], c.members["b"], c.members["c"])
+	for _, id := range ids {
+		c.members[id].stop(c.n)
+		files, err := filepath.Glob(filepath.Join(c.paths[id], "global", "*.snapshot"))
+		require.NoError(t, err)
+		require.NoError(t, os.Truncate(files[0], 5))
+	}
+	c.paths["a"] = filepath.Join(t.TempDir(), "data")
+	for _, id := range ids {
+		c.start(t, id, storage.OS{}, nil)
+	}
+	fresh := c.members["a"]
+	await(t, "the others have answered", func() bool { return len(fresh.Status().Strangers) == 2 })
+	require.Empty(t, fresh.Status().Members.Voters)
+}
+
 // Guards against a replica without a disk that votes or that cannot follow.
 func TestLearnerWithoutDisk(t *testing.T) {
 	t.Parallel()
--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"time"
@@ -9,15 +10,15 @@
 // New returns a book of an entry that knows no other entries.
 func New(cfg Config) *Book {
 	d := DefaultConfig()
-	setDefault(&cfg.Quarantine, d.Quarantine)
-	setDefault(&cfg.Settle, d.Settle)
-	setDefault(&cfg.Linger, d.Linger)
-	setDefault(&cfg.Resend, d.Resend)
-	setDefault(&cfg.Proven, d.Proven)
-	setDefault(&cfg.MaxCrashes, d.MaxCrashes)
-	setDefault(&cfg.MaxDigests, d.MaxDigests)
-	setDefault(&cfg.MaxVerdicts, d.MaxVerdicts)
-	setDefault(&cfg.MaxProven, d.MaxProven)
+	cfg.Quarantine = cmp.Or(cfg.Quarantine, d.Quarantine)
+	cfg.Settle = cmp.Or(cfg.Settle, d.Settle)
+	cfg.Linger = cmp.Or(cfg.Linger, d.Linger)
+	cfg.Resend = cmp.Or(cfg.Resend, d.Resend)
+	cfg.Proven = cmp.Or(cfg.Proven, d.Proven)
+	cfg.MaxCrashes = cmp.Or(cfg.MaxCrashes, d.MaxCrashes)
+	cfg.MaxDigests = cmp.Or(cfg.MaxDigests, d.MaxDigests)
+	cfg.MaxVerdicts = cmp.Or(cfg.MaxVerdicts, d.MaxVerdicts)
+	cfg.MaxProven = cmp.Or(cfg.MaxProven, d.MaxProven)
 	return &Book{
 		cfg: cfg, entries: []string{cfg.Self}, upstreams: map[string][]string{}, owned: map[string][]string{},
 		crashes: map[Target]*crash{}, suspects: map[Digest][]*crash{},
@@ -27,11 +28,11 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+// SetQuarantine changes the time for which requests are refused from now on.
+func (b *Book) SetQuarantine(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.Quarantine = d
 }
 
 // SetEntries replaces the list of the entries that are reachable. Reports of
@@ -93,6 +94,12 @@
 	if ruling.Pin != "" {
 		r.isolated = b.placed[d][0].isolated
 	}
+	if r.isolated {
+		// The others hold their copies until this run has ended.
+		for _, c := range b.suspects[d] {
+			c.placed = true
+		}
+	}
 	b.runs[id] = r
 	b.placed[d] = append(b.placed[d], r)
 	b.byTarget[t.Upstream] = append(b.byTarget[t.Upstream], r)
@@ -171,7 +178,7 @@
 		}
 		c.sums[m.From] = e.Sum
 		c.asked = c.asked || e.Open
-		c.elsewhere[m.From] = placement{e.Elsewhere, now}
+		c.elsewhere[m.From] = placements{e.Elsewhere, now}
 		if c.reports[b.cfg.Self] == nil {
 			b.reportOwn(now, c)
 		}
@@ -196,7 +203,7 @@
 	var due []*crash
 	for _, c := range b.order {
 		again := (c.asked || c.placing || !b.agreed(c)) && now.Sub(c.sent) >= b.cfg.Resend && now.Sub(c.known) < b.cfg.Quarantine/2
-		if again || c.sum != c.sentSum {
+		if again || c.placed || c.sum != c.sentSum {
 			due = append(due, c)
 		}
 	}
