Answer 503 while an entry does not know its settings

Cause: a restarted entry serves its callers' address before its settings are proven; with the empty tree every key was unknown and answered with 401, which clients do not send again. Change: without settings the account is unavailable, not-run. The settings tests also resend changes that lost a race. Conclusion: a restart is visible to callers only as a refusal that can be sent again.

--- a/internal/cluster/settings_test.go
+++ b/internal/cluster/settings_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellfield/bluebellfield/internal/fault"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
@@ -50,6 +52,11 @@
 		outcomes[r.Outcome()]++
 	}
 	require.Equal(t, map[settings.ResultCode]int{settings.Applied: 1, settings.Conflicting: len(results) - 1}, outcomes)
+	for i, id := range c.IDs() {
+		again := c.decide("a1", aChange("race-"+id, base, 200+i))
+		require.Equal(t, settings.Duplicate, again.Code)
+		require.Equal(t, results[i].Outcome(), again.First, "a resend gets the first answer")
+	}
 }
 
 // Guards against a change that is lost, applied twice or reverted when the
@@ -118,6 +125,35 @@
 	c.eventually("the second change inside", func() bool { return c.inForce(second.Revision, c.IDs()...) })
 }
 
+// Guards against an entry that refuses callers as unknown, or puts older
+// settings in force, while it cannot prove after a restart that its settings are
+// the newest.
+func TestRestartWithoutProof(t *testing.T) {
+	t.Parallel()
+	c := startLayout(t, withDisklessEntries())
+	c.watchRevisions()
+	c.engine("e1", "a")
+	c.served("a3")
+	// The log of domain a has three voters; without two of them nothing can be
+	// proven.
+	voters := c.Config("a1").Logs.Domains["a"]
+	require.Len(t, voters, 3)
+	for _, id := range append([]string{"a3"}, voters[:2]...) {
+		require.NoError(t, c.KillDaemon(id))
+	}
+	require.NoError(t, c.StartDaemon("a3"))
+	for range 20 {
+		a := c.paying.Stream(t.Context(), c.CallerURL("a3"), "rug-model", "rug", 5)
+		require.Equal(t, http.StatusServiceUnavailable, a.Status, a.Body)
+		require.Equal(t, fault.NotRun, a.Outcome)
+		require.False(t, c.Daemon("a3").Ready())
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.NoError(t, c.StartDaemon(voters[0]))
+	c.eventually("readiness of a3", func() bool { return c.Daemon("a3").Ready() })
+	c.served("a3")
+}
+
 // Guards against a daemon that cannot catch up after it missed 1,000 changes.
 func TestCatchUpAfterThousandChanges(t *testing.T) {
 	t.Parallel()
--- a/internal/daemon/policy.go
+++ b/internal/daemon/policy.go
@@ -31,6 +31,10 @@
 // Account implements caller.Policy.
 func (p policy) Account(key string) (caller.Account, error) {
 	tree := p.tree()
+	if tree.Revision() == 0 {
+		// After a restart, until the settings are proven to be the newest.
+		return caller.Account{}, fault.New(fault.Unavailable, fault.At{Step: caller.StepAuthenticate}, fault.NotRun, "this entry instance does not know its settings yet")
+	}
 	account, known := tree.AccountByKeyHash(sha256.Sum256([]byte(key)))
 	switch {
 	case key == "":
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -196,7 +196,11 @@
 	key, _ := strings.CutPrefix(x.r.Header.Get("Authorization"), "Bearer ")
 	account, err := x.Policy.Account(key)
 	if err != nil {
-		return fault.Wrap(err, fault.Unauthorized, fault.At{Step: StepAuthenticate}, fault.NotRun)
+		code := fault.Unauthorized
+		if fault.CodeOf(err) == fault.Unavailable {
+			code = fault.Unavailable
+		}
+		return fault.Wrap(err, code, fault.At{Step: StepAuthenticate}, fault.NotRun)
 	}
 	x.work.Account = account
 	x.finished.Account = account
