--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -73,9 +74,10 @@
 }
 
 func testTree(t require.TestingT, ops ...settings.Op) *settings.Tree {
-	tree, problems := settings.NewTree(append(testOps(), ops...))
-	require.Empty(t, problems)
-	return tree
+	store := settings.New()
+	result := store.Apply(settings.Change{ID: "test", At: time.Unix(1, 0), Ops: append(testOps(), ops...)})
+	require.Equal(t, settings.Applied, result.Code, result.Errors)
+	return store.Tree()
 }
 
 // Guards against a command that is proposed twice: another voter is asked only
--- a/internal/daemon/policy_test.go
+++ b/internal/daemon/policy_test.go
@@ -142,3 +142,11 @@
 	}
 	require.Less(t, allowed, 1000*int(100*retry.DefaultConfig().Entry.Ratio)/100, "a budget of 0 allows only the stated minimum")
 }
+
+// Guards against a restarted entry that tells callers their key is unknown
+// while it does not know any settings yet.
+func TestAccountNeedsSettings(t *testing.T) {
+	_, err := policy{tree: settings.Empty}.Account("some-key")
+	require.Equal(t, fault.Unavailable, fault.CodeOf(err))
+	require.Equal(t, fault.NotRun, fault.OutcomeOf(err))
+}
