--- a/membership/registry.go
+++ b/membership/registry.go
@@ -15,6 +15,9 @@
 
 	peers map[string]*peer
 	order []*peer // by id
+	// remotePeriod is the time between batches to a peer of another failure
+	// domain. It changes with the set of peers only.
+	remotePeriod int64
 
 	entries map[string]*entry
 	slots   []*slot // by number
@@ -123,9 +126,11 @@
 		peers:   map[string]*peer{},
 		entries: map[string]*entry{},
 		view:    &View{bound: cfg.AgeBound},
-		dirty:   map[string]viewChange{},
-		urgent:  never,
-		tokens:  float64(cfg.ProbesPerSecond),
+
+		remotePeriod: int64(cfg.Period),
+		dirty:        map[string]viewChange{},
+		urgent:       never,
+		tokens:       float64(cfg.ProbesPerSecond),
 	}
 }
 
@@ -300,6 +305,14 @@
 		r.order = append(r.order, p)
 	}
 	slices.SortFunc(r.order, func(a, b *peer) int { return strings.Compare(a.ID, b.ID) })
+	remote := 0
+	for _, p := range r.order {
+		if p.class == remotePeers {
+			remote++
+		}
+	}
+	paced := float64(remote*remoteBatchBytes) / float64(r.cfg.RemoteBytesPerSecond) * float64(time.Second)
+	r.remotePeriod = max(int64(r.cfg.Period), int64(paced))
 }
 
 // hasten makes the next batches due within the urgent delay.
--- a/membership/tick.go
+++ b/membership/tick.go
@@ -208,14 +208,7 @@
 	if class == localPeers {
 		return int64(r.cfg.Period)
 	}
-	remote := 0
-	for _, p := range r.order {
-		if p.class == remotePeers {
-			remote++
-		}
-	}
-	paced := float64(remote*remoteBatchBytes) / float64(r.cfg.RemoteBytesPerSecond) * float64(time.Second)
-	return max(int64(r.cfg.Period), int64(paced))
+	return r.remotePeriod
 }
 
 // records returns the slots that changed after a change, or all.
