--- a/internal/bench/control/fleet.go
+++ b/internal/bench/control/fleet.go
@@ -151,8 +151,8 @@
 		f.batches.add(sent, len(data))
 		f.after(linkDelay, func() error { return f.deliver(d.id, f.byID[o.To], data) })
 	}
-	// Upstreams answer probes with a heartbeat's content; here they are up and
-	// are heard of by their registrars before a probe is due.
+	// Probes are not answered: here every upstream sends its heartbeats, which
+	// come before a probe of a known upstream is due.
 	wait := max(d.registry.NextTick().Sub(f.time()), time.Millisecond)
 	if d.next <= f.now || f.now+wait < d.next-time.Millisecond {
 		d.next = f.now + wait
