Measure admission with the router of the daemon

The experiment had its own pick with rules that routing does not have, so its figures were not those of the product. It now uses routing.Router, admission.Controller and share.Node with the periods and the capacity formula of internal/daemon. Unlike before, requests that have not started are not moved: neither the daemon nor the caller's handler does that.

--- a/internal/bench/admissionload/admissionload_test.go
+++ b/internal/bench/admissionload/admissionload_test.go
@@ -55,6 +55,7 @@
 						worst["wait99ms"] = max(worst["wait99ms"], float64(r.Admission.Paying.WaitP99.Milliseconds()))
 						worst["idle‰"] = max(worst["idle‰"], 1000*r.Admission.IdleWhileWaiting)
 						worst["entryidle‰"] = max(worst["entryidle‰"], 1000*r.Admission.IdleEntryWaits)
+						worst["refused"] = max(worst["refused"], float64(r.Admission.Refused))
 						worst["wasted‰"] = max(worst["wasted‰"], 1000*r.Admission.WastedSeconds/r.Admission.Capacity)
 						for _, base := range r.Baselines {
 							name := strings.ReplaceAll(string(base.Policy), " ", "-")
--- a/internal/bench/admissionload/engine.go
+++ b/internal/bench/admissionload/engine.go
@@ -1,6 +1,10 @@
 package admissionload
 
-import "time"
+import (
+	"time"
+
+	"github.com/bluebellfield/bluebellfield/routing"
+)
 
 // state is where a job is.
 type state uint8
@@ -29,6 +33,7 @@
 	epoch     int           // invalidates the completion event of an earlier run
 	entry     *entry
 	engine    *engine
+	upstream  *routing.Upstream // of the current dispatch
 	ticket    uint64
 	evictions int
 }
--- a/internal/bench/admissionload/entry.go
+++ b/internal/bench/admissionload/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/bluebellfield/bluebellfield/admission"
 	"github.com/bluebellfield/bluebellfield/admission/share"
+	"github.com/bluebellfield/bluebellfield/routing"
 )
 
 // origin is the time at which each simulated run starts.
@@ -16,65 +17,25 @@
 
 var slotsLimit = share.ID(share.Slots, "", service)
 
-// sight is what an entry knows of one engine.
-type sight struct {
-	load int // as last reported
-	own  int // this entry's jobs on the engine
-	// ownPaying counts the paying ones among them.
-	ownPaying int
-	sampled   time.Duration
-	changes   []change // of own since the sample
-	delta     int      // sum of changes
-}
-
-type change struct {
-	at time.Duration
-	by int
-}
-
-func (s *sight) change(at time.Duration, j *job, by int) {
-	s.own += by
-	if !j.free {
-		s.ownPaying += by
-	}
-	s.delta += by
-	s.changes = append(s.changes, change{at, by})
-}
-
-func (s *sight) report(sampled time.Duration, load int) {
-	s.load, s.sampled = load, sampled
-	rest := s.changes[:0]
-	for _, c := range s.changes {
-		if c.at <= sampled {
-			s.delta -= c.by
-		} else {
-			rest = append(rest, c)
-		}
-	}
-	s.changes = rest
-}
-
-// estimate is the reported load with the own changes since the report.
-func (s *sight) estimate() int { return max(s.load+s.delta, s.own) }
-
-// entry receives jobs from the load balancer and dispatches them.
+// entry receives jobs from the load balancer and dispatches them. Under the
+// Admission policy it holds the parts of a daemon: controller, shares and
+// router.
 type entry struct {
-	m         *model
-	index     int
-	rng       *rand.Rand
-	sights    []sight
-	next      int // round robin
-	control   *admission.Controller
-	node      *share.Node
-	jobs      map[admission.Ticket]*job
-	freed     []*engine // with a slot that this entry's work has just left
-	unstarted []*job
-	// candidates is reused between picks.
-	candidates []int
+	m          *model
+	index      int
+	rng        *rand.Rand
+	own        []int // this entry's jobs on each engine, for the baselines
+	next       int   // round robin
+	control    *admission.Controller
+	node       *share.Node
+	router     *routing.Router
+	random     *routing.Source
+	candidates []routing.Candidate
+	jobs       map[admission.Ticket]*job
 }
 
 func newEntry(m *model, index int) *entry {
-	e := &entry{m: m, index: index, rng: rand.New(rand.NewSource(m.opts.Seed*1000 + int64(index))), sights: make([]sight, len(m.engines))}
+	e := &entry{m: m, index: index, rng: rand.New(rand.NewSource(m.opts.Seed*1000 + int64(index))), own: make([]int, len(m.engines))}
 	if m.policy != Admission {
 		return e
 	}
@@ -87,9 +48,26 @@
 	}
 	e.node.SetView(e.time(), ids, ids)
 	e.node.SetLimits(e.time(), []share.Limit{{ID: slotsLimit, Kind: share.Slots, Value: float64(m.opts.Slots * len(m.engines))}})
+	e.random = routing.NewSource(uint64(m.opts.Seed*1000 + int64(index)))
+	e.router = routing.New(routing.Config{FailureDomain: domainOf(index), Region: "r", Entries: m.opts.Entries}, nil)
+	for i := range m.engines {
+		e.candidates = append(e.candidates, routing.Candidate{
+			ID: engineID(i), Incarnation: 1, FailureDomain: domainOf(i), Region: "r", Services: []string{service},
+			State: routing.Ready, Priorities: m.priorities, MaxConcurrent: m.opts.Slots, Load: routing.Load{At: e.time()},
+		})
+	}
+	e.publish()
 	return e
 }
 
+func engineID(i int) string { return fmt.Sprintf("engine-%04d", i) }
+
+// domainOf spreads daemons and engines over three failure domains.
+func domainOf(i int) string { return fmt.Sprint("d", i%3) }
+
+// publish passes reported loads on to the router.
+func (e *entry) publish() { e.router.Publish(e.time(), e.candidates) }
+
 func entryID(i int) string { return fmt.Sprintf("e%d", i) }
 
 func (e *entry) time() time.Time { return origin.Add(e.m.now) }
@@ -151,28 +129,24 @@
 			j.evictions++
 			from.fill()
 			e.m.after(e.m.opts.Latency, func() {
-				e.sights[from.index].change(e.m.now, j, -1)
+				e.left(j, from)
 				if j.state != atEntry {
 					return
 				}
 				e.control.Yielded(e.time(), t)
-				e.freed = append(e.freed, from)
 				e.serve()
-				e.freed = e.freed[:0]
 			})
 		})
 	}
 }
 
 func (e *entry) dispatch(j *job) {
-	e.sendTo(j, e.pick(j))
-}
-
-func (e *entry) sendTo(j *job, target *engine) {
-	if e.m.policy == Admission && j.first < 0 {
-		e.unstarted = append(e.unstarted, j)
+	target := e.pick(j)
+	if target == nil {
+		e.refuse(j)
+		return
 	}
-	e.sights[target.index].change(e.m.now, j, 1)
+	e.own[target.index]++
 	e.m.setState(j, inTransit)
 	j.engine = target
 	e.m.after(e.m.opts.Latency, func() {
@@ -182,6 +156,23 @@
 	})
 }
 
+// refuse ends a job for which routing finds no engine.
+func (e *entry) refuse(j *job) {
+	e.m.meter.refused++
+	e.m.setState(j, ended)
+	j.engine = nil
+	e.control.Done(e.time(), admission.Ticket(j.ticket), admission.Usage{})
+	delete(e.jobs, admission.Ticket(j.ticket))
+}
+
+// left counts a job as no longer on an engine.
+func (e *entry) left(j *job, from *engine) {
+	e.own[from.index]--
+	if e.router != nil {
+		e.router.Done(e.time(), j.upstream, routing.Observation{})
+	}
+}
+
 func (e *entry) pick(j *job) *engine {
 	engines := e.m.engines
 	switch e.m.policy {
@@ -194,100 +185,40 @@
 		offset, best := e.rng.Intn(len(engines)), 0
 		for k := range engines {
 			i := (k + offset) % len(engines)
-			if k == 0 || e.sights[i].own < e.sights[best].own {
+			if k == 0 || e.own[i] < e.own[best] {
 				best = i
 			}
 		}
 		return engines[best]
 	}
-	if n := len(e.freed); n > 0 {
-		target := e.freed[n-1]
-		e.freed = e.freed[:n-1]
-		return target
+	choice, err := e.router.Pick(e.time(), e.random, &routing.Request{Service: service, Paying: !j.free})
+	if err != nil {
+		return nil
 	}
-	return engines[e.better(j)]
-}
-
-// better takes two random choices among the engines that seem to have an idle
-// slot, or among all when there is none. Where priorities are honoured an idle
-// slot is no advantage to paying work, and old reports of idle slots would draw
-// the paying work of all entries to the same engines.
-func (e *entry) better(j *job) int {
-	e.candidates = e.candidates[:0]
-	for i := range e.sights {
-		if !e.m.priorities && e.sights[i].estimate() < e.m.opts.Slots {
-			e.candidates = append(e.candidates, i)
-		}
-	}
-	if len(e.candidates) == 0 {
-		for i := range e.sights {
-			e.candidates = append(e.candidates, i)
-		}
-	}
-	a, b := e.candidates[e.rng.Intn(len(e.candidates))], e.candidates[e.rng.Intn(len(e.candidates))]
-	x, y := &e.sights[a], &e.sights[b]
-	if e.m.priorities && !j.free && x.ownPaying != y.ownPaying {
-		// Free work on an engine is not in the way of paying work.
-		if y.ownPaying < x.ownPaying {
-			return b
+	j.upstream = choice.Upstream
+	e.router.Begin(e.time(), j.upstream, nil)
+	for i := range e.candidates {
+		if e.candidates[i].ID == j.upstream.ID {
+			return engines[i]
 		}
-		return a
 	}
-	if y.estimate() < x.estimate() {
-		return b
-	}
-	return a
+	return nil
 }
 
 // finished is called when the answer has arrived.
 func (e *entry) finished(j *job) {
-	e.sights[j.engine.index].change(e.m.now, j, -1)
+	e.left(j, j.engine)
 	if e.control != nil {
-		e.freed = append(e.freed, j.engine)
 		e.control.Done(e.time(), admission.Ticket(j.ticket), admission.Usage{Tokens: -1})
 		delete(e.jobs, admission.Ticket(j.ticket))
 		e.serve()
-		for _, idle := range e.freed {
-			e.move(idle)
-		}
-		e.freed = e.freed[:0]
-	}
-}
-
-// move takes a request of this entry that has not started on its engine to an
-// engine that has just lost one, when the entry has nothing queued for it.
-func (e *entry) move(to *engine) {
-	rest := e.unstarted[:0]
-	var moved *job
-	for _, j := range e.unstarted {
-		switch {
-		case j.first >= 0 || j.state == ended:
-			continue
-		case moved == nil && j.state == atEngineQueued && j.engine != to && (j.free || !e.m.priorities):
-			moved = j
-			continue
-		}
-		rest = append(rest, j)
 	}
-	e.unstarted = rest
-	if moved == nil {
-		return
-	}
-	from := moved.engine
-	e.m.after(e.m.opts.Latency, func() {
-		if moved.state != atEngineQueued || moved.engine != from {
-			return
-		}
-		from.cancel(moved)
-		e.sights[from.index].change(e.m.now, moved, -1)
-		e.sendTo(moved, to)
-	})
 }
 
 // abandoned is called when a caller stops waiting.
 func (e *entry) abandoned(j *job) {
 	if j.engine != nil {
-		e.sights[j.engine.index].change(e.m.now, j, -1)
+		e.left(j, j.engine)
 	}
 	if e.control != nil {
 		e.control.Cancel(e.time(), admission.Ticket(j.ticket))
@@ -298,28 +229,29 @@
 
 // report receives an engine's load.
 func (e *entry) report(engine int, sampled time.Duration, load int) {
-	e.sights[engine].report(sampled, load)
+	if e.router != nil {
+		slots := e.m.opts.Slots
+		e.candidates[engine].Load = routing.Load{Running: min(load, slots), Queued: max(0, load-slots), At: origin.Add(sampled)}
+	}
 }
 
-// refresh tells the controller what the reports show.
+// refresh does what a daemon does at each tick of admission.
 func (e *entry) refresh() {
-	c := admission.Capacity{Slots: e.m.opts.Slots * len(e.m.engines), Entries: e.m.opts.Entries, Priorities: e.m.priorities, Share: -1}
-	for i := range e.sights {
-		c.Load += e.sights[i].load
-		c.OwnInLoad += e.sights[i].own - e.sights[i].delta
+	c := admission.Capacity{Entries: e.m.opts.Entries, Priorities: e.m.priorities, Share: -1}
+	for _, u := range e.router.Table().Service(service) {
+		load := u.Load.Running + u.Load.Queued
+		c.Slots += u.MaxConcurrent
+		c.Load += load
+		c.OwnInLoad += max(0, load-int(u.EstimatedLoad())+u.InFlight())
 	}
 	if a := e.node.Local(e.time(), slotsLimit); a.Source == share.Leased {
 		c.Share = a.Value
 	}
 	e.control.SetCapacity(service, c)
-	e.dropped(e.control.Expire(e.time()))
-	e.serve()
-}
-
-// lease exchanges slot demand with the owner.
-func (e *entry) lease() {
 	paying, free := e.control.Demand(service)
 	e.node.SetDemand(e.time(), slotsLimit, share.Demand{Paying: float64(paying.Queued + paying.Running), Free: float64(free.Queued + free.Running)})
+	e.dropped(e.control.Expire(e.time()))
+	e.serve()
 	e.send(e.node.Tick(e.time()))
 }
 
--- a/internal/bench/admissionload/run.go
+++ b/internal/bench/admissionload/run.go
@@ -1,6 +1,7 @@
 // Package admissionload measures admission under overload in a discrete-event
 // model: entries in front of engines that batch a limited number of requests,
-// with load reports that lag. An engine runs each batched request at full
+// with load reports that lag. An entry decides by the controller, the shares and
+// the router of a daemon; arrivals, engines, network and time are modelled. An engine runs each batched request at full
 // speed, so free work slows paying work only by holding slots.
 package admissionload
 
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/bluebellfield/bluebellfield/admission/share"
 )
 
 // Policy says how entries dispatch.
@@ -73,7 +76,7 @@
 	set(&o.Accounts, 5)
 	set(&o.ReportPeriod, time.Second)
 	set(&o.ReportLag, time.Second)
-	set(&o.SharePeriod, 500*time.Millisecond)
+	set(&o.SharePeriod, share.DefaultPeriod)
 	set(&o.Latency, time.Millisecond)
 	set(&o.Timeout, 60*time.Second)
 	set(&o.ResumePenalty, 200*time.Millisecond)
@@ -116,6 +119,8 @@
 	// recomputation after preemption.
 	WastedSeconds float64 `json:"wastedSeconds"`
 	Evictions     int     `json:"evictions"`
+	// Refused counts admitted requests for which routing found no engine.
+	Refused int `json:"refused"`
 }
 
 // Result compares admission with free traffic to the same run without it and
@@ -174,7 +179,7 @@
 	busy                                   [2]float64
 	idleWaiting, idleAtEntry, idleAtEngine float64
 	wasted                                 float64
-	evictions                              int
+	evictions, refused                     int
 	classes                                [2]ClassResult
 	latency, wait                          [2]*hdrhistogram.Histogram
 }
@@ -239,11 +244,12 @@
 	if m.policy != Admission {
 		return
 	}
-	const refresh = 50 * time.Millisecond
+	// The periods of a daemon.
+	const refresh, publish = 20 * time.Millisecond, 100 * time.Millisecond
 	for i, e := range m.entries {
 		offset := time.Duration(i) * refresh / time.Duration(len(m.entries))
 		m.every(offset, refresh, e.refresh)
-		m.every(offset, 2*refresh, e.lease)
+		m.every(publish*time.Duration(i)/time.Duration(len(m.entries)), publish, e.publish)
 	}
 }
 
@@ -279,7 +285,7 @@
 		IdleWhileWaiting: m.meter.idleWaiting / capacity,
 		IdleEntryWaits:   m.meter.idleAtEntry / capacity,
 		IdleEngineWaits:  m.meter.idleAtEngine / capacity,
-		WastedSeconds:    m.meter.wasted, Evictions: m.meter.evictions,
+		WastedSeconds:    m.meter.wasted, Evictions: m.meter.evictions, Refused: m.meter.refused,
 	}
 	for k, c := range m.meter.classes {
 		c.SlotSeconds = m.meter.busy[k]
