Count this entry's requests in load reports as the report's time says

capacity() derived the count from the estimated load, in which own changes count times the square root of the number of entries, so with several entries it was wrong by that factor. Upstream.OwnInReport gives the count itself.

--- a/internal/bench/admissionload/entry.go
+++ b/internal/bench/admissionload/entry.go
@@ -242,7 +242,7 @@
 		load := u.Load.Running + u.Load.Queued
 		c.Slots += u.MaxConcurrent
 		c.Load += load
-		c.OwnInLoad += max(0, load-int(u.EstimatedLoad())+u.InFlight())
+		c.OwnInLoad += u.OwnInReport()
 	}
 	if a := e.node.Local(e.time(), slotsLimit); a.Source == share.Leased {
 		c.Share = a.Value
--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -388,7 +388,7 @@
 		load := u.Load.Running + u.Load.Queued
 		c.Slots += max(1, u.MaxConcurrent)
 		c.Load += load
-		c.OwnInLoad += max(0, load-int(u.EstimatedLoad())+u.InFlight())
+		c.OwnInLoad += u.OwnInReport()
 		c.Priorities = c.Priorities && u.Priorities
 	}
 	return c
--- a/routing/table.go
+++ b/routing/table.go
@@ -16,6 +16,7 @@
 	// that the report includes, so that base plus scale times the requests in
 	// flight is the corrected load.
 	base     float64
+	included int     // requests of this entry that the report includes
 	scale    float64
 	perSlot  float64 // 1 / MaxConcurrent
 	at       int64   // send time of the load report, Unix nanoseconds
@@ -34,6 +35,9 @@
 	return max(u.base+u.scale*own, own)
 }
 
+// OwnInReport returns how many of the reported requests are this entry's.
+func (u *Upstream) OwnInReport() int { return min(u.included, u.Load.Running+u.Load.Queued) }
+
 // fill returns the estimated load as a multiple of the batch size.
 func (u *Upstream) fill() float64 { return u.EstimatedLoad() * u.perSlot }
 
@@ -91,7 +95,8 @@
 			grouped:  c.Group.ConfirmedAt.UnixNano(),
 			distance: distanceOf(cfg, &c),
 		}
-		u.base = float64(c.Load.Running+c.Load.Queued) - u.scale*float64(shared.inFlightAt(c.Load.At))
+		u.included = int(shared.inFlightAt(c.Load.At))
+		u.base = float64(c.Load.Running+c.Load.Queued) - u.scale*float64(u.included)
 		sorted = append(sorted, u)
 	}
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
