Send the next request to the upstream that has just ended one

At a full service lagging reports don't show where a slot is idle, and the pick put requests behind full batches while slots elsewhere were idle. Only ends with SlotFreed count, so that a failing upstream attracts nothing.

--- a/internal/bench/admissionload/entry.go
+++ b/internal/bench/admissionload/entry.go
@@ -169,7 +169,7 @@
 func (e *entry) left(j *job, from *engine) {
 	e.own[from.index]--
 	if e.router != nil {
-		e.router.Done(e.time(), j.upstream, routing.Observation{})
+		e.router.Done(e.time(), j.upstream, routing.Observation{SlotFreed: true})
 	}
 }
 
--- a/internal/bench/routingload/policy.go
+++ b/internal/bench/routingload/policy.go
@@ -120,7 +120,7 @@
 	u := choice.Upstream
 	r.router.Begin(now, u, q.blocks)
 	return r.index[u.ID], func(first time.Duration) {
-		r.router.Done(r.clock.time(), u, routing.Observation{FirstToken: first - q.arrived})
+		r.router.Done(r.clock.time(), u, routing.Observation{FirstToken: first - q.arrived, SlotFreed: true})
 	}, true
 }
 
--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -445,7 +445,7 @@
 func (c *choice) Finish(r caller.Result) {
 	p := c.picker
 	now := time.Now()
-	p.router.Done(now, c.upstream, routing.Observation{FirstToken: c.first})
+	p.router.Done(now, c.upstream, routing.Observation{FirstToken: c.first, SlotFreed: r.OK || r.Cancelled})
 	switch {
 	case r.OK:
 		p.share(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlier.Success, c.first))
--- a/routing/commands.go
+++ b/routing/commands.go
@@ -17,6 +17,7 @@
 	mu       sync.Mutex // serialises Publish
 	counters map[string]*incarnationCounters
 	queries  sync.Pool
+	freed    freedList
 }
 
 type incarnationCounters struct {
@@ -71,6 +72,9 @@
 	// FirstToken is the time from dispatch to the first byte of the answer, 0
 	// when none arrived.
 	FirstToken time.Duration
+	// SlotFreed says that the attempt ended so that the upstream, which works
+	// on, has a slot more for other requests.
+	SlotFreed bool
 	// ExhaustedUntil is set when the upstream said that it accepts nothing
 	// until then.
 	ExhaustedUntil time.Time
@@ -88,6 +92,9 @@
 // Done ends what Begin began.
 func (r *Router) Done(now time.Time, u *Upstream, o Observation) {
 	u.add(now, -1)
+	if o.SlotFreed {
+		r.freed.add(now, u)
+	}
 	if o.FirstToken > 0 {
 		u.observe(o.FirstToken)
 	}
--- a/routing/queries.go
+++ b/routing/queries.go
@@ -17,6 +17,9 @@
 	Blocks int
 	// Sticky says that the upstream was chosen for its cached prefix.
 	Sticky bool
+	// Freed says that the upstream was chosen because it had just ended a
+	// request of this entry.
+	Freed bool
 }
 
 // Table returns the newest table.
@@ -67,7 +70,7 @@
 	q.findMatches(r.index, now)
 	s := selection{r: r, q: q, e: e}
 	s.collect(t)
-	choice, err := s.choose(random)
+	choice, err := s.choose(t, random)
 	if e != nil {
 		s.explain(choice, err)
 	}
--- a/routing/selection.go
+++ b/routing/selection.go
@@ -184,8 +184,9 @@
 }
 
 // choose compares two random finalists. The holder of the prefix replaces the
-// winner if it costs less and its load is within the margin of the mean.
-func (s *selection) choose(random rand.Source) (Choice, error) {
+// winner if it costs less and its load is within the margin of the mean. At a
+// full service an upstream that has just ended a request replaces the winner.
+func (s *selection) choose(t *Table, random rand.Source) (Choice, error) {
 	if s.n == 0 {
 		if s.full {
 			return Choice{}, ErrExhausted
@@ -205,6 +206,11 @@
 			winner, sticky = s.holder, true
 		}
 	}
+	if !sticky {
+		if u := s.pickFreed(t); u != nil {
+			return Choice{Upstream: u, Blocks: s.blocks(u), Freed: true}, nil
+		}
+	}
 	return Choice{Upstream: winner.u, Blocks: s.blocks(winner.u), Sticky: sticky}, nil
 }
 
--- a/routing/table.go
+++ b/routing/table.go
@@ -16,7 +16,7 @@
 	// that the report includes, so that base plus scale times the requests in
 	// flight is the corrected load.
 	base     float64
-	included int     // requests of this entry that the report includes
+	included int // requests of this entry that the report includes
 	scale    float64
 	perSlot  float64 // 1 / MaxConcurrent
 	at       int64   // send time of the load report, Unix nanoseconds
--- a/routing/types.go
+++ b/routing/types.go
@@ -138,6 +138,10 @@
 	// holder of the prefix may exceed the mean load of the scored upstreams
 	// and still be chosen for its prefix.
 	StickyMargin float64
+	// FullService is the mean load of the scored upstreams, as a fraction of
+	// their batch sizes, from which a request goes to the upstream that has
+	// just ended one.
+	FullService float64
 	// Weights multiply the scores.
 	Weights Weights
 	// Costs hold the seconds behind the scores.
@@ -179,6 +183,7 @@
 		Sample:       32,
 		Finalists:    16,
 		StickyMargin: 0.25,
+		FullService:  0.8,
 		Weights:      Weights{Load: 1, Prefix: 1, Distance: 1, Latency: 0.1, Adapter: 1, Priority: 1},
 		Costs: Costs{
 			FullLoad: 0.2, Waiting: 2, Block: 0.01,
@@ -196,6 +201,7 @@
 	c.Sample = cmp.Or(c.Sample, d.Sample)
 	c.Finalists = cmp.Or(c.Finalists, d.Finalists)
 	c.StickyMargin = cmp.Or(c.StickyMargin, d.StickyMargin)
+	c.FullService = cmp.Or(c.FullService, d.FullService)
 	c.Weights = cmp.Or(c.Weights, d.Weights)
 	c.Costs = cmp.Or(c.Costs, d.Costs)
 	c.Finalists = min(c.Finalists, maxFinalists)
