Dispatch to a group only under the epoch that was confirmed

Cause: the routing table may be older than the view, so a group that was formed anew could be named by its former epoch. Change: the epoch is compared at the moment of dispatch. Conclusion: found by reading; engines that check groups refused such requests already.

--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -205,7 +205,7 @@
 	for _, state := range p.shared.Groups() {
 		if g := state.Groups[u.Group.ID]; g != nil {
 			servable, ok := g.Servable(p.members.View(), now)
-			return ok && servable.Leader.ID == u.ID && now.Sub(servable.Confirmed) < maxAge
+			return ok && g.Epoch == u.Group.Epoch && servable.Leader.ID == u.ID && now.Sub(servable.Confirmed) < maxAge
 		}
 	}
 	return false
