Test preemption and a cancel at the moment of admission

Cause: both were reached only by chance in the property of the admitter. Change: a test of each over the admitter in a bubble. Conclusion: no fault found.

--- a/internal/daemon/admit_test.go
+++ b/internal/daemon/admit_test.go
@@ -172,6 +172,75 @@
 	})
 }
 
+// Guards against a place that is kept by a request whose caller left just when
+// it was admitted, or that is given back twice.
+func TestCancelAfterAdmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startAdmitter(t, 1)
+		defer a.stop()
+		s, err := a.submit(admitWork("rug", "wash", time.Minute))
+		require.NoError(t, err)
+		_, running := a.counts(t)
+		require.Equal(t, 1, running)
+		s.cancel()
+		s.cancel()
+		s.Release(caller.Usage{Tokens: 5})
+		waiting, running := a.counts(t)
+		require.Zero(t, waiting+running)
+		require.Zero(t, a.streams["wash"])
+	})
+}
+
+// Guards against free work that keeps its place while paying work waits, and
+// against preempted work that never gets a place again or is counted twice.
+func TestPreemption(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		t.Run(fmt.Sprintf("caller leaves=%v", leaves), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := startAdmitter(t, 1)
+				defer a.stop()
+				free, err := a.Admit(t.Context(), admitWork("visitor", "wash", time.Minute))
+				require.NoError(t, err)
+				var paying []caller.Slot
+				var done sync.WaitGroup
+				for range 3 {
+					done.Go(func() {
+						s, err := a.Admit(t.Context(), admitWork("rug", "wash", time.Minute))
+						if err == nil {
+							a.mu.Lock()
+							defer a.mu.Unlock()
+							paying = append(paying, s)
+						}
+					})
+				}
+				time.Sleep(200 * time.Millisecond)
+				select {
+				case <-free.Preempted():
+				default:
+					t.Fatal("the free request keeps its place")
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if leaves {
+					time.AfterFunc(100*time.Millisecond, cancel)
+				}
+				began := time.Now()
+				time.AfterFunc(300*time.Millisecond, func() { a.slots.Store(8) })
+				err = free.Yield(ctx)
+				require.Equal(t, leaves, err != nil)
+				require.GreaterOrEqual(t, time.Since(began), 100*time.Millisecond, "a place must be waited for")
+				done.Wait()
+				for _, s := range append(paying, free) {
+					s.Release(caller.Usage{Tokens: 5})
+				}
+				waiting, running := a.counts(t)
+				require.Zero(t, waiting+running)
+				require.Len(t, paying, 3)
+			})
+		})
+	}
+}
+
 // request goes through the admitter as a stream does: it yields when it is
 // preempted and ends when it is told to.
 func (a *admitterTest) request(ctx context.Context, w *caller.Work, finish <-chan struct{}) {
