Do not dispatch to a group by an epoch that is no longer in force

Cause: the check at the moment of dispatch took a group that was formed again for the one of the routing table, since it compared ids only. The request then carried the old epoch, which an engine that checks groups refuses, and which names the wrong members in traces and on engines that do not check. Change: the epochs must be equal; otherwise another upstream is picked. The picker takes its settings and groups through an interface, inForce, and has tests: the newest view at the moment of dispatch, tried upstreams, suspects apart, results against upstreams. Before: TestChoiceObeysNewestView/group_formed_again failed. After: passes.

--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -44,7 +44,7 @@
 type picker struct {
 	cfg     *config.Daemon
 	logger  *zap.Logger
-	shared  *sharedState
+	shared  inForce
 	members *members
 	client  *upstream.Client
 	router  *routing.Router
@@ -61,13 +61,19 @@
 	detectors map[string]detector
 }
 
+// inForce is what this daemon has in force.
+type inForce interface {
+	Tree() *settings.Tree
+	Groups() map[string]*group.State
+}
+
 // detector is the outlier detector of a service under its present limit.
 type detector struct {
 	*outlier.Detector
 	maxEjected float64
 }
 
-func newPicker(cfg *config.Daemon, seed uint64, shared *sharedState, m *members, client *upstream.Client, crashes *crashWatch, logger *zap.Logger) *picker {
+func newPicker(cfg *config.Daemon, seed uint64, shared inForce, m *members, client *upstream.Client, crashes *crashWatch, logger *zap.Logger) *picker {
 	p := &picker{
 		cfg: cfg, logger: logger, shared: shared, members: m, client: client, crashes: crashes,
 		router: routing.New(routing.Config{FailureDomain: cfg.FailureDomain, Region: cfg.Region, Entries: entryCount(cfg)}, nil),
@@ -203,7 +209,8 @@
 // confirmed reports whether the group of an upstream is whole now.
 func (p *picker) confirmed(u *routing.Upstream, now time.Time, maxAge time.Duration) bool {
 	for _, state := range p.shared.Groups() {
-		if g := state.Groups[u.Group.ID]; g != nil {
+		// The engines know a group that was formed again by its new epoch.
+		if g := state.Groups[u.Group.ID]; g != nil && g.Epoch == u.Group.Epoch {
 			servable, ok := g.Servable(p.members.View(), now)
 			return ok && servable.Leader.ID == u.ID && now.Sub(servable.Confirmed) < maxAge
 		}
--- /dev/null
+++ b/internal/daemon/pick_test.go
@@ -0,0 +1,297 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/bluebellfield/bluebellfield/group"
+	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
+	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/membership"
+	"github.com/bluebellfield/bluebellfield/settings"
+)
+
+// pickerTest is a picker over a real registry, whose time passes in a bubble.
+type pickerTest struct {
+	*picker
+	tree      *settings.Tree
+	groups    map[string]*group.State
+	sequences map[string]uint64
+}
+
+func (p *pickerTest) Tree() *settings.Tree            { return p.tree }
+func (p *pickerTest) Groups() map[string]*group.State { return p.groups }
+
+func newPickerTest(t *testing.T, ops ...settings.Op) *pickerTest {
+	p := &pickerTest{tree: testTree(t, ops...), groups: map[string]*group.State{}, sequences: map[string]uint64{}}
+	cfg := testConfig()
+	client := upstream.NewClient(func(context.Context, string) (net.Conn, error) { return nil, errors.New("refused") })
+	network := &fakeNetwork{}
+	none := func() []string { return nil }
+	crashes := newCrashWatch(cfg.ID, network, client, none, p.Tree, zap.NewNop())
+	crashes.book.SetEntries(time.Now(), nil)
+	p.picker = newPicker(cfg, 1, p, newMembers(cfg, 1, network, client, zap.NewNop()), client, crashes, zap.NewNop())
+	return p
+}
+
+// report announces an upstream of wash and rug-model and sends a heartbeat.
+func (p *pickerTest) report(id string, incarnation uint64, state membership.State, g membership.GroupRef) {
+	now := time.Now()
+	p.sequences[id] += 2
+	services, kind := []string{"wash"}, membership.PlainService
+	if g.Group != "" {
+		services, kind = []string{"rug-model"}, membership.ModelEngine
+	}
+	p.members.registry.Announce(now, membership.Announcement{
+		ID: id, Incarnation: incarnation, Address: id + ":1", FailureDomain: "a", Kind: kind, Services: services,
+		Models: []membership.Model{{Name: "rug/7b"}}, MaxConcurrent: 8, State: state, Sequence: p.sequences[id] - 1,
+	})
+	p.members.registry.Heartbeat(now, membership.Heartbeat{
+		ID: id, Incarnation: incarnation, Sequence: p.sequences[id], State: state, InForce: g,
+	})
+	p.look()
+}
+
+// look publishes the view as the membership actor does.
+func (p *pickerTest) look() {
+	p.members.registry.Tick(time.Now())
+	p.members.view.Store(p.members.registry.View())
+}
+
+func (p *pickerTest) ready(ids ...string) {
+	for _, id := range ids {
+		p.report(id, 1, membership.Ready, membership.GroupRef{})
+	}
+}
+
+// form puts a group of two members in force, which report it.
+func (p *pickerTest) form(id string, epoch uint64, members ...string) {
+	state := group.NewState()
+	if old := p.groups["a"]; old != nil {
+		for name, g := range old.Groups {
+			state.Groups[name] = g
+		}
+	}
+	g := &group.Group{ID: id, Service: "rug-model", Epoch: epoch, Phase: group.Serving}
+	for rank, m := range members {
+		g.Members = append(g.Members, group.Member{ID: m, Incarnation: 1})
+		p.report(m, 1, membership.Ready, membership.GroupRef{Group: id, Epoch: epoch, Rank: rank})
+	}
+	state.Groups[id] = g
+	p.groups["a"] = state
+}
+
+func pickWork(service string, digest byte) *caller.Work {
+	w := admitWork("rug", service, 5*time.Second)
+	w.Digest[0] = digest
+	if service == "rug-model" {
+		w.Route.Kind, w.Route.Model = membership.ModelEngine, "rug/7b"
+	} else {
+		w.Route.Kind = membership.PlainService
+	}
+	return w
+}
+
+func (p *pickerTest) mustPick(t *testing.T, w *caller.Work, tried ...string) *choice {
+	c, err := p.Pick(w, len(tried)+1, tried)
+	require.NoError(t, err)
+	return c.(*choice)
+}
+
+// silence lets the age bound pass for all but those who report. The table is
+// built again while the silent ones are still young enough.
+func (p *pickerTest) silence(report func()) {
+	for i := range 4 {
+		time.Sleep(membership.DefaultAgeBound * 3 / 10)
+		report()
+		if i < 3 {
+			p.publish(time.Now())
+		}
+	}
+}
+
+// pickedID picks, ends the attempt and returns the upstream.
+func (p *pickerTest) pickedID(t *testing.T, w *caller.Work, tried ...string) string {
+	c := p.mustPick(t, w, tried...)
+	c.Finish(caller.Result{OK: true})
+	return c.Target().ID
+}
+
+// picks is how often a pick is repeated, since it is random.
+const picks = 6
+
+// Guards against a dispatch by a table that is older than the view: to an
+// upstream that has left, restarted or grown silent, or to a group that is no
+// longer whole.
+func TestChoiceObeysNewestView(t *testing.T) {
+	const grouped, plain = "rug-model", "wash"
+	cases := []struct {
+		name, service string
+		ops           []settings.Op
+		change        func(*pickerTest)
+	}{
+		{"leaving", plain, nil, func(p *pickerTest) { p.report("u1", 1, membership.Leaving, membership.GroupRef{}) }},
+		{"draining", plain, nil, func(p *pickerTest) { p.report("u1", 1, membership.Draining, membership.GroupRef{}) }},
+		{"restarted", plain, nil, func(p *pickerTest) { p.report("u1", 2, membership.Ready, membership.GroupRef{}) }},
+		{"lease lost", plain, nil, func(p *pickerTest) {
+			p.silence(func() { p.ready("u2") })
+		}},
+		{"older than the service's bound", plain, []settings.Op{setting("/", settings.KeyConfirmationMaxAgeMS, settings.Number(1000))}, func(p *pickerTest) {
+			time.Sleep(1100 * time.Millisecond)
+			p.ready("u2")
+		}},
+		{"member leaves", grouped, nil, func(p *pickerTest) {
+			p.report("m1", 1, membership.Leaving, membership.GroupRef{Group: "g1", Epoch: 3, Rank: 1})
+		}},
+		{"member restarted", grouped, nil, func(p *pickerTest) {
+			p.report("m1", 2, membership.Ready, membership.GroupRef{Group: "g1", Epoch: 3, Rank: 1})
+		}},
+		{"member in another group", grouped, nil, func(p *pickerTest) {
+			p.report("m1", 1, membership.Ready, membership.GroupRef{Group: "g9", Epoch: 4})
+		}},
+		{"member silent", grouped, nil, func(p *pickerTest) {
+			p.silence(func() {
+				p.report("u1", 1, membership.Ready, membership.GroupRef{Group: "g1", Epoch: 3})
+				p.form("g2", 3, "u2", "m2")
+			})
+		}},
+		{"group dissolved", grouped, nil, func(p *pickerTest) {
+			state := group.NewState()
+			state.Groups["g2"] = p.groups["a"].Groups["g2"]
+			p.groups["a"] = state
+		}},
+		{"group formed again", grouped, nil, func(p *pickerTest) { p.form("g1", 4, "u1", "m1") }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPickerTest(t, append(c.ops, setting("/services/rug-model", settings.KeyGroupSize, settings.Number(2)))...)
+				if c.service == grouped {
+					p.form("g1", 3, "u1", "m1")
+					p.form("g2", 3, "u2", "m2")
+				} else {
+					p.ready("u1", "u2")
+				}
+				p.publish(time.Now())
+				seen := map[string]bool{}
+				for i := range picks {
+					defer p.mustPick(t, pickWork(c.service, byte(100+i))).Finish(caller.Result{OK: true})
+				}
+				for _, id := range []string{"u1", "u2"} {
+					seen[id] = p.router.Table().Upstream(id).InFlight() > 0
+				}
+				require.Equal(t, map[string]bool{"u1": true, "u2": true}, seen, "both are in use before the change")
+				c.change(p)
+				for i := range picks {
+					require.Equal(t, "u2", p.pickedID(t, pickWork(c.service, byte(i))))
+				}
+				inForce := membership.GroupRef{}
+				if c.service == grouped {
+					inForce = membership.GroupRef{Group: "g2", Epoch: 3}
+				}
+				p.report("u2", 1, membership.Leaving, inForce)
+				_, err := p.Pick(pickWork(c.service, 0), 1, nil)
+				require.Equal(t, fault.NoUpstream, fault.CodeOf(err))
+				require.Equal(t, fault.NotRun, fault.OutcomeOf(err))
+			})
+		})
+	}
+}
+
+// Guards against a retry at the upstream that failed while there is another,
+// and against none at all when every upstream was tried.
+func TestTriedUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPickerTest(t)
+		p.ready("u1", "u2")
+		p.publish(time.Now())
+		for i := range picks {
+			require.Equal(t, "u2", p.pickedID(t, pickWork("wash", byte(i)), "u1"))
+		}
+		p.mustPick(t, pickWork("wash", 0), "u1", "u2")
+	})
+}
+
+// Guards against suspects of a crash running together, against an isolated run
+// that ends with its caller, and against a suspect that is never let in.
+func TestSuspectsRunApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPickerTest(t)
+		p.ready("u1")
+		p.publish(time.Now())
+		first, second := p.mustPick(t, pickWork("wash", 1)), p.mustPick(t, pickWork("wash", 2))
+		require.False(t, first.OutlivesCaller())
+		broken := caller.Result{Broken: true, Err: errors.New("reset")}
+		first.Finish(broken)
+		second.Finish(broken)
+		p.report("u1", 2, membership.Ready, membership.GroupRef{})
+		p.publish(time.Now())
+		p.tickFor(time.Second)
+		alone := p.mustPick(t, pickWork("wash", 1))
+		require.True(t, alone.OutlivesCaller())
+		_, err := p.Pick(pickWork("wash", 2), 1, nil)
+		require.Equal(t, fault.NotRun, fault.OutcomeOf(err), "another suspect waits until its deadline")
+		p.tickFor(0)
+		p.publish(time.Now())
+		innocent := p.mustPick(t, pickWork("wash", 3))
+		require.False(t, innocent.OutlivesCaller())
+		innocent.Finish(caller.Result{OK: true})
+		time.AfterFunc(time.Second, func() { alone.Finish(caller.Result{OK: true}) })
+		began := time.Now()
+		next := p.mustPick(t, pickWork("wash", 2))
+		require.GreaterOrEqual(t, time.Since(began), time.Second)
+		next.Finish(caller.Result{OK: true})
+		require.Zero(t, p.router.Table().Upstream("u1").InFlight())
+	})
+}
+
+// tickFor lets the time of quarantine pass and keeps the upstream's lease.
+func (p *pickerTest) tickFor(d time.Duration) {
+	for end := time.Now().Add(d); ; time.Sleep(quarantineBusy) {
+		p.crashes.book.Tick(time.Now())
+		p.report("u1", 2, membership.Ready, membership.GroupRef{})
+		if !time.Now().Before(end) {
+			return
+		}
+	}
+}
+
+// Guards against attempts that a caller cancels counting as failures of the
+// upstream, and against failures that do not count.
+func TestResultsCountAgainstUpstream(t *testing.T) {
+	failed := errors.New("failed")
+	cases := []struct {
+		name    string
+		result  caller.Result
+		ejected bool
+	}{
+		{"answered", caller.Result{OK: true}, false},
+		{"unreachable", caller.Result{NotSent: true, Err: failed}, true},
+		{"cancelled", caller.Result{Cancelled: true, Err: failed}, false},
+		{"cancelled while connecting", caller.Result{Cancelled: true, NotSent: true, Err: failed}, false},
+		{"failed", caller.Result{Err: failed}, true},
+		{"reset", caller.Result{Broken: true, Err: failed}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPickerTest(t)
+				p.ready("u1", "u2", "u3", "u4")
+				p.publish(time.Now())
+				for i := range 10 {
+					p.mustPick(t, pickWork("wash", byte(i)), "u2", "u3", "u4").Finish(c.result)
+				}
+				require.Equal(t, c.ejected, len(p.outliers()) > 0)
+				require.Zero(t, p.router.Table().Upstream("u1").InFlight())
+			})
+		})
+	}
+}
