Do not count a cancelled connection attempt against the upstream

Cause: an attempt that its caller cancelled before anything was sent counted as a failure of the upstream, so that callers who leave early ejected it. Change: such an attempt says nothing about the upstream. Before: TestResultsCountAgainstUpstream/cancelled_while_connecting failed: 10 cancelled attempts ejected the upstream. After: passes.

--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -481,6 +481,8 @@
 	case r.OK:
 		p.share(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlier.Success, c.first))
 		p.crashes.finish(c, quarantine.Completed)
+	case r.NotSent && r.Cancelled:
+		p.crashes.finish(c, quarantine.NotStarted)
 	case r.NotSent:
 		p.share(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlier.Failure, 0))
 		p.crashes.finish(c, quarantine.NotStarted)
