Bound the picks of a request that waited as a suspect

Cause: the bound on picks was compared for equality, so a request that had waited as a suspect for more than 8 turns passed it. When its only upstream was then lost between the routing table and the view, it was picked again without a pause until the request's deadline, while the list of excluded upstreams grew. Change: compare with >=. Before: TestTriesAreBoundedAfterWait did not end. After: passes.

--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -116,7 +116,7 @@
 			return c, nil
 		}
 		var again *retryPick
-		if !errors.As(err, &again) || try == pickTries && !again.suspect || !time.Now().Before(w.Deadline) {
+		if !errors.As(err, &again) || try >= pickTries && !again.suspect || !time.Now().Before(w.Deadline) {
 			return nil, pickError(err)
 		}
 		if again.suspect {
--- a/internal/daemon/pick_test.go
+++ b/internal/daemon/pick_test.go
@@ -253,6 +253,26 @@
 	})
 }
 
+// Guards against picks that go on without a pause until the deadline when the
+// only upstream was lost after the request had waited as a suspect.
+func TestTriesAreBoundedAfterWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPickerTest(t)
+		p.ready("u1")
+		p.publish(time.Now())
+		first := p.mustPick(t, pickWork("wash", 1))
+		p.report("u1", 1, membership.Draining, membership.GroupRef{})
+		p.ready("u2")
+		p.publish(time.Now())
+		p.report("u2", 1, membership.Leaving, membership.GroupRef{})
+		time.AfterFunc((pickTries+2)*suspectPause, func() { first.Finish(caller.Result{OK: true}) })
+		began := time.Now()
+		_, err := p.Pick(pickWork("wash", 1), 1, nil)
+		require.Equal(t, fault.NoUpstream, fault.CodeOf(err))
+		require.Less(t, time.Since(began), time.Second)
+	})
+}
+
 // tickFor lets the time of quarantine pass and keeps the upstream's lease.
 func (p *pickerTest) tickFor(d time.Duration) {
 	for end := time.Now().Add(d); ; time.Sleep(quarantineBusy) {
