--- /dev/null
+++ b/internal/fault/fault_test.go
@@ -0,0 +1,58 @@
+package fault
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an error that loses its code, place, outcome or cause on its
+// way, or that claims more than is proven.
+func TestDetails(t *testing.T) {
+	inner := New(UpstreamUnreachable, At{Step: "dispatch", Peer: "u1"}, NotRun, "refused")
+	cases := []struct {
+		name    string
+		err     error
+		code    Code
+		at      At
+		outcome Outcome
+		retry   time.Duration
+	}{
+		{"new", inner, UpstreamUnreachable, At{"dispatch", "u1"}, NotRun, 0},
+		{"wrapped by the standard library", fmt.Errorf("again: %w", inner), UpstreamUnreachable, At{"dispatch", "u1"}, NotRun, 0},
+		{"wrapped again", Wrap(inner, DeadlineExceeded, At{Step: "relay"}, Unknown), DeadlineExceeded, At{Step: "relay"}, Unknown, 0},
+		{"foreign", Wrap(context.Canceled, Unavailable, At{"relay", "caller"}, Unknown), Unavailable, At{"relay", "caller"}, Unknown, 0},
+		{"with a delay", WithRetryAfter(inner, time.Second), UpstreamUnreachable, At{"dispatch", "u1"}, NotRun, time.Second},
+		{"without details", errors.New("plain"), Internal, At{}, Unknown, 0},
+		{"no error", nil, Internal, At{}, Unknown, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.code, CodeOf(c.err))
+			require.Equal(t, c.at, Location(c.err))
+			require.Equal(t, c.outcome, OutcomeOf(c.err))
+			require.Equal(t, c.retry, RetryAfterOf(c.err))
+			if c.err != nil && c.name != "without details" {
+				require.Equal(t, Status(c.code), merry.HTTPCode(c.err))
+			}
+		})
+	}
+	require.NoError(t, Wrap(nil, Internal, At{}, Unknown))
+	require.ErrorIs(t, Wrap(context.Canceled, Unavailable, At{}, Unknown), context.Canceled)
+	require.Equal(t, UpstreamUnreachable, CodeOf(inner), "wrapping must not change the inner error")
+}
+
+// Guards against a code whose status would tell a caller something else.
+func TestStatuses(t *testing.T) {
+	for code, status := range statuses {
+		require.GreaterOrEqual(t, status, http.StatusBadRequest, code)
+		require.Equal(t, status, Status(code))
+	}
+	require.Equal(t, http.StatusInternalServerError, Status("unlisted"))
+}
