End the wait of a suspect when its caller leaves

Cause: a request that quarantine held back, or whose pinned upstream could not take it, waited until its deadline although its caller had gone away, and kept its place in admission. Change: Picker.Pick takes the request's context; its waits end with it. Before: no way to end the wait. After: TestWaitingSuspectLeavesWithItsCaller passes: the pick ends when its caller leaves, 1 s into a deadline of 5 s.

--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -57,9 +58,12 @@
 }
 
 // await returns how a request may run, after a suspect's crash has been
-// reported by all entries.
-func (c *crashWatch) await(w *caller.Work) (quarantine.Ruling, error) {
+// reported by all entries, or an error when the caller has left meanwhile.
+func (c *crashWatch) await(ctx context.Context, w *caller.Work) (quarantine.Ruling, error) {
 	for {
+		if err := ctx.Err(); errors.Is(err, context.Canceled) {
+			return quarantine.Ruling{}, fault.Wrap(err, fault.Unavailable, fault.At{Step: "quarantine"}, fault.NotRun)
+		}
 		ruling := c.book.Admit(time.Now(), digestOf(w))
 		if err := refused(ruling); err != nil {
 			return ruling, err
@@ -70,7 +74,7 @@
 		if !time.Now().Before(w.Deadline) {
 			return ruling, fault.New(fault.DeadlineExceeded, fault.At{Step: "quarantine"}, fault.NotRun, "the deadline passed while a crash was examined")
 		}
-		time.Sleep(suspectPause)
+		wait(ctx, nil, suspectPause)
 	}
 }
 
--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -98,7 +98,7 @@
 }
 
 // Pick implements caller.Picker.
-func (p *picker) Pick(w *caller.Work, _ int, tried []string) (caller.Choice, error) {
+func (p *picker) Pick(ctx context.Context, w *caller.Work, _ int, tried []string) (caller.Choice, error) {
 	tree := p.shared.Tree()
 	req := &routing.Request{
 		Service: w.Route.Service, Paying: w.Account.Class == caller.Paying, Excluded: slices.Clone(tried),
@@ -108,7 +108,7 @@
 		req.Prefix = routing.BlockHashes(nil, w.Route.Model, []byte(w.Prompt), routing.DefaultBlockBytes, routing.DefaultMaxBlocks)
 	}
 	for try := 0; ; try++ {
-		if err := p.obeyRuling(w, req); err != nil {
+		if err := p.obeyRuling(ctx, w, req); err != nil {
 			return nil, err
 		}
 		c, err := p.choose(w, req)
@@ -120,7 +120,7 @@
 			return nil, pickError(err)
 		}
 		if again.suspect {
-			time.Sleep(suspectPause)
+			wait(ctx, nil, suspectPause)
 			continue
 		}
 		req.Excluded = append(req.Excluded, again.upstream)
@@ -143,8 +143,8 @@
 }
 
 // obeyRuling applies what quarantine says of the request.
-func (p *picker) obeyRuling(w *caller.Work, req *routing.Request) error {
-	ruling, err := p.crashes.await(w)
+func (p *picker) obeyRuling(ctx context.Context, w *caller.Work, req *routing.Request) error {
+	ruling, err := p.crashes.await(ctx, w)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/pick_test.go
+++ b/internal/daemon/pick_test.go
@@ -101,7 +101,7 @@
 }
 
 func (p *pickerTest) mustPick(t *testing.T, w *caller.Work, tried ...string) *choice {
-	c, err := p.Pick(w, len(tried)+1, tried)
+	c, err := p.Pick(t.Context(), w, len(tried)+1, tried)
 	require.NoError(t, err)
 	return c.(*choice)
 }
@@ -198,7 +198,7 @@
 					inForce = membership.GroupRef{Group: "g2", Epoch: 3}
 				}
 				p.report("u2", 1, membership.Leaving, inForce)
-				_, err := p.Pick(pickWork(c.service, 0), 1, nil)
+				_, err := p.Pick(t.Context(), pickWork(c.service, 0), 1, nil)
 				require.Equal(t, fault.NoUpstream, fault.CodeOf(err))
 				require.Equal(t, fault.NotRun, fault.OutcomeOf(err))
 			})
@@ -237,7 +237,7 @@
 		p.tickFor(time.Second)
 		alone := p.mustPick(t, pickWork("wash", 1))
 		require.True(t, alone.OutlivesCaller())
-		_, err := p.Pick(pickWork("wash", 2), 1, nil)
+		_, err := p.Pick(t.Context(), pickWork("wash", 2), 1, nil)
 		require.Equal(t, fault.NotRun, fault.OutcomeOf(err), "another suspect waits until its deadline")
 		p.tickFor(0)
 		p.publish(time.Now())
@@ -267,12 +267,33 @@
 		p.report("u2", 1, membership.Leaving, membership.GroupRef{})
 		time.AfterFunc((pickTries+2)*suspectPause, func() { first.Finish(caller.Result{OK: true}) })
 		began := time.Now()
-		_, err := p.Pick(pickWork("wash", 1), 1, nil)
+		_, err := p.Pick(t.Context(), pickWork("wash", 1), 1, nil)
 		require.Equal(t, fault.NoUpstream, fault.CodeOf(err))
 		require.Less(t, time.Since(began), time.Second)
 	})
 }
 
+// Guards against a suspect that waits for its turn, and keeps its place in
+// admission, after its caller has gone away.
+func TestWaitingSuspectLeavesWithItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPickerTest(t)
+		p.ready("u1", "u2")
+		p.publish(time.Now())
+		first := p.mustPick(t, pickWork("wash", 1))
+		defer first.Finish(caller.Result{OK: true})
+		p.report(first.Target().ID, 1, membership.Draining, membership.GroupRef{})
+		p.publish(time.Now())
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		began := time.Now()
+		_, err := p.Pick(ctx, pickWork("wash", 1), 1, nil)
+		require.Equal(t, fault.NotRun, fault.OutcomeOf(err))
+		require.ErrorIs(t, err, context.Canceled)
+		require.Equal(t, time.Second, time.Since(began))
+	})
+}
+
 // tickFor lets the time of quarantine pass and keeps the upstream's lease.
 func (p *pickerTest) tickFor(d time.Duration) {
 	for end := time.Now().Add(d); ; time.Sleep(quarantineBusy) {
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -90,9 +90,9 @@
 
 // pick chooses the upstream of the next attempt.
 func (x *exchange) pick(ctx context.Context) (Choice, error) {
-	_, span := x.Tracer.Start(ctx, "routing")
+	ctx, span := x.Tracer.Start(ctx, "routing")
 	defer span.End()
-	choice, err := x.Picker.Pick(&x.work, x.attempt, x.tried)
+	choice, err := x.Picker.Pick(ctx, &x.work, x.attempt, x.tried)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.CodeOf(err), fault.At{Step: StepPick}, fault.NotRun)
 	}
--- a/internal/edge/caller/deps.go
+++ b/internal/edge/caller/deps.go
@@ -105,8 +105,9 @@
 // Picker chooses upstreams.
 type Picker interface {
 	// Pick chooses an upstream for an attempt; tried lists the upstreams of
-	// the attempts before it.
-	Pick(w *Work, attempt int, tried []string) (Choice, error)
+	// the attempts before it. It waits until the request may run, its deadline
+	// passes, or ctx ends.
+	Pick(ctx context.Context, w *Work, attempt int, tried []string) (Choice, error)
 }
 
 // Choice is a chosen upstream and the record of an attempt at it.
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -136,7 +136,7 @@
 func (c harnessChoice) OutlivesCaller() bool    { return c.outlives }
 func (c harnessChoice) Finish(r Result)         { c.finish(r) }
 
-func (h *harness) Pick(w *Work, _ int, tried []string) (Choice, error) {
+func (h *harness) Pick(_ context.Context, w *Work, _ int, tried []string) (Choice, error) {
 	var all []harnessChoice
 	for _, dead := range h.dead {
 		all = append(all, harnessChoice{target: dead})
