--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -44,7 +44,7 @@
 type picker struct {
 	cfg     *config.Daemon
 	logger  *zap.Logger
-	shared  *sharedState
+	shared  inForce
 	members *members
 	client  *upstream.Client
 	router  *routing.Router
@@ -61,13 +61,19 @@
 	detectors map[string]detector
 }
 
+// inForce is what this daemon has in force.
+type inForce interface {
+	Tree() *settings.Tree
+	Groups() map[string]*group.State
+}
+
 // detector is the outlier detector of a service under its present limit.
 type detector struct {
 	*outlier.Detector
 	maxEjected float64
 }
 
-func newPicker(cfg *config.Daemon, seed uint64, shared *sharedState, m *members, client *upstream.Client, crashes *crashWatch, logger *zap.Logger) *picker {
+func newPicker(cfg *config.Daemon, seed uint64, shared inForce, m *members, client *upstream.Client, crashes *crashWatch, logger *zap.Logger) *picker {
 	p := &picker{
 		cfg: cfg, logger: logger, shared: shared, members: m, client: client, crashes: crashes,
 		router: routing.New(routing.Config{FailureDomain: cfg.FailureDomain, Region: cfg.Region, Entries: entryCount(cfg)}, nil),
@@ -92,7 +98,7 @@
 }
 
 // Pick implements caller.Picker.
-func (p *picker) Pick(w *caller.Work, _ int, tried []string) (caller.Choice, error) {
+func (p *picker) Pick(ctx context.Context, w *caller.Work, _ int, tried []string) (caller.Choice, error) {
 	tree := p.shared.Tree()
 	req := &routing.Request{
 		Service: w.Route.Service, Paying: w.Account.Class == caller.Paying, Excluded: slices.Clone(tried),
@@ -102,7 +108,7 @@
 		req.Prefix = routing.BlockHashes(nil, w.Route.Model, []byte(w.Prompt), routing.DefaultBlockBytes, routing.DefaultMaxBlocks)
 	}
 	for try := 0; ; try++ {
-		if err := p.obeyRuling(w, req); err != nil {
+		if err := p.obeyRuling(ctx, w, req); err != nil {
 			return nil, err
 		}
 		c, err := p.choose(w, req)
@@ -110,11 +116,11 @@
 			return c, nil
 		}
 		var again *retryPick
-		if !errors.As(err, &again) || try == pickTries && !again.suspect || !time.Now().Before(w.Deadline) {
+		if !errors.As(err, &again) || try >= pickTries && !again.suspect || !time.Now().Before(w.Deadline) {
 			return nil, pickError(err)
 		}
 		if again.suspect {
-			time.Sleep(suspectPause)
+			wait(ctx, nil, suspectPause)
 			continue
 		}
 		req.Excluded = append(req.Excluded, again.upstream)
@@ -137,8 +143,8 @@
 }
 
 // obeyRuling applies what quarantine says of the request.
-func (p *picker) obeyRuling(w *caller.Work, req *routing.Request) error {
-	ruling, err := p.crashes.await(w)
+func (p *picker) obeyRuling(ctx context.Context, w *caller.Work, req *routing.Request) error {
+	ruling, err := p.crashes.await(ctx, w)
 	if err != nil {
 		return err
 	}
@@ -203,7 +209,8 @@
 // confirmed reports whether the group of an upstream is whole now.
 func (p *picker) confirmed(u *routing.Upstream, now time.Time, maxAge time.Duration) bool {
 	for _, state := range p.shared.Groups() {
-		if g := state.Groups[u.Group.ID]; g != nil {
+		// The engines know a group that was formed again by its new epoch.
+		if g := state.Groups[u.Group.ID]; g != nil && g.Epoch == u.Group.Epoch {
 			servable, ok := g.Servable(p.members.View(), now)
 			return ok && g.Epoch == u.Group.Epoch && servable.Leader.ID == u.ID && now.Sub(servable.Confirmed) < maxAge
 		}
@@ -474,6 +481,8 @@
 	case r.OK:
 		p.share(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlier.Success, c.first))
 		p.crashes.finish(c, quarantine.Completed)
+	case r.NotSent && r.Cancelled:
+		p.crashes.finish(c, quarantine.NotStarted)
 	case r.NotSent:
 		p.share(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlier.Failure, 0))
 		p.crashes.finish(c, quarantine.NotStarted)
