--- a/internal/cluster/crash_test.go
+++ b/internal/cluster/crash_test.go
@@ -48,13 +48,17 @@
 		}
 		return running == len(answers)
 	})
+	started := time.Now()
 	for _, id := range c.IDs() {
 		var last Answer
+		tries := 0
 		c.eventually("the refusal through "+id, func() bool {
 			last = c.paying.Stream(context.Background(), c.CallerURL(id), "rug-model", "poison pill", 5)
 			require.False(t, last.Whole)
+			tries++
 			return strings.Contains(last.Body, fmt.Sprintf("%q", fault.Quarantined))
 		})
+		t.Logf("refused through %s after %d tries, %s after the first", id, tries, time.Since(started).Round(time.Millisecond))
 		// The refused request may itself have crashed an upstream before. One
 		// that is sent now has not run.
 		last = c.paying.Stream(t.Context(), c.CallerURL(id), "rug-model", "poison pill", 5)
