--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -205,7 +205,7 @@
 	for _, state := range p.shared.Groups() {
 		if g := state.Groups[u.Group.ID]; g != nil {
 			servable, ok := g.Servable(p.members.View(), now)
-			return ok && servable.Leader.ID == u.ID && now.Sub(servable.Confirmed) < maxAge
+			return ok && g.Epoch == u.Group.Epoch && servable.Leader.ID == u.ID && now.Sub(servable.Confirmed) < maxAge
 		}
 	}
 	return false
@@ -393,7 +393,7 @@
 		load := u.Load.Running + u.Load.Queued
 		c.Slots += max(1, u.MaxConcurrent)
 		c.Load += load
-		c.OwnInLoad += max(0, load-int(u.EstimatedLoad())+u.InFlight())
+		c.OwnInLoad += u.OwnInReport()
 		c.Priorities = c.Priorities && u.Priorities
 	}
 	return c
@@ -469,7 +469,7 @@
 func (c *choice) Finish(r caller.Result) {
 	p := c.picker
 	now := time.Now()
-	p.router.Done(now, c.upstream, routing.Observation{FirstToken: c.first})
+	p.router.Done(now, c.upstream, routing.Observation{FirstToken: c.first, SlotFreed: r.OK || r.Cancelled})
 	switch {
 	case r.OK:
 		p.share(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlier.Success, c.first))
