cluster: keep a loaded machine from causing elections in the tests of voters

Cause: under a load of 39 a leader lost its followers for 600 ms, and the test that a returning voter does not unseat the leader failed.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -47,6 +47,8 @@
 	// Settings is the settings tree, as JSON with comments.
 	Settings string
 	Logger   *zap.Logger
+	// ElectionTimeout of the logs; zero means the default.
+	ElectionTimeout time.Duration
 }
 
 // Domain is a failure domain of a layout.
@@ -75,6 +77,8 @@
 	logger    *zap.Logger
 	configs   map[string]*config.Daemon
 	order     []string
+	// electionTimeout is zero for the default.
+	electionTimeout time.Duration
 
 	mu      sync.Mutex
 	daemons map[string]*daemon.Daemon
@@ -86,7 +90,7 @@
 // Start starts the daemons of a layout with data under folder.
 func Start(folder string, layout Layout) (*Cluster, error) {
 	c := &Cluster{
-		Partition: fake.NewPartition(), folder: folder, logger: layout.Logger, configs: map[string]*config.Daemon{},
+		Partition: fake.NewPartition(), folder: folder, logger: layout.Logger, electionTimeout: layout.ElectionTimeout, configs: map[string]*config.Daemon{},
 		daemons: map[string]*daemon.Daemon{}, domains: map[string]string{},
 	}
 	if c.logger == nil {
@@ -240,7 +244,9 @@
 
 // StartDaemon starts a daemon that is down.
 func (c *Cluster) StartDaemon(id string) error {
-	d, err := daemon.Start(c.configs[id], daemon.Options{Logger: c.logger.Named(id), Dial: c.Partition.Dialer(id)})
+	d, err := daemon.Start(c.configs[id], daemon.Options{
+		Logger: c.logger.Named(id), Dial: c.Partition.Dialer(id), ElectionTimeout: c.electionTimeout,
+	})
 	if err != nil {
 		return fmt.Errorf("start daemon %s: %w", id, err)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,6 +39,8 @@
 	Logger *zap.Logger
 	// Dial opens the connections to peers and upstreams; nil means TCP.
 	Dial upstream.DialFunc
+	// ElectionTimeout of the logs; zero means the default.
+	ElectionTimeout time.Duration
 }
 
 // Daemon is a running daemon.
@@ -98,7 +100,7 @@
 	if err := d.listenPeers(o); err != nil {
 		return err
 	}
-	hosted, err := openLogs(d.cfg, d.network, d.logger)
+	hosted, err := openLogs(d.cfg, d.network, o.ElectionTimeout, d.logger)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/logs.go
+++ b/internal/daemon/logs.go
@@ -36,8 +36,10 @@
 	network *peer.Network
 	logger  *zap.Logger
 	dir     *storage.Dir
-	global  *globalReplica
-	domains map[string]*domainReplica
+	// electionTimeout is zero for the default.
+	electionTimeout time.Duration
+	global          *globalReplica
+	domains         map[string]*domainReplica
 }
 
 type globalReplica struct {
@@ -60,8 +62,8 @@
 }
 
 // openLogs opens the replicas of the logs in which this daemon votes.
-func openLogs(cfg *config.Daemon, network *peer.Network, logger *zap.Logger) (*logs, error) {
-	l := &logs{cfg: cfg, network: network, logger: logger, domains: map[string]*domainReplica{}}
+func openLogs(cfg *config.Daemon, network *peer.Network, electionTimeout time.Duration, logger *zap.Logger) (*logs, error) {
+	l := &logs{cfg: cfg, network: network, electionTimeout: electionTimeout, logger: logger, domains: map[string]*domainReplica{}}
 	if cfg.DataFolder == "" || !cfg.Has(config.RoleControl) {
 		return l, nil
 	}
@@ -108,7 +110,8 @@
 		Log: name, ID: l.cfg.ID, Dir: l.dir, Voters: voters, Transport: transport{l.network}, Machine: machine,
 		Forward: l.forward, Logger: l.logger,
 		// What was once in force must be in force again after a restart.
-		SyncCommit: true,
+		SyncCommit:      true,
+		ElectionTimeout: l.electionTimeout,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("open log %s: %w", name, err)
