Give quarantine only upstreams that are confirmed

Cause: upstreams are assigned to entries for isolated runs from the whole view, which keeps lost ones for 30 s. An entry whose assigned upstreams were lost, which a crash-causing request brings about, could not run a suspect until then. Change: the lists for quarantine leave out lost upstreams and are renewed within a second of a loss.

--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -54,7 +54,9 @@
 	heard   map[string]time.Time
 	known   map[string]int
 	watched atomic.Pointer[membership.View]
-	next    atomic.Uint64
+	// lost holds the upstreams that quarantine was not told of.
+	lost map[string]bool
+	next atomic.Uint64
 
 	mu sync.Mutex
 	// detectors watch the upstreams of each service.
@@ -72,7 +74,7 @@
 		cfg: cfg, logger: logger, shared: shared, members: m, client: client, crashes: crashes,
 		router: routing.New(routing.Config{FailureDomain: cfg.FailureDomain, Region: cfg.Region, Entries: entryCount(cfg)}, nil),
 		random: routing.NewSource(seed), detectors: map[string]detector{},
-		regions: map[string]string{cfg.FailureDomain: cfg.Region}, heard: map[string]time.Time{}, known: map[string]int{},
+		regions: map[string]string{cfg.FailureDomain: cfg.Region}, heard: map[string]time.Time{}, lost: map[string]bool{}, known: map[string]int{},
 	}
 	for _, peer := range cfg.Peers {
 		p.regions[peer.FailureDomain] = peer.Region
@@ -231,6 +233,7 @@
 			timer.Reset(max(routingTick, time.Duration(p.router.Table().Len())*perUpstreamTick))
 		case now := <-seconds.C:
 			p.share(p.tickDetectors(now))
+			p.watchLost(now)
 		}
 	}
 }
@@ -279,7 +282,7 @@
 // which gave a sign of life.
 func (p *picker) watch(view *membership.View, all []*membership.Upstream) {
 	if p.watched.Swap(view) != view {
-		p.setUpstreams(all)
+		p.setUpstreams(view, all)
 	}
 	for _, u := range all {
 		at, ok := u.Reported()
@@ -293,14 +296,24 @@
 	}
 }
 
-// setUpstreams replaces the sets of upstreams by service.
-func (p *picker) setUpstreams(all []*membership.Upstream) {
-	services := map[string][]string{}
+// setUpstreams replaces the sets of upstreams by service. Quarantine assigns
+// upstreams to entries for isolated runs, so it gets no lost ones: an entry whose
+// upstreams are all lost could not run a suspect until they are forgotten.
+func (p *picker) setUpstreams(view *membership.View, all []*membership.Upstream) {
+	now := time.Now()
+	services, present := map[string][]string{}, map[string][]string{}
 	listed := map[string]bool{}
+	clear(p.lost)
 	for _, u := range all {
 		listed[u.ID] = true
+		if !view.Confirmed(u, now) {
+			p.lost[u.ID] = true
+		}
 		for _, s := range u.Services {
 			services[s] = append(services[s], u.ID)
+			if !p.lost[u.ID] {
+				present[s] = append(present[s], u.ID)
+			}
 		}
 	}
 	for s := range p.known {
@@ -308,10 +321,9 @@
 			services[s] = nil
 		}
 	}
-	now := time.Now()
 	for s, ids := range services {
 		p.share(p.detector(s).SetUpstreams(now, s, ids))
-		p.crashes.book.SetUpstreams(s, ids)
+		p.crashes.book.SetUpstreams(s, present[s])
 		p.known[s] = len(ids)
 	}
 	for id := range p.heard {
@@ -321,6 +333,18 @@
 	}
 }
 
+// watchLost sets the upstreams again when some were lost or came back, which
+// does not change the view.
+func (p *picker) watchLost(now time.Time) {
+	view := p.members.View()
+	for _, u := range view.All() {
+		if view.Confirmed(u, now) == p.lost[u.ID] {
+			p.watched.Store(nil)
+			return
+		}
+	}
+}
+
 // detector returns the outlier detector of a service. A changed limit starts a
 // new one, which learns of the upstreams at once.
 func (p *picker) detector(service string) *outlier.Detector {
