--- a/internal/bench/control/tables.go
+++ b/internal/bench/control/tables.go
@@ -35,6 +35,7 @@
 	publish.MB = float64(heapBytes()-before) / 1e6
 	slots := 0
 	capacity.Core, err = timed(capacityPerSecond, func() { slots += capacityOf(router, view, now) })
+	runtime.KeepAlive(f)
 	runtime.KeepAlive(router)
 	runtime.KeepAlive(slots)
 	return publish, capacity, err
