Claim the key again when the request that held it did not run

Cause: a claim whose result was unknown is released in the background. Change: the resend claims the key itself, until its deadline. Before/after: TestResendAfterRelease got 409 before, 200 with one run after. Conclusion: a resend ends with an answer without another round trip.

--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -175,6 +175,18 @@
 	require.Equal(t, fault.Unknown, fault.Outcome(r.header.Get(HeaderOutcome)), r.body)
 }
 
+// Guards against a resend that is refused although the request that held its
+// key has been released without a run.
+func TestResendAfterRelease(t *testing.T) {
+	h := newHarness(t, 0)
+	body := [32]byte(digest("acc", h.route.Service, http.MethodPost, "/orders", []byte("one")))
+	h.claims["k"] = &fakeClaim{state: ClaimRunning, body: body, done: make(chan struct{})}
+	time.AfterFunc(20*time.Millisecond, func() { h.Release(ClaimID{Key: "k"}) })
+	r := h.do(t.Context(), http.MethodPost, "/orders", "one", map[string]string{headerIdempotencyKey: "k"})
+	require.Equal(t, http.StatusOK, r.status, r.body)
+	require.Len(t, h.plain.Runs(), 1)
+}
+
 // Guards against answers crossing between concurrent callers.
 func TestConcurrentCallersGetTheirOwnAnswers(t *testing.T) {
 	h := newHarness(t, 2)
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -208,6 +208,11 @@
 	case <-ctx.Done():
 		return 0, Answer{}, ctx.Err()
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.claims[id.Key] != c {
+		return 0, Answer{}, fault.New(fault.Conflict, fault.At{}, fault.NotRun, "the first request did not run")
+	}
 	return c.state, c.answer, nil
 }
 
@@ -225,7 +230,10 @@
 func (h *harness) Release(id ClaimID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.claims, id.Key)
+	if c := h.claims[id.Key]; c != nil {
+		delete(h.claims, id.Key)
+		close(c.done)
+	}
 }
 
 // result is what a caller saw.
--- a/internal/edge/caller/once.go
+++ b/internal/edge/caller/once.go
@@ -19,6 +19,19 @@
 		return x.serveUnclaimed(ctx)
 	}
 	id := ClaimID{Account: x.work.Account.ID, Route: x.work.Route.Service, Key: key, Holder: x.work.RequestID}
+	for {
+		err := x.serveClaimed(ctx, id)
+		// The request that held the key did not run, so this one may claim it.
+		if fault.CodeOf(err) != fault.Conflict || fault.OutcomeOf(err) != fault.NotRun || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// serveClaimed claims a key and runs the request, or answers as the request
+// that claimed the key before was answered. The error is fault.Conflict when
+// that one did not run.
+func (x *exchange) serveClaimed(ctx context.Context, id ClaimID) error {
 	slot, err := x.admit(ctx)
 	if err != nil {
 		return err
