Raise the default backlog on upstreams that honour priorities to 0.2

With the router in the experiment, 0.1 left slots idle that lay between entries at overload. The daemon uses the default.

--- a/admission/types.go
+++ b/admission/types.go
@@ -177,7 +177,7 @@
 // Defaults of Options.
 const (
 	DefaultMaxStreams       = 20000
-	DefaultBacklog          = 0.1 // 0.25 left no slot less idle and let more free work time out
+	DefaultBacklog          = 0.2 // 0.1 left 1% of the slots idle at 5 times capacity
 	DefaultBacklogInOrder   = 0.05
 	DefaultMaxPreemptions   = 2
 	DefaultNearEnd          = 500 * time.Millisecond
