--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -53,6 +53,33 @@
 	}
 }
 
+// BenchmarkPickFreed is a pick at a full service after the end of a request,
+// with Begin and Done.
+func BenchmarkPickFreed(b *testing.B) {
+	for _, n := range []int{65, 2100} {
+		b.Run(fmt.Sprint("upstreams=", n), func(b *testing.B) {
+			r := New(Config{FailureDomain: "d0", Region: "r0"}, nil)
+			all := fleet(n, benchTime)
+			for i := range all {
+				all[i].Load.Running = 40
+			}
+			u := r.Publish(benchTime, all).Upstream(all[n-1].ID)
+			r.Begin(benchTime, u, nil)
+			source, req := NewSource(1), &Request{Service: "chat", Model: "m", Version: "1"}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Done(benchTime, u, Observation{SlotFreed: true})
+				choice, err := r.Pick(benchTime, source, req)
+				if err != nil || !choice.Freed {
+					b.Fatal(choice, err)
+				}
+				u = choice.Upstream
+				r.Begin(benchTime, u, nil)
+			}
+		})
+	}
+}
+
 func BenchmarkPublish(b *testing.B) {
 	for _, n := range []int{65, 2100} {
 		b.Run(fmt.Sprint("upstreams=", n), func(b *testing.B) {
