Do not pass on a cut-off answer in place of a stream

Cause: found by reading: an answer that is not a stream was read up to 256 KiB and passed on with that length, so a longer one looked whole. Change: a longer one is a protocol error. Before: the new test got 200 with 262,144 bytes. After: 502, outcome unknown. Conclusion: an answer is whole or visibly broken on this path too.

--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -77,6 +78,22 @@
 	require.True(t, strings.HasPrefix(fake.Answer("rug", tokens), r.content))
 }
 
+// Guards against an answer that is not a stream being cut off at the size of
+// the buffer and passed on as a whole one.
+func TestLargeAnswerInPlaceOfAStream(t *testing.T) {
+	h := newHarness(t, 0)
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(upstream.HeaderRequestID, r.Header.Get(upstream.HeaderRequestID))
+		w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
+		_, _ = w.Write(make([]byte, spoolBytes+1))
+	}))
+	defer engine.Close()
+	h.dead = []upstream.Target{{ID: "odd", Address: engine.Listener.Addr().String()}}
+	r := h.stream("rug", tokens)
+	require.Equal(t, http.StatusBadGateway, r.status)
+	require.Equal(t, string(fault.Unknown), r.header.Get(HeaderOutcome))
+}
+
 // Guards against a stream whose engine cannot resume being started again after
 // tokens were delivered.
 func TestStreamWithoutResumeIsNotRepeated(t *testing.T) {
--- a/internal/edge/caller/stream.go
+++ b/internal/edge/caller/stream.go
@@ -220,7 +220,10 @@
 // relayRefusal passes on an answer that is not a stream, such as an error of
 // the engine about the request itself.
 func (s *stream) relayRefusal(t *try) error {
-	body, err := io.ReadAll(io.LimitReader(t.resp.Body, spoolBytes))
+	body, err := io.ReadAll(io.LimitReader(t.resp.Body, spoolBytes+1))
+	if err == nil && len(body) > spoolBytes {
+		err = fmt.Errorf("the answer is not a stream and exceeds %d bytes", spoolBytes)
+	}
 	if err != nil || s.wrote {
 		return s.broken(t, fault.UpstreamProtocol, errors.Join(err, fmt.Errorf("the engine answered %s", t.resp.Status)))
 	}
