Charge whole answers their tokens, and name answers over the bound

Cause: found by reading: a whole answer gave its token estimate back in full, so token limits did not hold without streaming; prompts were not counted; an answer over maxResponseBytes was reported as a timeout, or as a truncation, which counts as a crash of the upstream; HEAD got Content-Length 0. Change: usage.total_tokens of the answer or the estimate, prompt bytes / 4, the code response_too_large without another attempt, the length of bodiless answers is kept. Before: the new tests fail. After: they pass under -race. Conclusion: four faults of the caller edge are gone.

--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -252,7 +252,7 @@
 // retry waits before another attempt, or returns the error to answer with.
 func (x *exchange) retry(ctx context.Context, err error) error {
 	outcome := fault.OutcomeOf(err)
-	if !x.work.Route.Idempotent && outcome != fault.NotRun {
+	if !x.work.Route.Idempotent && outcome != fault.NotRun || fault.CodeOf(err) == fault.ResponseTooLarge {
 		return err
 	}
 	delay, ok := x.Retrier.Next(&x.work, x.attempt, outcome)
--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -337,6 +337,64 @@
 	}
 }
 
+// Guards against token limits that charge whole answers nothing, or streams
+// another number than was delivered.
+func TestTokensUsed(t *testing.T) {
+	prompt := strings.Repeat("word ", 40)
+	cases := []struct {
+		name   string
+		stream bool
+		faults fake.Faults
+		want   int
+	}{
+		{"whole answer", false, fake.Faults{}, 40 + tokens},
+		{"whole answer lost", false, fake.Faults{TruncateAfter: 1}, unknownTokens},
+		{"stream", true, fake.Faults{}, (len("user\n")+len(prompt)+2)/bytesPerToken + tokens},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.engines[0].SetFaults(c.faults)
+			body := fmt.Sprintf(`{"model":"m","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, c.stream, tokens, prompt)
+			h.do(t.Context(), http.MethodPost, chatPath, body, nil)
+			require.Eventually(t, func() bool { return h.handler.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+			require.Equal(t, []Usage{{Tokens: c.want}}, h.usages)
+		})
+	}
+}
+
+// Guards against an answer over the service's bound being taken for a crash or
+// a timeout of the upstream, or being passed on.
+func TestAnswerOverTheBound(t *testing.T) {
+	for _, c := range []struct{ method, path, body string }{
+		{http.MethodPost, chatPath, wholeBody},
+		{http.MethodPost, "/orders", "one"},
+		{http.MethodGet, "/status", ""},
+	} {
+		t.Run(c.method+c.path, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.route.MaxResponseBytes = 10
+			r := h.do(t.Context(), c.method, c.path, c.body, nil)
+			require.Equal(t, http.StatusBadGateway, r.status)
+			require.Contains(t, r.body, string(fault.ResponseTooLarge))
+			require.Len(t, append(h.plain.Runs(), h.runs()...), 1, "another attempt would be as large")
+			require.Equal(t, string(fault.Unknown), r.header.Get(HeaderOutcome))
+		})
+	}
+}
+
+// Guards against the length of an answer without a body being changed.
+func TestHeadKeepsTheLength(t *testing.T) {
+	h := newHarness(t, 0)
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "1234")
+	}))
+	defer service.Close()
+	h.dead = []upstream.Target{{ID: "files", Address: service.Listener.Addr().String()}}
+	r := h.do(t.Context(), http.MethodHead, "/file", "", nil)
+	require.Equal(t, "1234", r.header.Get("Content-Length"))
+}
+
 // Guards against the same key being used for two different orders.
 func TestKeyWithAnotherBodyIsRefused(t *testing.T) {
 	h := newHarness(t, 0)
--- a/internal/edge/caller/deps.go
+++ b/internal/edge/caller/deps.go
@@ -71,7 +71,7 @@
 	Account   Account
 	Route     Route
 	Model     string
-	// Tokens estimates the tokens that the request will generate.
+	// Tokens estimates the tokens of prompt and answer.
 	Tokens int
 	// Prompt is the text whose prefix an engine may have cached.
 	Prompt string
@@ -81,8 +81,13 @@
 	Deadline time.Time
 }
 
+// unknownTokens is the usage of a request whose tokens are not known, so that
+// the estimate stands.
+const unknownTokens = -1
+
 // Usage is what a request consumed.
 type Usage struct {
+	// Tokens counts prompt and answer; a negative number is unknown.
 	Tokens int
 }
 
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -241,9 +241,15 @@
 		prompt.Write(m.Content)
 	}
 	x.work.Prompt = prompt.String()
+	x.work.Tokens += promptTokens(x.work.Prompt)
 	return nil
 }
 
+// bytesPerToken estimates the tokens of a prompt in English.
+const bytesPerToken = 4
+
+func promptTokens(prompt string) int { return len(prompt) / bytesPerToken }
+
 func (x *exchange) route() error {
 	at := fault.At{Step: StepRoute}
 	route, err := x.Policy.Route(x.work.Account, x.r.Method, x.r.URL.Path, x.work.Model)
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -43,6 +43,7 @@
 	preempt    []chan struct{}
 	yieldErr   error
 	finished   []Finished
+	usages     []Usage
 	// outlives is what choices say, results what attempts ended with.
 	outlives bool
 	results  []Result
@@ -110,10 +111,11 @@
 type harnessSlot struct {
 	preempted chan struct{}
 	yieldErr  error
+	released  func(Usage)
 }
 
 func (s *harnessSlot) Preempted() <-chan struct{} { return s.preempted }
-func (s *harnessSlot) Release(Usage)              {}
+func (s *harnessSlot) Release(u Usage)            { s.released(u) }
 
 func (s *harnessSlot) Yield(context.Context) error {
 	s.preempted = make(chan struct{})
@@ -123,7 +125,7 @@
 func (h *harness) Admit(context.Context, *Work) (Slot, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := &harnessSlot{make(chan struct{}), h.yieldErr}
+	s := &harnessSlot{make(chan struct{}), h.yieldErr, func(u Usage) { h.mu.Lock(); defer h.mu.Unlock(); h.usages = append(h.usages, u) }}
 	h.preempt = append(h.preempt, s.preempted)
 	return s, nil
 }
--- a/internal/edge/caller/once.go
+++ b/internal/edge/caller/once.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -36,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	release := func() { slot.Release(Usage{}) }
+	release := func() { slot.Release(Usage{Tokens: unknownTokens}) }
 	state, answer, err := x.claim(ctx, id)
 	if err != nil {
 		release()
@@ -120,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	defer slot.Release(Usage{})
+	defer slot.Release(Usage{Tokens: unknownTokens})
 	result := x.attemptOnce(ctx)
 	if result.err != nil {
 		return result.err
@@ -147,7 +146,7 @@
 	limit := x.work.Route.MaxResponseBytes
 	body, err := io.ReadAll(io.LimitReader(t.resp.Body, limit+1))
 	if err == nil && int64(len(body)) > limit {
-		err = errors.New("the answer exceeds the size limit")
+		return claimedResult{err: t.fail(x.tooLarge(t))}
 	}
 	if err != nil {
 		return claimedResult{err: t.fail(x.truncated(t, err))}
--- a/internal/edge/caller/stream.go
+++ b/internal/edge/caller/stream.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	s := &stream{exchange: x, slot: slot, delivered: noPosition}
-	defer func() { slot.Release(Usage{Tokens: int(s.delivered) + 1}) }()
+	defer func() { slot.Release(Usage{Tokens: promptTokens(x.work.Prompt) + int(s.delivered) + 1}) }()
 	x.Retrier.First(&x.work)
 	var last error
 	for {
--- a/internal/edge/caller/whole.go
+++ b/internal/edge/caller/whole.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/membership"
 )
 
 // spoolBytes is how much of an answer is held back before anything is sent, so
@@ -25,12 +27,16 @@
 	if err != nil {
 		return err
 	}
-	defer func() { slot.Release(Usage{Tokens: x.finished.Tokens}) }()
+	usage := Usage{Tokens: unknownTokens}
+	defer func() { slot.Release(usage) }()
 	x.Retrier.First(&x.work)
 	var last error
 	for {
 		err := x.wholeAttempt(ctx, slot)
 		if err == nil {
+			if x.finished.Tokens > 0 {
+				usage.Tokens = x.finished.Tokens
+			}
 			return nil
 		}
 		last = earlier(last, err)
@@ -71,11 +77,38 @@
 		}
 		return t.fail(err)
 	}
+	if int64(len(head)) > x.work.Route.MaxResponseBytes {
+		return t.fail(x.tooLarge(t))
+	}
 	t.end(Result{OK: true})
+	x.finished.Tokens = x.countTokens(head)
 	x.writeAnswer(t.resp.StatusCode, t.resp.Header, head)
 	return nil
 }
 
+// countTokens returns the tokens that a whole chat completion says it used, 0
+// for other answers.
+func (x *exchange) countTokens(body []byte) int {
+	if x.work.Route.Kind != membership.ModelEngine {
+		return 0
+	}
+	var answer struct {
+		Usage struct {
+			TotalTokens int `json:"total_tokens"`
+		} `json:"usage"`
+	}
+	if json.Unmarshal(body, &answer) != nil {
+		return 0
+	}
+	return max(answer.Usage.TotalTokens, 0)
+}
+
+// tooLarge returns the error of an answer beyond the service's bound.
+func (x *exchange) tooLarge(t *try) error {
+	at := fault.At{Step: StepRelay, Peer: t.choice.Target().ID}
+	return fault.New(fault.ResponseTooLarge, at, fault.Unknown, fmt.Sprintf("the answer exceeds %d bytes", x.work.Route.MaxResponseBytes))
+}
+
 // relay passes on an answer that is larger than the spool.
 func (x *exchange) relay(t *try, head []byte) error {
 	x.writeHead(t.resp.StatusCode, t.resp.Header)
@@ -89,8 +122,7 @@
 		return t.fail(x.truncated(t, err))
 	}
 	if n > limit {
-		at := fault.At{Step: StepRelay, Peer: t.choice.Target().ID}
-		return t.fail(fault.New(fault.DeadlineExceeded, at, fault.Unknown, fmt.Sprintf("the answer exceeds %d bytes", limit)))
+		return t.fail(x.tooLarge(t))
 	}
 	t.end(Result{OK: true})
 	return callerGone(out.gone)
@@ -128,7 +160,9 @@
 // writeAnswer sends a whole answer.
 func (x *exchange) writeAnswer(status int, header http.Header, body []byte) {
 	header = header.Clone()
-	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if x.r.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified {
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	x.writeHead(status, header)
 	// A caller that has gone away needs no answer.
 	_, _ = x.w.Write(body)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -44,6 +44,7 @@
 	UpstreamFailed      Code = "upstream_failed"
 	UpstreamTruncated   Code = "upstream_truncated"
 	UpstreamProtocol    Code = "upstream_protocol_error"
+	ResponseTooLarge    Code = "response_too_large"
 	DeadlineExceeded    Code = "deadline_exceeded"
 	Quarantined         Code = "quarantined"
 	KeyConflict         Code = "idempotency_key_conflict"
@@ -74,6 +75,7 @@
 	UpstreamFailed:      http.StatusBadGateway,
 	UpstreamTruncated:   http.StatusBadGateway,
 	UpstreamProtocol:    http.StatusBadGateway,
+	ResponseTooLarge:    http.StatusBadGateway,
 	DeadlineExceeded:    http.StatusGatewayTimeout,
 	Quarantined:         http.StatusUnprocessableEntity,
 	KeyConflict:         http.StatusConflict,
