routing: share light load among idle upstreams

Cause: upstreams of equal cost keep the order in which they are considered, and pools of up to 96 were considered in the order of their ids; of two idle upstreams one got every pick, of 65 the first 16 got all. Change: the walk over a small pool starts at random. Before: of 6,000 picks at 2 idle upstreams 6,000 and 0.

--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -175,3 +175,28 @@
 		require.Zero(t, u.InFlight())
 	}
 }
+
+// Guards against idle upstreams of which only the first ids get work: all
+// entries would send their first requests to the same ones.
+func TestIdleUpstreamsShareTheWork(t *testing.T) {
+	const picks = 6000
+	for _, n := range []int{2, 5, 65} {
+		all := fleet(n, benchTime)
+		for i := range all {
+			all[i].FailureDomain, all[i].Region, all[i].Load.Running = "d0", "r0", 0
+		}
+		r := New(Config{FailureDomain: "d0", Region: "r0"}, nil)
+		r.Publish(benchTime, all)
+		source := NewSource(1)
+		counts := map[string]int{}
+		for range picks {
+			choice, err := r.Pick(benchTime, source, &Request{Service: "chat", Model: "m"})
+			require.NoError(t, err)
+			counts[choice.Upstream.ID]++
+		}
+		require.Len(t, counts, n)
+		for id, count := range counts {
+			require.InDelta(t, picks/n, count, picks/float64(n)/2, "%s of %d upstreams", id, n)
+		}
+	}
+}
--- a/routing/selection.go
+++ b/routing/selection.go
@@ -42,9 +42,9 @@
 func (s *selection) pass(t *Table) {
 	p := s.q.pool
 	if s.e != nil || len(p.all) <= s.r.cfg.ScanLimit {
-		for _, u := range p.all {
-			s.consider(u)
-		}
+		// Upstreams of equal cost keep the order in which they are considered,
+		// so a fixed start would send the picks of all entries to the first ids.
+		s.walkAll(p.all)
 		return
 	}
 	s.sample(p)
@@ -55,6 +55,24 @@
 	}
 }
 
+// walkAll considers all upstreams from a random start, or in order for an
+// explanation.
+func (s *selection) walkAll(us []*Upstream) {
+	if len(us) == 0 {
+		return
+	}
+	start := 0
+	if s.e == nil {
+		start = int(mix(s.q.draw)>>32) % len(us)
+	}
+	for _, u := range us[start:] {
+		s.consider(u)
+	}
+	for _, u := range us[:start] {
+		s.consider(u)
+	}
+}
+
 // sample considers a bounded number of upstreams: three quarters from the
 // entry's failure domain and the rest from outside it. Where fewer than two of
 // them pass the filters, it goes on through the pool until two do.
