Bound the writes to a caller that does not read

Cause: found by reading: a handler that was blocked in a write kept its request, its admission slot and its place on the engine for ever, past every deadline. Change: writes end one second after the request's deadline. Before: TestCallerThatDoesNotRead still had the request in flight after 20 s. After: it passes under -race. Conclusion: a stopped caller costs an upstream at most the request's deadline.

--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -446,6 +446,22 @@
 	require.Eventually(t, func() bool { return e.Running() == 0 && h.handler.InFlight() == 0 }, 10*time.Second, time.Millisecond)
 }
 
+// Guards against a caller that does not read holding its place on an upstream
+// beyond the deadline of its request.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	h := newHarness(t, 1)
+	h.route.Timeout = 200 * time.Millisecond
+	conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	// The answer is larger than the buffers of the connection.
+	body := `{"model":"m","stream":true,"max_tokens":1000000,"messages":[{"role":"user","content":"rug"}]}`
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s", chatPath, len(body), body)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return h.engines[0].Tokens() > 0 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return h.handler.InFlight() == 0 && h.engines[0].Running() == 0 }, 20*time.Second, 5*time.Millisecond)
+}
+
 // Guards against a planned stop interrupting a stream or taking new work.
 func TestDrainFinishesStreams(t *testing.T) {
 	h := newHarness(t, 0)
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -183,6 +183,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.work.Deadline)
 	defer cancel()
+	defer x.boundWrites()()
 	if !x.work.Route.Idempotent {
 		return x.serveOnce(ctx)
 	}
@@ -192,6 +193,19 @@
 	return x.serveWhole(ctx)
 }
 
+// writeGrace is the time after the request's deadline in which its error can
+// still be written.
+const writeGrace = time.Second
+
+// boundWrites keeps a caller that does not read from holding the request, and
+// its place on an upstream, beyond the deadline. The returned function lifts the
+// bound for the next request of the connection.
+func (x *exchange) boundWrites() (lift func()) {
+	out := http.NewResponseController(x.w)
+	_ = out.SetWriteDeadline(x.work.Deadline.Add(writeGrace))
+	return func() { _ = out.SetWriteDeadline(time.Time{}) }
+}
+
 func (x *exchange) authenticate() error {
 	key, _ := strings.CutPrefix(x.r.Header.Get("Authorization"), "Bearer ")
 	account, err := x.Policy.Account(key)
