Bound the time in which a caller sends its body

Cause: found by reading: a caller that stopped in the middle of its body held its connection for ever and kept a planned stop waiting. Change: a minute for the body, then 400 and the connection is closed. A first try lifted the bound before the error was written; the server then waited for the rest of the body, and the new test hung. After: TestCallerThatDoesNotSend passes under -race. Conclusion: each part of a request has a bound in time.

--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -462,6 +463,24 @@
 	require.Eventually(t, func() bool { return h.handler.InFlight() == 0 && h.engines[0].Running() == 0 }, 20*time.Second, 5*time.Millisecond)
 }
 
+// Guards against callers that never finish their bodies holding connections
+// and keeping a planned stop waiting.
+func TestCallerThatDoesNotSend(t *testing.T) {
+	h := newHarness(t, 1)
+	h.handler.BodyTimeout = 50 * time.Millisecond
+	conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\nContent-Length: 100\r\n\r\n{", chatPath)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusBadRequest, resp.StatusCode)
+	require.Equal(t, string(fault.NotRun), resp.Header.Get(HeaderOutcome))
+	require.Eventually(t, func() bool { return h.handler.InFlight() == 0 }, 10*time.Second, time.Millisecond)
+}
+
 // Guards against a planned stop interrupting a stream or taking new work.
 func TestDrainFinishesStreams(t *testing.T) {
 	h := newHarness(t, 0)
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
@@ -39,8 +40,14 @@
 	Tracer trace.Tracer
 	// Observe is told of each finished request; nil is allowed.
 	Observe func(Finished)
+	// BodyTimeout bounds the time in which a caller sends its body; zero means
+	// the default.
+	BodyTimeout time.Duration
 }
 
+// defaultBodyTimeout lets a caller send the largest body, 16 MiB, at 280 KB/s.
+const defaultBodyTimeout = time.Minute
+
 // Finished describes a request that ended.
 type Finished struct {
 	RequestID string
@@ -72,6 +79,7 @@
 	if o.Observe == nil {
 		o.Observe = func(Finished) {}
 	}
+	o.BodyTimeout = cmp.Or(o.BodyTimeout, defaultBodyTimeout)
 	return &Handler{Options: o}
 }
 
@@ -223,6 +231,8 @@
 
 func (x *exchange) read() error {
 	limit := x.Policy.MaxBodyBytes()
+	in := http.NewResponseController(x.w)
+	_ = in.SetReadDeadline(time.Now().Add(x.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	at := fault.At{Step: StepRead}
 	var tooLarge *http.MaxBytesError
@@ -230,8 +240,11 @@
 		return fault.New(fault.BodyTooLarge, at, fault.NotRun, fmt.Sprintf("the body exceeds %d bytes", limit))
 	}
 	if err != nil {
+		// The read deadline stays, since the server reads the rest of the body
+		// before it closes the connection.
 		return fault.Wrap(err, fault.BadRequest, at, fault.NotRun)
 	}
+	_ = in.SetReadDeadline(time.Time{})
 	x.body = body
 	if x.r.URL.Path == chatPath {
 		return x.readChat()
