peer: use every open session to a peer

Two daemons that dial each other at the same time hold two sessions; a link knew only the newer one, so when that broke and its side could not dial, the open older one was not used. Ruled out: elections (the term had not changed) and the block itself (the leader's connections were open). Change: a link keeps all open sessions and uses the newest. Before: TestOlderSessionIsUsedWhenTheNewerBreaks got partitioned. After: it and four runs of TestOneWayLossOfConnections pass under -race. Conclusion: one-way loss of connections no longer cuts a pair off.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,8 +22,11 @@
 	id      string
 	address string
 
-	mu        sync.Mutex
-	current   *yamux.Session
+	mu sync.Mutex
+	// sessions are the open ones, the newest last. Both sides may connect at
+	// the same time; each session carries messages both ways, so the older one
+	// is kept in case the newer one breaks and no other can be opened.
+	sessions  []*yamux.Session
 	since     time.Time
 	lastError error
 	// dialing is closed when the running attempt to connect has ended.
@@ -35,15 +39,21 @@
 func (l *link) status() Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := Status{ID: l.id, Connected: l.live(), Since: l.since}
+	s := Status{ID: l.id, Connected: l.newest() != nil, Since: l.since}
 	if l.lastError != nil {
 		s.LastError = l.lastError.Error()
 	}
 	return s
 }
 
-// live reports whether there is an open session. The caller holds mu.
-func (l *link) live() bool { return l.current != nil && !l.current.IsClosed() }
+// newest returns the newest open session, nil without one. The caller holds mu.
+func (l *link) newest() *yamux.Session {
+	l.sessions = slices.DeleteFunc(l.sessions, (*yamux.Session).IsClosed)
+	if len(l.sessions) == 0 {
+		return nil
+	}
+	return l.sessions[len(l.sessions)-1]
+}
 
 // adopt takes a session that the peer opened.
 func (l *link) adopt(s *yamux.Session) {
@@ -52,9 +62,10 @@
 	l.use(s)
 }
 
-// use makes s the current session. The caller holds mu.
+// use adds an open session. The caller holds mu.
 func (l *link) use(s *yamux.Session) {
-	l.current, l.since, l.lastError = s, time.Now(), nil
+	l.sessions = append(l.sessions, s)
+	l.since, l.lastError = time.Now(), nil
 	l.failures, l.retryAt = 0, time.Time{}
 }
 
@@ -62,8 +73,7 @@
 func (l *link) session(ctx context.Context) (*yamux.Session, error) {
 	for {
 		l.mu.Lock()
-		if l.live() {
-			s := l.current
+		if s := l.newest(); s != nil {
 			l.mu.Unlock()
 			return s, nil
 		}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -163,6 +163,26 @@
 	require.Eventually(t, func() bool { return call() == nil }, 10*time.Second, 10*time.Millisecond)
 }
 
+// Guards against a peer that can no longer connect being cut off although the
+// other side's connection to it is open: both had connected at the same time.
+func TestOlderSessionIsUsedWhenTheNewerBreaks(t *testing.T) {
+	n := newTestNet(t, "a", "b")
+	a, b := n.networks["a"], n.networks["b"]
+	a.Handle("c", echo)
+	b.Handle("c", echo)
+	_, err := a.Call(t.Context(), "b", "c", nil)
+	require.NoError(t, err)
+	second, err := b.dial(t.Context(), "a", n.addresses["a"])
+	require.NoError(t, err)
+	b.link("a").adopt(second)
+	n.mu.Lock()
+	n.cut = true // for new connections
+	n.mu.Unlock()
+	require.NoError(t, second.Close())
+	_, err = b.Call(t.Context(), "a", "c", nil)
+	require.NoError(t, err)
+}
+
 // Guards against one peer that does not read delaying the messages to others.
 func TestStuckPeerDelaysNobodyElse(t *testing.T) {
 	n := newTestNet(t, "a", "b", "c")
