--- a/internal/replica/barrier.go
+++ b/internal/replica/barrier.go
@@ -36,13 +36,7 @@
 		if errors.Is(err, ErrClosed) {
 			return fault.Wrap(err, fault.Unavailable, at, fault.NotRun)
 		}
-		pause := time.NewTimer(retryPause)
-		select {
-		case <-changed:
-		case <-pause.C:
-		case <-ctx.Done():
-		}
-		pause.Stop()
+		waitRetry(ctx, changed)
 		if ctx.Err() != nil {
 			return fault.Wrap(errors.Join(ctx.Err(), err), fault.Unavailable, at, fault.NotRun)
 		}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -114,19 +114,24 @@
 		if err == nil || !r.retryable(err) || time.Now().After(give) {
 			return result, r.located(err, leader)
 		}
-		pause := time.NewTimer(retryPause)
-		select {
-		case <-changed:
-		case <-pause.C:
-		case <-ctx.Done():
-		}
-		pause.Stop()
+		waitRetry(ctx, changed)
 		if ctx.Err() != nil {
 			return nil, r.located(notProposed(ctx.Err()), leader)
 		}
 	}
 }
 
+// waitRetry waits before another attempt: for a change, a short time at most.
+func waitRetry(ctx context.Context, changed <-chan struct{}) {
+	pause := time.NewTimer(retryPause)
+	defer pause.Stop()
+	select {
+	case <-changed:
+	case <-pause.C:
+	case <-ctx.Done():
+	}
+}
+
 // errRefused marks an answer that another attempt would not change.
 var errRefused = errors.New("the leader refused the request")
 
