Serve the users' platform: entry and control instances that find each other

Cause: the daemon needs a fixed list of all peers and speaks its own protocol, so that it cannot run where instances are told three seeds only. Change: catalog (routes, services, accounts), fleet (upstream records), placement (groups of several models), balance (choice and admission), deploymentstate (replicated catalog), internal/control, internal/entry and internal/instance; platform/ translates names, formats and calls. peer resolves instances by a function, replica reports itself to contacts, the upstream client exchanges prepared requests.

--- a/cmd/bluebellfieldd/main.go
+++ b/cmd/bluebellfieldd/main.go
@@ -28,7 +28,10 @@
 type options struct {
 	Config string `short:"c" long:"config" value-name:"FILE" description:"settings file (JSON with comments)"`
 	Check  bool   `long:"check" description:"check the settings file and exit"`
-	Dev    bool   `long:"dev" description:"run one daemon on loopback with an embedded fake engine; callers use port 8080 and the key \"dev\""`
+	// Instance serves a deployment whose instances find each other through
+	// seeds, by the users' platform's protocol.
+	Instance string `short:"i" long:"instance" value-name:"FILE" env:"BLUEBELLFIELD_INSTANCE" description:"settings file of an instance on the users' platform (JSON with comments)"`
+	Dev      bool   `long:"dev" description:"run one daemon on loopback with an embedded fake engine; callers use port 8080 and the key \"dev\""`
 }
 
 func main() { os.Exit(run()) }
@@ -44,6 +47,9 @@
 		}
 		return fail(exitUsage, err)
 	}
+	if o.Instance != "" {
+		return runInstance(&o)
+	}
 	cfg, cleanup, err := load(&o)
 	if err != nil {
 		return fail(exitUsage, err)
--- /dev/null
+++ b/deploymentstate/deploymentstate.go
@@ -0,0 +1,101 @@
+// Package deploymentstate is the state machine of the deployment's log: the
+// catalog in force, as the document that the operator sent, and the number of
+// generations of leaders.
+package deploymentstate
+
+import (
+	"fmt"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Machine is the replicated state. Apply, Snapshot and Restore are called by
+// one goroutine; the queries may be called by any.
+type Machine struct {
+	mu    sync.RWMutex
+	state *State
+}
+
+// New returns an empty state: no catalog, version 0.
+func New() *Machine { return &Machine{state: &State{}} }
+
+// Apply implements replica.StateMachine. A command that cannot be decoded
+// changes nothing; every replica sees the same bytes and does the same.
+func (m *Machine) Apply(_ uint64, command []byte) []byte {
+	var c Command
+	if err := proto.Unmarshal(command, &c); err != nil {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	result := &Result{}
+	switch body := c.Body.(type) {
+	case *Command_PutCatalog:
+		result.Replaced = m.put(body.PutCatalog)
+	case *Command_StartGeneration:
+		m.state = &State{Version: m.state.Version, Document: m.state.Document, Generation: m.state.Generation + 1}
+	}
+	result.Version, result.Generation = m.state.Version, m.state.Generation
+	encoded, err := proto.Marshal(result)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+// put replaces the catalog. A version that is not higher changes nothing, so
+// that resent and overtaken changes are harmless.
+func (m *Machine) put(c *PutCatalog) bool {
+	if c.Version <= m.state.Version {
+		return false
+	}
+	m.state = &State{Version: c.Version, Document: c.Document, Generation: m.state.Generation}
+	return true
+}
+
+// Snapshot implements replica.StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return proto.Marshal(m.state)
+}
+
+// Restore implements replica.StateMachine.
+func (m *Machine) Restore(data []byte) error {
+	var s State
+	if err := proto.Unmarshal(data, &s); err != nil {
+		return fmt.Errorf("decode snapshot: %w", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = &s
+	return nil
+}
+
+// Catalog returns the document in force and its version, 0 without one. The
+// document must not be changed.
+func (m *Machine) Catalog() (version uint64, document []byte) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.Version, m.state.Document
+}
+
+// EncodePut returns the command that replaces the catalog.
+func EncodePut(version uint64, document []byte) ([]byte, error) {
+	return proto.Marshal(&Command{Body: &Command_PutCatalog{PutCatalog: &PutCatalog{Version: version, Document: document}}})
+}
+
+// EncodeStartGeneration returns the command that draws a generation.
+func EncodeStartGeneration() ([]byte, error) {
+	return proto.Marshal(&Command{Body: &Command_StartGeneration{StartGeneration: &StartGeneration{}}})
+}
+
+// DecodeResult decodes the answer to a command.
+func DecodeResult(data []byte) (*Result, error) {
+	var r Result
+	if err := proto.Unmarshal(data, &r); err != nil {
+		return nil, fmt.Errorf("decode result: %w", err)
+	}
+	return &r, nil
+}
--- /dev/null
+++ b/internal/control/catalog.go
@@ -0,0 +1,84 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellfield/bluebellfield/catalog"
+	"github.com/bluebellfield/bluebellfield/deploymentstate"
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/internal/mesh"
+	"github.com/bluebellfield/bluebellfield/internal/replica"
+)
+
+// readTimeout bounds a read that must include every acknowledged change. An
+// operator waits a second for an answer before it asks elsewhere.
+const readTimeout = 800 * time.Millisecond
+
+// PutTimeout bounds the replication of a change, for the same reason.
+const PutTimeout = 900 * time.Millisecond
+
+// PutCatalog replaces the catalog. Its error has the code fault.Invalid for a
+// document that can never be accepted; any other leaves the result open.
+func (c *Control) PutCatalog(ctx context.Context, content *catalog.Catalog, document []byte) error {
+	command, err := deploymentstate.EncodePut(content.Version, document)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, fault.At{Step: "encode catalog"}, fault.NotRun)
+	}
+	ctx, cancel := context.WithTimeout(ctx, PutTimeout)
+	defer cancel()
+	started := time.Now()
+	answer, err := c.replica.Propose(ctx, command)
+	if err != nil {
+		c.o.Logger.Warn("catalog not acknowledged", zap.Uint64("version", content.Version), zap.Duration("took", time.Since(started)), zap.Error(err))
+		return err
+	}
+	result, err := deploymentstate.DecodeResult(answer)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, fault.At{Step: "replicate catalog"}, fault.Unknown)
+	}
+	c.o.Logger.Info("catalog acknowledged", zap.Uint64("version", content.Version), zap.Bool("replaced", result.Replaced),
+		zap.Uint64("inForce", result.Version), zap.Duration("took", time.Since(started)))
+	return nil
+}
+
+// CurrentCatalog returns the document in force, including every change that
+// was acknowledged before the call. Without a catalog the version is 0.
+func (c *Control) CurrentCatalog(ctx context.Context) (uint64, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if err := c.replica.Barrier(ctx); err != nil {
+		return 0, nil, err
+	}
+	version, document := c.machine.Catalog()
+	return version, document, nil
+}
+
+// serveCatalog hands the catalog to an entry instance.
+func (c *Control) serveCatalog(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var request mesh.CatalogRequest
+	if err := proto.Unmarshal(payload, &request); err != nil {
+		return nil, fault.Wrap(err, fault.BadRequest, fault.At{Step: mesh.ChannelCatalog}, fault.NotRun)
+	}
+	if request.Current {
+		if _, _, err := c.CurrentCatalog(ctx); err != nil {
+			return nil, err
+		}
+	}
+	version, document := c.machine.Catalog()
+	return proto.Marshal(&mesh.CatalogReply{Version: version, Document: document})
+}
+
+// forwardError marks an error that proves that a request did not reach the
+// leader.
+func forwardError(err error) error {
+	if err != nil && fault.OutcomeOf(err) == fault.NotRun && !errors.Is(err, replica.ErrUnknownResult) {
+		return fmt.Errorf("%w: %w", replica.ErrNotProposed, err)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/control/publish.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/internal/mesh"
+)
+
+const (
+	// UpdateInterval is the longest time between two updates to a subscriber. A
+	// lost change is noticed after it, well within the 2 s in which an upstream
+	// that leaves must be known everywhere.
+	UpdateInterval = 400 * time.Millisecond
+	// SubscribeInterval is the time between renewals of a subscription.
+	SubscribeInterval = 500 * time.Millisecond
+	// subscriptionLife is the time without renewal after which a subscriber is
+	// dropped.
+	subscriptionLife = 5 * time.Second
+	// seedCheckInterval is the time between dials of controls that do not send
+	// updates.
+	sourceSilence = 3 * UpdateInterval
+)
+
+// subscriber is an instance that receives updates.
+type subscriber struct {
+	control bool
+	heard   time.Time
+	sent    time.Time
+	number  uint64
+	pending []*mesh.Upstream
+	demand  []serviceDemand
+}
+
+// serviceDemand is the offered work that an entry reported last.
+type serviceDemand struct {
+	service, model                       string
+	requests, promptTokens, answerTokens float64 // for each second
+}
+
+func (c *Control) serveSubscribe(_ context.Context, from string, payload []byte) ([]byte, error) {
+	var request mesh.Subscribe
+	if err := proto.Unmarshal(payload, &request); err != nil {
+		return nil, fault.Wrap(err, fault.BadRequest, fault.At{Step: mesh.ChannelSubscribe, Peer: from}, fault.NotRun)
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.subscribers[from]
+	if s == nil {
+		s = &subscriber{control: request.Control}
+		c.subscribers[from] = s
+		c.o.Logger.Info("subscriber joined", zap.String("peer", from), zap.Bool("control", request.Control))
+	}
+	s.heard = now
+	s.demand = demandRates(&request)
+	if request.Number == 0 || request.Source != c.source {
+		c.send(from, s, true)
+	}
+	return nil, nil
+}
+
+func demandRates(request *mesh.Subscribe) []serviceDemand {
+	seconds := float64(request.IntervalMillis) / 1000
+	if seconds <= 0 {
+		return nil
+	}
+	rates := make([]serviceDemand, 0, len(request.Demands))
+	for _, d := range request.Demands {
+		rates = append(rates, serviceDemand{service: d.Service, model: d.Model, requests: float64(d.Requests) / seconds,
+			promptTokens: float64(d.PromptTokens) / seconds, answerTokens: float64(d.AnswerTokens) / seconds})
+	}
+	return rates
+}
+
+// send sends the pending records, or all. The caller holds mu.
+func (c *Control) send(id string, s *subscriber, complete bool) {
+	version, _ := c.machine.Catalog()
+	update := &mesh.Update{Source: c.source, Complete: complete, Upstreams: s.pending, CatalogVersion: version,
+		Controls: append(c.controls(), c.o.ID), Entries: c.entries()}
+	if complete {
+		update.Upstreams = nil
+		for _, u := range c.table.All() {
+			update.Upstreams = append(update.Upstreams, mesh.EncodeUpstream(&u))
+		}
+	}
+	s.number++
+	update.Number = s.number
+	s.pending, s.sent = nil, time.Now()
+	payload, err := proto.Marshal(update)
+	if err != nil {
+		c.o.Logger.Error("update cannot be encoded", zap.String("peer", id), zap.Error(err))
+		return
+	}
+	// A dropped update leaves a gap in the numbers, and the subscriber asks again.
+	c.o.Network.Send(id, mesh.ChannelUpdate, payload)
+}
+
+func (c *Control) entries() uint32 {
+	n := uint32(0)
+	for _, s := range c.subscribers {
+		if !s.control {
+			n++
+		}
+	}
+	return n
+}
+
+// publish sends due updates, renews subscriptions at other control instances
+// and drops what is silent.
+func (c *Control) publish() {
+	ticker := time.NewTicker(UpdateInterval / 2)
+	defer ticker.Stop()
+	var renewed time.Time
+	for {
+		applied := c.replica.Watch()
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-ticker.C:
+		case <-applied:
+			c.announceVersion()
+			continue
+		}
+		now := time.Now()
+		c.sendDue(now)
+		if now.Sub(renewed) >= SubscribeInterval {
+			renewed = now
+			c.subscribe(now)
+		}
+	}
+}
+
+// announceVersion tells all subscribers of a catalog that has just taken
+// effect here.
+func (c *Control) announceVersion() {
+	version, _ := c.machine.Catalog()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version <= c.announced {
+		return
+	}
+	c.announced = version
+	for id, s := range c.subscribers {
+		c.send(id, s, false)
+	}
+}
+
+func (c *Control) sendDue(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Forget(now.Add(-forgetAfter))
+	for id, s := range c.subscribers {
+		switch {
+		case now.Sub(s.heard) > subscriptionLife:
+			delete(c.subscribers, id)
+			c.o.Logger.Info("subscriber dropped", zap.String("peer", id), zap.Duration("silent", now.Sub(s.heard)))
+		case now.Sub(s.sent) >= UpdateInterval || len(s.pending) > 0:
+			c.send(id, s, false)
+		}
+	}
+}
+
+// subscribe asks all known control instances for their updates.
+func (c *Control) subscribe(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range c.controls() {
+		at := c.sources[id]
+		if now.Sub(at.heard) > sourceSilence {
+			at = position{}
+		}
+		payload, err := proto.Marshal(&mesh.Subscribe{Control: true, FailureDomain: c.o.FailureDomain, Source: at.source, Number: at.number})
+		if err != nil {
+			c.o.Logger.Error("subscription cannot be encoded", zap.Error(err))
+			return
+		}
+		c.o.Network.Send(id, mesh.ChannelSubscribe, payload)
+	}
+	for id, at := range c.sources {
+		if now.Sub(at.heard) > forgetAfter && !slices.Contains(c.o.Seeds, id) {
+			delete(c.sources, id)
+		}
+	}
+}
--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -73,11 +74,25 @@
 // DialFunc opens a TCP connection to an address.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
+// ClientOptions sets up the connections of a Client. Zero fields get defaults.
+type ClientOptions struct {
+	// Dial opens a connection; nil means plain TCP.
+	Dial DialFunc
+	// DialTimeout bounds the opening of a connection by the default Dial.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an unused connection is kept.
+	IdleTimeout time.Duration
+}
+
 // NewClient returns a client with its own connection pool. A nil dial means
 // plain TCP.
-func NewClient(dial DialFunc) *Client {
+func NewClient(dial DialFunc) *Client { return NewClientWith(ClientOptions{Dial: dial}) }
+
+// NewClientWith returns a client with its own connection pool.
+func NewClientWith(o ClientOptions) *Client {
+	dial := o.Dial
 	if dial == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout}
+		dialer := &net.Dialer{Timeout: cmp.Or(o.DialTimeout, dialTimeout)}
 		dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}
@@ -85,7 +100,7 @@
 	pooled := &http.Transport{
 		DialContext:         dialTracked(dial),
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
-		IdleConnTimeout:     idleConnTimeout,
+		IdleConnTimeout:     cmp.Or(o.IdleTimeout, idleConnTimeout),
 		DisableCompression:  true,
 	}
 	once := pooled.Clone()
@@ -103,13 +118,21 @@
 // error carries the outcome NotRun only when no byte can have been sent.
 func (c *Client) Do(ctx context.Context, d Dispatch) (*http.Response, error) {
 	at := fault.At{Step: StepDispatch, Peer: d.Target.ID}
-	proof := &sendProof{}
-	req, err := d.request(proof.trace(ctx))
+	req, err := d.request(ctx)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.BadRequest, at, fault.NotRun)
 	}
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
-	resp, err := c.transport(d).RoundTrip(req)
+	return c.Exchange(req, at, d.Once)
+}
+
+// Exchange sends a prepared request. Without GetBody the transport does not
+// replay its body; once forbids every automatic resend. An error carries the
+// outcome NotRun only when no byte can have been sent.
+func (c *Client) Exchange(req *http.Request, at fault.At, once bool) (*http.Response, error) {
+	proof := &sendProof{}
+	req = req.WithContext(proof.trace(req.Context()))
+	resp, err := c.transport(once).RoundTrip(req)
 	if err == nil {
 		return resp, nil
 	}
@@ -126,8 +149,8 @@
 	return fault.UpstreamFailed
 }
 
-func (c *Client) transport(d Dispatch) *http.Transport {
-	if d.Once {
+func (c *Client) transport(once bool) *http.Transport {
+	if once {
 		return c.once
 	}
 	return c.pooled
--- /dev/null
+++ b/internal/entry/demand.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/bluebellfield/bluebellfield/internal/mesh"
+)
+
+// demandCounter counts the work that callers offer, by service and model.
+type demandCounter struct {
+	mu     sync.Mutex
+	counts map[demandKey]*mesh.Demand
+}
+
+type demandKey struct{ service, model string }
+
+// add counts a request, served or not.
+func (d *demandCounter) add(service string, r *Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.counts == nil {
+		d.counts = map[demandKey]*mesh.Demand{}
+	}
+	key := demandKey{service, r.Model}
+	count := d.counts[key]
+	if count == nil {
+		count = &mesh.Demand{Service: service, Model: r.Model}
+		d.counts[key] = count
+	}
+	count.Requests++
+	count.PromptTokens += uint64(max(r.PromptTokens, 0))
+	count.AnswerTokens += uint64(max(r.expectedAnswer(), 0))
+}
+
+// take returns the counts since the last call.
+func (d *demandCounter) take() []*mesh.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := make([]*mesh.Demand, 0, len(d.counts))
+	for _, count := range d.counts {
+		all = append(all, count)
+	}
+	d.counts = nil
+	slices.SortFunc(all, func(a, b *mesh.Demand) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model))
+	})
+	return all
+}
+
+// expectedAnswer is the caller's estimate of the answer, or its bound.
+func (r *Request) expectedAnswer() int { return cmp.Or(r.ExpectedAnswer, r.AnswerTokens) }
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -51,6 +51,13 @@
 	ID string
 	// Addresses of all daemons by id.
 	Addresses map[string]string
+	// Resolve returns the address of a daemon, false for one that is not
+	// expected. When set it replaces Addresses, for deployments whose daemons
+	// are not listed in advance.
+	Resolve func(id string) (address string, ok bool)
+	// KeepAliveInterval and WriteTimeout bound the time for which a silent
+	// connection is used; zero means the defaults.
+	KeepAliveInterval, WriteTimeout time.Duration
 	// TLS, when set, is used for both directions; the certificate's common
 	// name must be the daemon's id.
 	TLS *tls.Config
@@ -91,6 +98,19 @@
 
 // Listen starts a network on an open listener.
 func Listen(listener net.Listener, o Options) *Network {
+	if o.Resolve == nil {
+		addresses := o.Addresses
+		o.Resolve = func(id string) (string, bool) {
+			address, ok := addresses[id]
+			return address, ok
+		}
+	}
+	if o.KeepAliveInterval == 0 {
+		o.KeepAliveInterval = KeepAlive(len(o.Addresses))
+	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = writeTimeout
+	}
 	if o.Dial == nil {
 		dialer := &net.Dialer{Timeout: dialTimeout}
 		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
@@ -197,7 +217,7 @@
 	if l := n.links[to]; l != nil {
 		return l
 	}
-	address, ok := n.opts.Addresses[to]
+	address, ok := n.opts.Resolve(to)
 	if !ok || n.ctx.Err() != nil {
 		return nil
 	}
@@ -252,7 +272,7 @@
 	if err := readMessage(conn, &hello); err != nil {
 		return "", err
 	}
-	_, known := n.opts.Addresses[hello.Id]
+	_, known := n.opts.Resolve(hello.Id)
 	switch {
 	case hello.Version != protocolVersion:
 		return "", fmt.Errorf("peer %q speaks protocol version %d, this daemon %d", hello.Id, hello.Version, protocolVersion)
@@ -326,9 +346,9 @@
 
 func (n *Network) yamuxConfig() *yamux.Config {
 	cfg := yamux.DefaultConfig()
-	cfg.KeepAliveInterval = KeepAlive(len(n.opts.Addresses))
-	cfg.ConnectionWriteTimeout = writeTimeout
-	cfg.StreamOpenTimeout = writeTimeout
+	cfg.KeepAliveInterval = n.opts.KeepAliveInterval
+	cfg.ConnectionWriteTimeout = n.opts.WriteTimeout
+	cfg.StreamOpenTimeout = n.opts.WriteTimeout
 	cfg.StreamCloseTimeout = time.Minute
 	cfg.LogOutput = nil
 	cfg.Logger = discardLogger{}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -202,20 +202,30 @@
 		return
 	}
 	r.helloDue = now.Add(helloIntervalLate)
-	if len(members.Voters) == 0 && r.o.Dir != nil && slices.Contains(r.o.Voters, r.o.ID) {
+	if len(members.Voters) == 0 && r.o.Dir != nil && (slices.Contains(r.o.Voters, r.o.ID) || r.o.Contacts != nil) {
 		r.helloDue = now.Add(helloInterval)
 	}
 	if r.mayCreate(members) {
 		r.create(now)
 		return
 	}
-	for _, voter := range r.o.Voters {
-		if voter != r.o.ID {
-			r.sendHello(voter, true)
+	for _, contact := range r.contacts() {
+		if contact != r.o.ID {
+			r.sendHello(contact, true)
 		}
 	}
 }
 
+// contacts lists the instances that may know the log.
+func (r *Replica) contacts() []string {
+	if r.o.Contacts == nil {
+		return r.o.Voters
+	}
+	all := slices.Concat(r.o.Voters, r.o.Contacts())
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 func (r *Replica) sendHello(to string, ask bool) {
 	// A damaged log also has no members in memory, but it is not a new one.
 	fresh := len(r.node.Status().Members.Voters) == 0 && r.storageErr == nil && !r.cfg.Volatile
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -57,7 +57,10 @@
 	Dir *storage.Dir
 	// Voters names the instances that create the log. They are used only until
 	// the log exists; later changes go through ProposeVoterChange.
-	Voters    []string
+	Voters []string
+	// Contacts lists instances that an instance outside the log reports itself
+	// to, besides Voters. It is called on the replica's goroutine.
+	Contacts  func() []string
 	Transport Transport
 	Machine   StateMachine
 	Forward   ForwardFunc
--- /dev/null
+++ b/placement/commands.go
@@ -0,0 +1,188 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bluebellfield/bluebellfield/enginemodel"
+	"github.com/bluebellfield/bluebellfield/fleet"
+)
+
+// SetWork sets the offered work of a model in copies that it keeps busy.
+func (p *Planner) SetWork(model string, copies float64) { p.work[model] = copies }
+
+// SetEngine replaces the step model, with the same set of models.
+func (p *Planner) SetEngine(e *enginemodel.Engine) {
+	p.cfg.Engine = e
+	for _, g := range p.groups {
+		if m := e.Model(g.model.Name); m != nil {
+			g.model = m
+		}
+	}
+}
+
+// Suspect takes in evidence from an entry that a group stands still.
+func (p *Planner) Suspect(now time.Time, name string, epoch uint64) {
+	if g := p.groups[name]; g != nil && g.epoch == epoch && g.stage == serving {
+		g.suspected = now
+	}
+}
+
+// Observe takes in the newest reports of the service's engines.
+func (p *Planner) Observe(now time.Time, upstreams []fleet.Upstream) {
+	seen := make(map[string]bool, len(upstreams))
+	for _, u := range upstreams {
+		seen[u.ID] = true
+		p.observeOne(now, u)
+	}
+	for id, e := range p.engines {
+		if !seen[id] && e.group == nil {
+			delete(p.engines, id)
+		}
+	}
+	p.adopt(now)
+}
+
+func (p *Planner) observeOne(now time.Time, u fleet.Upstream) {
+	e := p.engines[u.ID]
+	if e == nil {
+		e = &engine{freeSince: now}
+		p.engines[u.ID] = e
+	}
+	if e.Born != u.Born {
+		// A restarted engine holds nothing; its group finds it missing.
+		e.last, e.staging, e.loading, e.unreachable = "", "", false, time.Time{}
+	}
+	if u.Heard.After(e.unreachable) {
+		e.unreachable = time.Time{}
+	}
+	e.Upstream = u
+	if u.Member.State >= fleet.Formed && u.Model != "" {
+		e.last = u.Model
+	}
+	if e.staging != "" && u.Has(e.staging) {
+		e.staging = ""
+	}
+	if e.loading && (u.Member.State >= fleet.Formed || u.Phase != fleet.Ready) {
+		e.loading = false
+	}
+}
+
+// adopt takes over groups that an earlier leader formed.
+func (p *Planner) adopt(now time.Time) {
+	found := map[string][]*engine{}
+	for _, e := range p.engines {
+		if e.Phase == fleet.Gone || e.Member.Group == "" || e.group != nil || p.groups[e.Member.Group] != nil {
+			continue
+		}
+		found[e.Member.Group] = append(found[e.Member.Group], e)
+	}
+	for _, name := range slices.Sorted(maps.Keys(found)) {
+		p.adoptGroup(now, name, found[name])
+	}
+}
+
+func (p *Planner) adoptGroup(now time.Time, name string, members []*engine) {
+	slices.SortFunc(members, func(a, b *engine) int {
+		return cmp.Or(cmp.Compare(b.Member.Epoch, a.Member.Epoch), a.Member.Rank-b.Member.Rank, strings.Compare(a.ID, b.ID))
+	})
+	first := members[0]
+	model := p.cfg.Engine.Model(first.Model)
+	if model == nil {
+		return
+	}
+	g := &group{name: name, epoch: first.Member.Epoch, model: model, domain: first.FabricDomain, stage: forming,
+		since: now, sent: map[string]time.Time{}, adopted: true, members: make([]string, model.GroupSize)}
+	for _, e := range members {
+		if e.Member.Epoch == g.epoch && e.Member.Rank < len(g.members) {
+			g.members[e.Member.Rank] = e.ID
+			e.group = g
+		}
+	}
+	if first.Member.Rank == 0 {
+		switch first.Member.State {
+		case fleet.Open:
+			g.stage = serving
+		case fleet.Closing, fleet.Broken:
+			g.stage, g.truncate = closing, true
+		}
+	}
+	p.groups[name] = g
+}
+
+// Done takes in the result of an order.
+func (p *Planner) Done(now time.Time, o Order, r Result) {
+	e := p.engines[o.Upstream]
+	if e == nil || e.Born != o.Born {
+		return
+	}
+	switch r {
+	case NoAnswer, NotListening, Misdirected:
+		e.unreachable = now
+	case Conflict:
+		if o.Kind == Stage {
+			e.staging = ""
+		}
+	}
+	g := e.group
+	if g == nil {
+		return
+	}
+	if o.Kind == Leave && r == Accepted && g.stage == isolating && g.headless.IsZero() {
+		g.headless = now
+	}
+	if o.Upstream == g.head() && r == NotListening && g.stage != forming {
+		// A process that is down serves nothing.
+		p.dissolve(now, g)
+	}
+}
+
+// Plan returns the orders that are due.
+func (p *Planner) Plan(now time.Time) []Order {
+	p.out = nil
+	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
+		p.advance(now, p.groups[name])
+	}
+	p.formGroups(now)
+	p.stageSpares(now)
+	return p.out
+}
+
+func (p *Planner) order(now time.Time, kind OrderKind, g *group, id, reason string) {
+	e := p.engines[id]
+	if e == nil {
+		return
+	}
+	if at, ok := g.sent[id]; ok && now.Sub(at) < resendInterval {
+		return
+	}
+	g.sent[id] = now
+	o := Order{Kind: kind, Upstream: id, Address: e.Address, Born: e.Born, Group: g.name, Epoch: g.epoch, Reason: reason}
+	switch kind {
+	case Join:
+		o.Model, o.Members = g.model.Name, g.members
+	case Close:
+		o.Truncate = g.truncate
+	}
+	p.out = append(p.out, o)
+}
+
+func (g *group) head() string { return g.members[0] }
+
+func (g *group) enter(now time.Time, s stage) {
+	g.stage, g.since = s, now
+	clear(g.sent)
+}
+
+func (p *Planner) dissolve(now time.Time, g *group) {
+	g.enter(now, dissolved)
+	for _, id := range g.members {
+		if e := p.engines[id]; e != nil && e.group == g {
+			e.group, e.freeSince = nil, now
+		}
+	}
+	delete(p.groups, g.name)
+}
--- /dev/null
+++ b/placement/queries.go
@@ -0,0 +1,31 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/bluebellfield/bluebellfield/enginemodel"
+)
+
+// Models lists the models of the service.
+func (p *Planner) Models() []enginemodel.Model { return p.cfg.Engine.Models }
+
+// Work is the time of a full copy that a request of a size needs.
+func (p *Planner) Work(model string, prompt, answer int) time.Duration {
+	m := p.cfg.Engine.Model(model)
+	if m == nil {
+		return 0
+	}
+	return p.cfg.Engine.Work(m, prompt, answer)
+}
+
+// Summary counts the groups by model and stage, for logs and metrics.
+func (p *Planner) Summary() map[string]map[string]int {
+	counts := map[string]map[string]int{}
+	for _, g := range p.groups {
+		if counts[g.model.Name] == nil {
+			counts[g.model.Name] = map[string]int{}
+		}
+		counts[g.model.Name][g.stage.String()]++
+	}
+	return counts
+}
