placement: never use members of a group that may still serve

Change: members heard late are attached to adopted groups; an engine is used again only after its group was retired; a group that may still be opened by a late order is settled by its head leaving; groups that an earlier leader did not open are given up rather than opened.

--- a/placement/advance.go
+++ b/placement/advance.go
@@ -19,6 +19,8 @@
 		p.advanceClosing(now, g)
 	case isolating:
 		p.advanceIsolating(now, g)
+	case settling:
+		p.advanceSettling(now, g)
 	}
 }
 
@@ -28,40 +30,56 @@
 }
 
 func (p *Planner) advanceForming(now time.Time, g *group) {
+	if g.adopted {
+		p.advanceAdopted(now, g)
+		return
+	}
 	joined := 0
 	for _, id := range g.members {
 		e := p.engines[id]
-		if e == nil || e.Phase != fleet.Ready || e.group != g {
-			if g.adopted && now.Sub(g.since) < adoptionWait && e == nil {
-				continue
-			}
-			p.dissolve(now, g)
+		switch {
+		case e == nil || e.Phase != fleet.Ready || e.group != g:
+			p.release(now, g)
 			return
-		}
-		if e.belongs(g) && (e.Member.State == fleet.Formed || e.Member.State == fleet.Open) {
+		case e.belongs(g) && (e.Member.State == fleet.Formed || e.Member.State == fleet.Open):
 			joined++
 		}
 	}
-	if joined == len(g.members) {
+	allowed := formAllowance*g.model.LoadTime + formSlack
+	switch {
+	case joined == len(g.members):
 		g.enter(now, opening)
-		p.order(now, Open, g, g.head(), "all members have joined")
-		return
+		p.open(now, g, "all members have joined")
+	case now.Sub(g.since) > allowed:
+		p.release(now, g)
+	default:
+		p.orderJoins(now, g)
 	}
-	allowed := formAllowance*g.model.LoadTime + formSlack
-	if g.adopted {
-		allowed = min(allowed, g.model.LoadTime+formSlack)
+}
+
+// advanceAdopted gives up a group that an earlier leader did not open: orders
+// of that leader with higher epochs may still reach its members. Loads that are
+// under way are not lost by waiting for their end.
+func (p *Planner) advanceAdopted(now time.Time, g *group) {
+	for _, id := range g.members {
+		if e := p.engines[id]; e != nil && e.belongs(g) && e.Member.State == fleet.Joining && now.Sub(g.since) < g.model.LoadTime+formSlack {
+			return
+		}
 	}
-	if now.Sub(g.since) > allowed {
-		p.dissolve(now, g)
-		return
+	if now.Sub(g.since) > adoptionWait {
+		p.release(now, g)
 	}
+}
+
+// orderJoins orders the members that have not reported the group yet.
+func (p *Planner) orderJoins(now time.Time, g *group) {
 	for _, id := range g.members {
 		e := p.engines[id]
 		switch {
-		case e == nil || e.belongs(g):
+		case e.belongs(g):
 		case !e.unreachable.IsZero() && now.Sub(g.since) > resendInterval:
 			// A member that cannot be reached is replaced by forming again.
-			p.dissolve(now, g)
+			p.release(now, g)
 			return
 		default:
 			p.order(now, Join, g, id, "not joined yet")
@@ -75,32 +93,55 @@
 		return
 	}
 	if head := p.engines[g.head()]; head.Member.State == fleet.Open {
+		g.openSent = false
 		g.enter(now, serving)
 		return
 	}
-	p.order(now, Open, g, g.head(), "not open yet")
+	p.open(now, g, "not open yet")
 }
 
-// missing reports whether a member has left the group or restarted.
-func (p *Planner) missing(g *group) bool {
-	for _, id := range g.members {
-		e := p.engines[id]
-		if e == nil {
-			if g.adopted && id == "" {
-				continue
-			}
-			return true
-		}
-		if e.Phase == fleet.Gone || !e.belongs(g) {
-			return true
-		}
+func (p *Planner) open(now time.Time, g *group, reason string) {
+	g.openSent = true
+	p.order(now, Open, g, g.head(), reason)
+}
+
+// release dissolves a group whose head does not serve, once it is certain that
+// it will not open any more.
+func (p *Planner) release(now time.Time, g *group) {
+	if !g.openSent && now.Sub(g.openLost) > lateOrders {
+		p.dissolve(now, g)
+		return
 	}
-	return false
+	g.enter(now, settling)
+	p.advanceSettling(now, g)
 }
 
-func (p *Planner) draining(g *group) bool {
+func (p *Planner) advanceSettling(now time.Time, g *group) {
+	head := p.engines[g.head()]
+	switch {
+	case head == nil || !head.belongs(g) || head.Member.State == fleet.Broken:
+		p.dissolve(now, g)
+	case head.Member.State == fleet.Open || head.Member.State == fleet.Closing:
+		p.close(now, g, true)
+	case !head.unreachable.IsZero() && head.unreachable.After(g.since):
+		g.enter(now, isolating)
+	case now.Sub(g.openLost) > lateOrders && !g.openSent:
+		p.dissolve(now, g)
+	case now.Sub(g.openLost) <= lateOrders && now.Sub(g.joinLost) <= lateOrders:
+		// After a leave the late orders could still join and open the head.
+	default:
+		p.order(now, Leave, g, g.head(), "an order to open may be late")
+	}
+}
+
+// missing reports whether a member has left the group or restarted. Members
+// that a new leader has not heard of do not count.
+func (p *Planner) missing(g *group) bool {
 	for _, id := range g.members {
-		if e := p.engines[id]; e != nil && e.Phase == fleet.Draining {
+		if id == "" {
+			continue
+		}
+		if e := p.engines[id]; e == nil || !e.belongs(g) {
 			return true
 		}
 	}
@@ -110,12 +151,22 @@
 func (p *Planner) advanceServing(now time.Time, g *group) {
 	head := p.engines[g.head()]
 	switch {
-	case head != nil && head.belongs(g) && head.Member.State == fleet.Broken:
+	case head == nil:
+		if !g.suspected.IsZero() || now.Sub(g.since) > orphanWait {
+			g.enter(now, isolating)
+		}
+	case head.belongs(g) && head.Member.State == fleet.Broken:
 		p.dissolve(now, g)
 	case p.gracefulExit(g):
 		p.close(now, g, false)
 	case p.missing(g):
 		p.close(now, g, true)
+	case head.Member.State == fleet.Closing:
+		g.enter(now, closing)
+	case head.stopped(g):
+		// Found by a new leader before its head was heard, or closed by a late
+		// order of an earlier leader.
+		p.release(now, g)
 	case !g.suspected.IsZero() && p.unreachableMember(g, g.suspected):
 		p.close(now, g, true)
 	case !g.suspected.IsZero() && now.Sub(g.suspected) < probeInterval && now.Sub(g.probed) >= probeInterval:
@@ -129,13 +180,15 @@
 // gracefulExit reports whether a member leaves by plan while all others are
 // there, so that running requests can be finished.
 func (p *Planner) gracefulExit(g *group) bool {
+	leaving := false
 	for _, id := range g.members {
 		e := p.engines[id]
 		if e == nil || !e.belongs(g) {
 			return false
 		}
+		leaving = leaving || e.Phase != fleet.Ready
 	}
-	return p.draining(g)
+	return leaving
 }
 
 func (p *Planner) unreachableMember(g *group, since time.Time) bool {
@@ -161,8 +214,12 @@
 
 func (p *Planner) advanceClosing(now time.Time, g *group) {
 	head := p.engines[g.head()]
-	if head == nil || head.stopped(g) {
-		p.dissolve(now, g)
+	if head == nil {
+		g.enter(now, isolating)
+		return
+	}
+	if head.stopped(g) {
+		p.release(now, g)
 		return
 	}
 	if !g.truncate && (p.missing(g) || !g.suspected.IsZero() && p.unreachableMember(g, g.suspected)) {
@@ -190,27 +247,37 @@
 
 func (p *Planner) advanceIsolating(now time.Time, g *group) {
 	head := p.engines[g.head()]
-	if head == nil || head.unreachable.IsZero() {
+	switch {
+	case head == nil:
+	case head.stopped(g) && head.unreachable.IsZero():
+		p.release(now, g)
+		return
+	case head.unreachable.IsZero():
 		// It is heard again; it can be told to close.
 		p.close(now, g, true)
 		return
 	}
-	if head.stopped(g) {
-		p.dissolve(now, g)
-		return
+	if g.headless.IsZero() && p.missing(g) {
+		g.headless = now
 	}
-	if !g.headless.IsZero() {
-		if now.Sub(g.headless) > p.cfg.StallTime+stallMargin {
-			p.dissolve(now, g)
-		}
+	if g.headless.IsZero() {
+		p.orderLeave(now, g)
 		return
 	}
+	if now.Sub(g.headless) > p.cfg.StallTime+stallMargin {
+		p.dissolve(now, g)
+	}
+}
+
+// orderLeave takes one member that can be reached out of a group.
+func (p *Planner) orderLeave(now time.Time, g *group) {
 	for _, id := range g.members[1:] {
 		if e := p.engines[id]; e != nil && e.unreachable.IsZero() && e.Phase != fleet.Gone {
 			p.order(now, Leave, g, id, "the head cannot be reached")
 			return
 		}
 	}
+	// Without a member in reach none can be used elsewhere either.
 	if now.Sub(g.since) > 2*p.cfg.StallTime+stallMargin {
 		p.dissolve(now, g)
 	}
--- a/placement/commands.go
+++ b/placement/commands.go
@@ -71,48 +71,80 @@
 	}
 }
 
-// adopt takes over groups that an earlier leader formed.
+// adopt takes over groups that an earlier leader formed, and members of them
+// that are heard of later.
 func (p *Planner) adopt(now time.Time) {
 	found := map[string][]*engine{}
+	reported := map[string]bool{}
 	for _, e := range p.engines {
-		if e.Phase == fleet.Gone || e.Member.Group == "" || e.group != nil || p.groups[e.Member.Group] != nil {
+		name := e.Member.Group
+		if e.Phase == fleet.Gone || name == "" {
 			continue
 		}
-		found[e.Member.Group] = append(found[e.Member.Group], e)
+		reported[name] = true
+		if e.group != nil || p.retired[name] {
+			continue
+		}
+		if g := p.groups[name]; g != nil {
+			p.attach(g, e)
+			continue
+		}
+		found[name] = append(found[name], e)
 	}
+	maps.DeleteFunc(p.retired, func(name string, _ bool) bool { return !reported[name] })
 	for _, name := range slices.Sorted(maps.Keys(found)) {
 		p.adoptGroup(now, name, found[name])
 	}
 }
 
+// attach makes an engine a member of a group that it reports, where the group
+// lacks one of its rank.
+func (p *Planner) attach(g *group, e *engine) {
+	rank := e.Member.Rank
+	if e.Member.Epoch != g.epoch || rank < 0 || rank >= len(g.members) || g.members[rank] != "" && g.members[rank] != e.ID {
+		return
+	}
+	g.members[rank] = e.ID
+	e.group = g
+}
+
 func (p *Planner) adoptGroup(now time.Time, name string, members []*engine) {
 	slices.SortFunc(members, func(a, b *engine) int {
 		return cmp.Or(cmp.Compare(b.Member.Epoch, a.Member.Epoch), a.Member.Rank-b.Member.Rank, strings.Compare(a.ID, b.ID))
 	})
 	first := members[0]
-	model := p.cfg.Engine.Model(first.Model)
+	model := p.modelOf(members)
 	if model == nil {
 		return
 	}
 	g := &group{name: name, epoch: first.Member.Epoch, model: model, domain: first.FabricDomain, stage: forming,
-		since: now, sent: map[string]time.Time{}, adopted: true, members: make([]string, model.GroupSize)}
+		since: now, sent: map[string]time.Time{}, adopted: true, members: make([]string, model.GroupSize),
+		// An earlier leader's order to open may still be on its way.
+		openLost: now}
 	for _, e := range members {
-		if e.Member.Epoch == g.epoch && e.Member.Rank < len(g.members) {
-			g.members[e.Member.Rank] = e.ID
-			e.group = g
-		}
+		p.attach(g, e)
 	}
-	if first.Member.Rank == 0 {
-		switch first.Member.State {
-		case fleet.Open:
-			g.stage = serving
-		case fleet.Closing, fleet.Broken:
-			g.stage, g.truncate = closing, true
-		}
+	head := p.engines[g.head()]
+	switch {
+	case head == nil, head.Member.State == fleet.Open:
+		// A head that was not heard of may serve.
+		g.stage = serving
+	case head.Member.State == fleet.Closing, head.Member.State == fleet.Broken:
+		g.stage, g.truncate = closing, true
 	}
 	p.groups[name] = g
 }
 
+// modelOf returns the model of a group's members, nil when none names one.
+func (p *Planner) modelOf(members []*engine) *enginemodel.Model {
+	for _, e := range members {
+		if m := p.cfg.Engine.Model(e.Model); m != nil {
+			return m
+		}
+	}
+	return nil
+}
+
 // Done takes in the result of an order.
 func (p *Planner) Done(now time.Time, o Order, r Result) {
 	e := p.engines[o.Upstream]
@@ -131,6 +163,14 @@
 	if g == nil {
 		return
 	}
+	if r == NoAnswer && o.Epoch == g.epoch && o.Upstream == g.head() {
+		switch o.Kind {
+		case Open:
+			g.openLost = now
+		case Join:
+			g.joinLost = now
+		}
+	}
 	if o.Kind == Leave && r == Accepted && g.stage == isolating && g.headless.IsZero() {
 		g.headless = now
 	}
@@ -179,6 +219,7 @@
 
 func (p *Planner) dissolve(now time.Time, g *group) {
 	g.enter(now, dissolved)
+	p.retired[g.name] = true
 	for _, id := range g.members {
 		if e := p.engines[id]; e != nil && e.group == g {
 			e.group, e.freeSince = nil, now
--- a/placement/form.go
+++ b/placement/form.go
@@ -14,7 +14,8 @@
 // usable reports whether an engine can be ordered into a new group.
 func (p *Planner) usable(now time.Time, e *engine) bool {
 	silent := time.Duration(silentHeartbeats * float64(p.cfg.HeartbeatInterval))
-	return e.group == nil && e.Phase == fleet.Ready && e.unreachable.IsZero() && now.Sub(e.Heard) < silent
+	settled := e.Member.Group == "" || p.retired[e.Member.Group]
+	return e.group == nil && settled && e.Phase == fleet.Ready && e.unreachable.IsZero() && now.Sub(e.Heard) < silent
 }
 
 // free returns the usable engines by fabric domain.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -114,6 +114,12 @@
 	// adoptionWait is how long a new leader waits for the members of groups
 	// that it finds incomplete: two heartbeat intervals of today's engines.
 	adoptionWait = 2400 * time.Millisecond
+	// orphanWait is how long a group of which no head was heard is left alone
+	// without evidence that it stands still. Its head may serve out of reach.
+	orphanWait = 10 * time.Second
+	// lateOrders is the time after which an order without an answer is no longer
+	// carried out: 12 s by the engines' protocol, and a second of margin.
+	lateOrders = 13 * time.Second
 	// patience is how long engines stay idle in favour of the neediest model
 	// before any other that fits may take them.
 	patience = 8 * time.Second
@@ -133,11 +139,14 @@
 	// isolating groups have an unreachable head, which may still serve: a
 	// member leaves, and the head gives up after StallTime.
 	isolating
+	// settling groups do not serve, but an order to open may still be carried
+	// out: the head leaves first.
+	settling
 	dissolved
 )
 
 func (s stage) String() string {
-	return [...]string{"forming", "opening", "serving", "closing", "isolating", "dissolved"}[s]
+	return [...]string{"forming", "opening", "serving", "closing", "isolating", "settling", "dissolved"}[s]
 }
 
 // group is the planner's view of a replica group.
@@ -159,6 +168,13 @@
 	// head.
 	headless time.Time
 	adopted  bool
+	// openSent says that the head was ordered to open and was not seen open.
+	openSent bool
+	// openLost is the time of the last order to open that got no answer.
+	openLost time.Time
+	// joinLost is the time of the last order to join that the head did not
+	// answer.
+	joinLost time.Time
 }
 
 // engine is the planner's view of one engine.
@@ -185,6 +201,9 @@
 	started time.Time
 	engines map[string]*engine
 	groups  map[string]*group
+	// retired names groups that cannot serve any more. Engines may still report
+	// them until they join another.
+	retired map[string]bool
 	// work is the offered work of each model in copies, from the entries.
 	work  map[string]float64
 	loads loadLimiter
@@ -193,7 +212,7 @@
 
 // New returns a planner of a new leader.
 func New(cfg Config, now time.Time) *Planner {
-	return &Planner{cfg: cfg, started: now, engines: map[string]*engine{}, groups: map[string]*group{},
+	return &Planner{cfg: cfg, started: now, engines: map[string]*engine{}, groups: map[string]*group{}, retired: map[string]bool{},
 		work: map[string]float64{}, loads: loadLimiter{perSecond: cfg.Engine.LoadsPerSecond, atOnce: cfg.Engine.LoadsAtOnce}}
 }
 
