placement: prepare spares before traffic, isolate heads that nobody hears

Change: all groups and spares are loaded before traffic, when loads are fast; with traffic only engines that are ready for a model form groups, others are staged while they are free; entries name the groups that make progress, and report a silent group after 400 ms.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -81,6 +82,8 @@
 	announced uint64
 
 	controller *actor.PID
+	// tickQueued is set while a tick waits at the controller.
+	tickQueued atomic.Bool
 	ctx        context.Context
 	cancel     context.CancelFunc
 	done       sync.WaitGroup
@@ -101,11 +104,11 @@
 		cancel()
 		return nil, fmt.Errorf("open log: %w", err)
 	}
+	c.controller = o.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newController(c) }))
 	o.Network.Handle(mesh.ChannelSubscribe, c.serveSubscribe)
 	o.Network.Handle(mesh.ChannelUpdate, c.serveUpdate)
 	o.Network.Handle(mesh.ChannelCatalog, c.serveCatalog)
 	o.Network.Handle(mesh.ChannelStall, c.serveStall)
-	c.controller = o.System.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return newController(c) }))
 	c.done.Go(c.publish)
 	c.done.Go(c.tick)
 	c.done.Go(c.manageVoters)
@@ -202,11 +205,18 @@
 		case <-c.ctx.Done():
 			return
 		case <-ticker.C:
-			c.o.System.Root.Send(c.controller, tickMessage{})
+			c.wakeController()
 		}
 	}
 }
 
+// wakeController lets the group controller look at the newest reports.
+func (c *Control) wakeController() {
+	if !c.tickQueued.Swap(true) {
+		c.o.System.Root.Send(c.controller, tickMessage{})
+	}
+}
+
 // PeerAddress returns the address of an instance that is named by its host.
 func PeerAddress(id string, port int) (string, bool) {
 	if net.ParseIP(id) == nil {
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -40,7 +40,9 @@
 		epoch          uint64
 		from           string
 	}
-	doneMessage struct {
+	// aliveMessage names groups that made progress for an entry.
+	aliveMessage struct{ groups []string }
+	doneMessage  struct {
 		generation uint64
 		service    string
 		order      placement.Order
@@ -82,9 +84,14 @@
 func (k *controller) Receive(ctx actor.Context) {
 	switch m := ctx.Message().(type) {
 	case tickMessage:
+		k.c.tickQueued.Store(false)
 		k.tick(time.Now())
 	case stallMessage:
 		k.suspect(time.Now(), m)
+	case aliveMessage:
+		for _, p := range k.planners {
+			p.Alive(time.Now(), m.groups)
+		}
 	case doneMessage:
 		k.finished(time.Now(), m)
 	case generationMessage:
@@ -197,7 +204,7 @@
 		return p
 	}
 	return placement.New(placement.Config{Generation: k.generation, HeartbeatInterval: k.c.o.HeartbeatInterval,
-		StallTime: k.c.o.StallTime, Engine: s.Engine}, now)
+		StallTime: k.c.o.StallTime, ColdStart: k.c.o.Bootstrap, Engine: s.Engine}, now)
 }
 
 func (k *controller) plan(now time.Time, service string, p *placement.Planner) {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -59,6 +59,9 @@
 	}
 	s.heard = now
 	s.demand = demandRates(&request)
+	if len(request.Alive) > 0 {
+		c.o.System.Root.Send(c.controller, aliveMessage{request.Alive})
+	}
 	if request.Number == 0 || request.Source != c.source {
 		c.send(from, s, true)
 	}
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -33,6 +33,9 @@
 			zap.String("group", u.Member.Group), zap.Uint64("epoch", u.Member.Epoch), zap.Int("rank", u.Member.Rank), zap.Uint8("member", uint8(u.Member.State)))
 	}
 	c.relay(&u, changed)
+	if changed {
+		c.wakeController()
+	}
 }
 
 // Leave takes in that an upstream ends. Born is zero when it was not told.
@@ -85,6 +88,7 @@
 		u := mesh.DecodeUpstream(encoded)
 		if accepted, changed := c.table.Observe(now, u); accepted && changed {
 			c.relayToEntries(encoded)
+			c.wakeController()
 		}
 	}
 	return nil, nil
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -64,10 +64,11 @@
 func (e *Entry) subscribe(now time.Time, interval time.Duration) {
 	demands := e.demand.take()
 	e.mu.Lock()
+	alive := e.aliveGroups(now.Add(-interval))
 	chosen := e.chooseSources(now)
 	e.mu.Unlock()
 	for _, id := range chosen {
-		request := &mesh.Subscribe{FailureDomain: e.o.FailureDomain, IntervalMillis: uint32(interval.Milliseconds()), Demands: demands}
+		request := &mesh.Subscribe{FailureDomain: e.o.FailureDomain, IntervalMillis: uint32(interval.Milliseconds()), Demands: demands, Alive: alive}
 		e.mu.Lock()
 		if s := e.sources[id]; s != nil && now.Sub(s.heard) < sourceSilence {
 			request.Source, request.Number = s.id, s.number
@@ -82,6 +83,19 @@
 	}
 }
 
+// aliveGroups lists the groups that made progress since a time. The caller
+// holds mu.
+func (e *Entry) aliveGroups(since time.Time) []string {
+	var alive []string
+	for key, t := range e.targets {
+		if key.group != "" && t.progressSince(since) {
+			alive = append(alive, key.group)
+		}
+	}
+	slices.Sort(alive)
+	return alive
+}
+
 // chooseSources keeps the control instances that answer and fills up with
 // others. The caller holds mu.
 func (e *Entry) chooseSources(now time.Time) []string {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -85,12 +85,16 @@
 	// counts as standing still: several passes of an engine at a fifth of its
 	// pace, and less than half of the two seconds after which callers leave.
 	stallTime = 800 * time.Millisecond
+	// earlySuspicion is the time without a sign of life of a group after which
+	// the control instances are told, so that they look for a lost member: twice
+	// the pause that callers still count as timely.
+	earlySuspicion = 400 * time.Millisecond
 	// silentStream is the time without an event after which a single stream is
 	// moved while its group goes on with others.
 	silentStream = 1500 * time.Millisecond
 	// recheck is the pause between two looks at a stream that waits while its
 	// group goes on.
-	recheck = 200 * time.Millisecond
+	recheck = 100 * time.Millisecond
 )
 
 // watchdog gives up a send whose upstream stands still, where the stream can
@@ -110,7 +114,7 @@
 
 func (x *exchange) watch(t *target, started time.Time, cancel context.CancelCauseFunc) *watchdog {
 	w := &watchdog{x: x, t: t, cancel: cancel, started: started, last: started}
-	w.timer = time.AfterFunc(stallTime, w.check)
+	w.timer = time.AfterFunc(earlySuspicion, w.check)
 	return w
 }
 
@@ -140,14 +144,18 @@
 	}
 	now := time.Now()
 	silent := now.Sub(w.last)
-	if silent < stallTime {
-		w.timer.Reset(stallTime - silent)
+	if silent < earlySuspicion {
+		w.timer.Reset(earlySuspicion - silent)
 		return
 	}
-	standstill := w.t.silentFor(now, w.started) >= stallTime
-	if standstill && w.t.stalled(now) {
+	groupSilent := w.t.silentFor(now, w.started)
+	if groupSilent >= earlySuspicion && w.t.suspect(now) {
 		w.x.e.reportStall(w.t)
 	}
+	standstill := groupSilent >= stallTime
+	if standstill {
+		w.t.avoid(now)
+	}
 	if (standstill || silent >= silentStream) && w.x.mayMove(now) {
 		w.reason = fmt.Sprintf("no event for %d ms", silent.Milliseconds())
 		w.cancel(errMoved)
--- a/internal/entry/target.go
+++ b/internal/entry/target.go
@@ -85,18 +85,24 @@
 	t.suspected = time.Time{}
 }
 
-// stalled marks the target as standing still and reports whether it is the
-// first to notice in a while.
-func (t *target) stalled(now time.Time) bool {
+// suspect marks the target as standing still and reports whether the control
+// instances are to be told, which is repeated while it lasts.
+func (t *target) suspect(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	const again = 500 * time.Millisecond
-	first := now.Sub(t.suspected) > again
-	if first {
-		t.suspected = now
+	if now.Sub(t.suspected) <= again {
+		return false
 	}
+	t.suspected = now
+	return true
+}
+
+// avoid keeps new requests away from a target that stands still.
+func (t *target) avoid(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.avoidUntil = now.Add(maxAvoidance)
-	return first
 }
 
 // silentFor returns the time since the last sign of life, at most that since
@@ -110,6 +116,12 @@
 	return now.Sub(since)
 }
 
+func (t *target) progressSince(since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.progress.After(since)
+}
+
 // succeeded takes in an answer.
 func (t *target) succeeded() {
 	t.mu.Lock()
--- a/placement/advance.go
+++ b/placement/advance.go
@@ -16,8 +16,10 @@
 	case serving:
 		p.advanceServing(now, g)
 	case closing:
+		p.detach(now, g)
 		p.advanceClosing(now, g)
 	case isolating:
+		p.detach(now, g)
 		p.advanceIsolating(now, g)
 	case settling:
 		p.advanceSettling(now, g)
@@ -167,13 +169,36 @@
 		// Found by a new leader before its head was heard, or closed by a late
 		// order of an earlier leader.
 		p.release(now, g)
-	case !g.suspected.IsZero() && p.unreachableMember(g, g.suspected):
+	case !g.suspected.IsZero() && p.unreachableMember(g):
 		p.close(now, g, true)
 	case !g.suspected.IsZero() && now.Sub(g.suspected) < probeInterval && now.Sub(g.probed) >= probeInterval:
 		g.probed = now
 		for _, id := range g.members {
 			p.probe(g, id)
 		}
+	case p.silent(now, g, head):
+		// Neither the leader nor any entry hears of the head. It may serve
+		// beyond a cut, so that it is isolated rather than replaced.
+		if !head.unreachable.IsZero() {
+			g.enter(now, isolating)
+		} else if now.Sub(g.probed) >= probeInterval {
+			g.probed = now
+			p.probe(g, head.ID)
+		}
+	}
+}
+
+func (p *Planner) silent(now time.Time, g *group, head *engine) bool {
+	return now.Sub(head.Heard) > aliveWait && now.Sub(g.alive) > aliveWait && now.Sub(g.since) > aliveWait
+}
+
+// detach frees the members that are in no part of a group that does not serve
+// new work: they have restarted, or were never in it.
+func (p *Planner) detach(now time.Time, g *group) {
+	for _, id := range g.members {
+		if e := p.engines[id]; e != nil && e.group == g && !e.belongs(g) {
+			e.group, e.freeSince = nil, now
+		}
 	}
 }
 
@@ -191,9 +216,11 @@
 	return leaving
 }
 
-func (p *Planner) unreachableMember(g *group, since time.Time) bool {
+// unreachableMember reports whether a member of a suspected group did not
+// answer since the suspicion arose.
+func (p *Planner) unreachableMember(g *group) bool {
 	for _, id := range g.members {
-		if e := p.engines[id]; e != nil && !e.unreachable.IsZero() && !e.unreachable.Before(since) {
+		if e := p.engines[id]; e != nil && !e.unreachable.IsZero() && !e.unreachable.Before(g.suspectedSince) {
 			return true
 		}
 	}
@@ -222,7 +249,7 @@
 		p.release(now, g)
 		return
 	}
-	if !g.truncate && (p.missing(g) || !g.suspected.IsZero() && p.unreachableMember(g, g.suspected)) {
+	if !g.truncate && (p.missing(g) || !g.suspected.IsZero() && p.unreachableMember(g)) {
 		g.truncate = true
 		clear(g.sent)
 	}
--- a/placement/commands.go
+++ b/placement/commands.go
@@ -27,10 +27,22 @@
 // Suspect takes in evidence from an entry that a group stands still.
 func (p *Planner) Suspect(now time.Time, name string, epoch uint64) {
 	if g := p.groups[name]; g != nil && g.epoch == epoch && g.stage == serving {
+		if now.Sub(g.suspected) > suspicionLife {
+			g.suspectedSince = now
+		}
 		g.suspected = now
 	}
 }
 
+// Alive takes in the names of groups that made progress for an entry.
+func (p *Planner) Alive(now time.Time, names []string) {
+	for _, name := range names {
+		if g := p.groups[name]; g != nil {
+			g.alive = now
+		}
+	}
+}
+
 // Observe takes in the newest reports of the service's engines.
 func (p *Planner) Observe(now time.Time, upstreams []fleet.Upstream) {
 	seen := make(map[string]bool, len(upstreams))
@@ -51,10 +63,11 @@
 	if e == nil {
 		e = &engine{freeSince: now}
 		p.engines[u.ID] = e
+		p.lastArrival = now
 	}
 	if e.Born != u.Born {
 		// A restarted engine holds nothing; its group finds it missing.
-		e.last, e.staging, e.loading, e.unreachable = "", "", false, time.Time{}
+		e.last, e.staging, e.unreachable = "", "", time.Time{}
 	}
 	if u.Heard.After(e.unreachable) {
 		e.unreachable = time.Time{}
@@ -66,8 +79,8 @@
 	if e.staging != "" && u.Has(e.staging) {
 		e.staging = ""
 	}
-	if e.loading && (u.Member.State >= fleet.Formed || u.Phase != fleet.Ready) {
-		e.loading = false
+	if e.staging != "" && now.Sub(e.stagingAt) > p.loadAllowance(e.staging) {
+		e.staging = ""
 	}
 }
 
@@ -174,10 +187,6 @@
 	if o.Kind == Leave && r == Accepted && g.stage == isolating && g.headless.IsZero() {
 		g.headless = now
 	}
-	if o.Upstream == g.head() && r == NotListening && g.stage != forming {
-		// A process that is down serves nothing.
-		p.dissolve(now, g)
-	}
 }
 
 // Plan returns the orders that are due.
--- a/placement/form.go
+++ b/placement/form.go
@@ -29,28 +29,39 @@
 	return byDomain
 }
 
-// formGroups forms groups from free engines while any fits.
+// formGroups forms groups from free engines while any fits. Once there is
+// traffic only engines that need no load from the store are used: the others
+// are staged first, so that they stay free for whatever comes.
 func (p *Planner) formGroups(now time.Time) {
+	if p.arriving(now) {
+		return
+	}
 	byDomain := p.free(now)
 	for {
 		domain, m := p.nextGroup(now, byDomain)
 		if m == nil {
 			return
 		}
-		members := pickMembers(byDomain[domain], m)
-		if !p.startGroup(now, domain, m, members) {
-			return
-		}
+		p.startGroup(now, domain, m, pickMembers(byDomain[domain], m))
 		byDomain[domain] = slices.DeleteFunc(byDomain[domain], func(e *engine) bool { return e.group != nil })
 	}
 }
 
 // copies counts the groups of a model that serve or will soon.
-func (p *Planner) copies(model string) int {
+func (p *Planner) copies(now time.Time, model string) int {
 	n := 0
 	for _, g := range p.groups {
-		if g.model.Name == model && (g.stage == forming || g.stage == opening || g.stage == serving) {
+		if g.model.Name != model {
+			continue
+		}
+		switch g.stage {
+		case forming, opening:
 			n++
+		case serving:
+			// A new leader also finds groups whose members are long lost.
+			if head := p.engines[g.head()]; head != nil && (now.Sub(head.Heard) < aliveWait || now.Sub(g.alive) < aliveWait) {
+				n++
+			}
 		}
 	}
 	return n
@@ -58,12 +69,12 @@
 
 // need is the load on each copy of a model if it had one more. A model without
 // reports of work gets its usual share of all engines.
-func (p *Planner) need(m *enginemodel.Model) float64 {
+func (p *Planner) need(now time.Time, m *enginemodel.Model) float64 {
 	work, ok := p.work[m.Name]
 	if !ok || !p.traffic() {
 		work = m.WorkShare * float64(len(p.engines)) / float64(max(m.GroupSize, 1))
 	}
-	return work / float64(p.copies(m.Name)+1)
+	return work / float64(p.copies(now, m.Name)+1)
 }
 
 func (p *Planner) traffic() bool {
@@ -75,28 +86,37 @@
 	return false
 }
 
-// nextGroup picks the model and the domain of the next group: the neediest
-// model, or another one that needs no load from the store or whose engines
-// have waited long.
-func (p *Planner) nextGroup(now time.Time, byDomain map[string][]*engine) (string, *enginemodel.Model) {
+// arriving reports whether a deployment that starts waits for its engines.
+func (p *Planner) arriving(now time.Time) bool {
+	return p.coldStart() && now.Sub(p.lastArrival) < arrivalQuiet && now.Sub(p.started) < maxArrival
+}
+
+// byNeed lists the models, the neediest first.
+func (p *Planner) byNeed(now time.Time) []*enginemodel.Model {
 	models := make([]*enginemodel.Model, 0, len(p.cfg.Engine.Models))
 	for i := range p.cfg.Engine.Models {
 		models = append(models, &p.cfg.Engine.Models[i])
 	}
-	slices.SortStableFunc(models, func(a, b *enginemodel.Model) int { return cmp.Compare(p.need(b), p.need(a)) })
-	for rank, m := range models {
+	slices.SortStableFunc(models, func(a, b *enginemodel.Model) int { return cmp.Compare(p.need(now, b), p.need(now, a)) })
+	return models
+}
+
+// nextGroup picks the model and the domain of the next group: the neediest
+// model that fits, where its engines join soonest.
+func (p *Planner) nextGroup(now time.Time, byDomain map[string][]*engine) (string, *enginemodel.Model) {
+	for _, m := range p.byNeed(now) {
 		best, bestCost := "", time.Duration(-1)
 		for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
-			engines := byDomain[domain]
-			if len(engines) < m.GroupSize {
+			if len(byDomain[domain]) < m.GroupSize {
 				continue
 			}
-			members := pickMembers(engines, m)
-			cost := joinTime(members, m)
-			if rank > 0 && cost > m.WarmTime && !waited(now, members) {
+			cost := joinTime(pickMembers(byDomain[domain], m), m)
+			if cost > m.WarmTime && !p.coldStart() {
 				continue
 			}
-			if bestCost < 0 || cost < bestCost {
+			// Among equals the domain that is left with the fewest free engines
+			// keeps the others whole.
+			if bestCost < 0 || cost < bestCost || cost == bestCost && len(byDomain[domain]) < len(byDomain[best]) {
 				best, bestCost = domain, cost
 			}
 		}
@@ -107,21 +127,16 @@
 	return "", nil
 }
 
-func waited(now time.Time, engines []*engine) bool {
-	for _, e := range engines {
-		if now.Sub(e.freeSince) < patience {
-			return false
-		}
-	}
-	return true
-}
+// coldStart reports whether the deployment starts and has no traffic yet. Loads
+// are fast then and do not count towards the store's bounds.
+func (p *Planner) coldStart() bool { return p.cfg.ColdStart && !p.traffic() }
 
 // joinCost ranks how long an engine takes to join a group of a model.
 func (e *engine) joinCost(m *enginemodel.Model) time.Duration {
 	switch {
-	case e.last == m.Name && (e.Has(m.Name) || len(e.Staged) == 0):
+	case e.last == m.Name:
 		return 0
-	case e.Has(m.Name) || e.staging == m.Name:
+	case e.Has(m.Name):
 		return m.WarmTime
 	}
 	return m.LoadTime
@@ -145,126 +160,16 @@
 	return sorted[:m.GroupSize]
 }
 
-// startGroup orders a group unless the weight store has no room for its loads.
-func (p *Planner) startGroup(now time.Time, domain string, m *enginemodel.Model, members []*engine) bool {
-	loads := 0
-	for _, e := range members {
-		if e.joinCost(m) >= m.LoadTime {
-			loads++
-		}
-	}
-	if loads > 0 && !p.loads.allow(now, p.running(now), loads, p.traffic()) {
-		return false
-	}
-	p.loads.note(now, loads)
+// startGroup orders the members of a new group to join.
+func (p *Planner) startGroup(now time.Time, domain string, m *enginemodel.Model, members []*engine) {
 	epoch := p.nextEpoch()
 	g := &group{name: groupName(epoch), epoch: epoch, model: m, domain: domain, stage: forming, since: now, sent: map[string]time.Time{}}
 	for _, e := range members {
-		e.group = g
-		if e.joinCost(m) >= m.LoadTime {
-			e.loading, e.loadingAt = true, now
-		}
-		e.staging = ""
+		e.group, e.staging = g, ""
 		g.members = append(g.members, e.ID)
 	}
 	p.groups[g.name] = g
 	for _, id := range g.members {
 		p.order(now, Join, g, id, "new group")
 	}
-	return true
-}
-
-// running counts the loads from the store that are under way.
-func (p *Planner) running(now time.Time) int {
-	n := 0
-	for _, e := range p.engines {
-		longest := formAllowance * p.longestLoad()
-		if e.loading && now.Sub(e.loadingAt) < longest || e.staging != "" && now.Sub(e.stagingAt) < longest {
-			n++
-		}
-	}
-	return n
-}
-
-func (p *Planner) longestLoad() time.Duration {
-	longest := time.Duration(0)
-	for _, m := range p.cfg.Engine.Models {
-		longest = max(longest, m.LoadTime)
-	}
-	return longest
-}
-
-// stageSpares stages models on engines that no group uses, so that a lost
-// member can be replaced without a load. The spares of a domain take the
-// domain's models in turn, the one with the most members first.
-func (p *Planner) stageSpares(now time.Time) {
-	for _, g := range p.groups {
-		if g.stage == forming && !g.adopted {
-			// Loads of groups go first.
-			for _, id := range g.members {
-				if e := p.engines[id]; e != nil && e.loading {
-					return
-				}
-			}
-		}
-	}
-	byDomain := p.free(now)
-	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
-		wanted := p.modelsByMembers(domain)
-		if len(wanted) == 0 {
-			continue
-		}
-		for i, e := range p.unstaged(byDomain[domain], wanted) {
-			if e == nil {
-				continue
-			}
-			m := wanted[i%len(wanted)]
-			if !p.loads.allow(now, p.running(now), 1, p.traffic()) {
-				return
-			}
-			p.loads.note(now, 1)
-			e.staging, e.stagingAt = m.Name, now
-			p.out = append(p.out, Order{Kind: Stage, Upstream: e.ID, Address: e.Address, Born: e.Born, Model: m.Name, Reason: "spare engine"})
-		}
-	}
-}
-
-// unstaged assigns the spares of a domain to the places of the wanted models
-// and returns, by place, those that hold another model; nil marks a place that
-// is taken care of.
-func (p *Planner) unstaged(spares []*engine, wanted []*enginemodel.Model) []*engine {
-	places := make([]*engine, len(spares))
-	rest := slices.Clone(spares)
-	var open []int
-	for i := range places {
-		m := wanted[i%len(wanted)].Name
-		at := slices.IndexFunc(rest, func(e *engine) bool { return e.Has(m) || e.staging == m })
-		if at < 0 {
-			open = append(open, i)
-			continue
-		}
-		rest = slices.Delete(rest, at, at+1)
-	}
-	for n, i := range open {
-		if rest[n].staging == "" {
-			places[i] = rest[n]
-		}
-	}
-	return places
-}
-
-// modelsByMembers lists the models of a domain's groups, the one with the most
-// members first.
-func (p *Planner) modelsByMembers(domain string) []*enginemodel.Model {
-	members := map[*enginemodel.Model]int{}
-	for _, g := range p.groups {
-		if g.domain == domain {
-			members[g.model] += len(g.members)
-		}
-	}
-	models := slices.Collect(maps.Keys(members))
-	slices.SortFunc(models, func(a, b *enginemodel.Model) int {
-		return cmp.Or(members[b]-members[a], strings.Compare(a.Name, b.Name))
-	})
-	return models
 }
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -9,38 +9,26 @@
 	started   []time.Time
 }
 
-const (
-	// loadWindow is the span over which the store's rate is kept.
-	loadWindow = 5 * time.Second
-	// coldStartFactor allows more loads at once before traffic: they take a
-	// tenth of the time, so that orders and reports would leave the store idle.
-	coldStartFactor = 1.5
-)
+// loadWindow is the span over which the store's rate is kept.
+const loadWindow = 5 * time.Second
 
-// allow reports whether a number of loads may start beside those that run.
-func (l *loadLimiter) allow(now time.Time, running, loads int, traffic bool) bool {
-	if !traffic {
-		return running == 0 || running+loads <= int(coldStartFactor*float64(l.atOnce))
-	}
+// allow reports whether another load may start beside those that run.
+func (l *loadLimiter) allow(now time.Time, running int) bool {
 	recent := 0
 	for _, at := range l.started {
 		if now.Sub(at) < loadWindow {
 			recent++
 		}
 	}
-	withinRate := recent+loads <= int(l.perSecond*loadWindow.Seconds())
-	return withinRate && (running == 0 || running+loads <= l.atOnce)
+	return recent < int(l.perSecond*loadWindow.Seconds()) && running < l.atOnce
 }
 
-func (l *loadLimiter) note(now time.Time, loads int) {
+func (l *loadLimiter) note(now time.Time) {
 	kept := l.started[:0]
 	for _, at := range l.started {
 		if now.Sub(at) < loadWindow {
 			kept = append(kept, at)
 		}
 	}
-	for range loads {
-		kept = append(kept, now)
-	}
-	l.started = kept
+	l.started = append(kept, now)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -71,7 +71,9 @@
 	Conflict
 	// Misdirected means that another incarnation answered.
 	Misdirected
-	// NotListening means that the connection was refused: the process is down.
+	// NotListening means that the connection was refused. It proves that the
+	// order is not carried out, not that the process is down: a cut can refuse
+	// connections as well.
 	NotListening
 	// NoAnswer means that the order may be carried out, now or later.
 	NoAnswer
@@ -91,6 +93,8 @@
 	// StallTime is how long a group that has lost a member stands still before
 	// its head reports it broken.
 	StallTime time.Duration
+	// ColdStart is set while the whole deployment starts for the first time.
+	ColdStart bool
 	Engine    *enginemodel.Engine
 }
 
@@ -101,6 +105,8 @@
 	resendInterval = 800 * time.Millisecond
 	// probeInterval bounds the probes of one suspected group.
 	probeInterval = 700 * time.Millisecond
+	// suspicionLife is the pause in the evidence after which it counts as new.
+	suspicionLife = 3 * time.Second
 	// stallMargin is added to StallTime for delays of messages and timers.
 	stallMargin = time.Second
 	// silentHeartbeats is the number of intervals without a report after which
@@ -114,15 +120,26 @@
 	// adoptionWait is how long a new leader waits for the members of groups
 	// that it finds incomplete: two heartbeat intervals of today's engines.
 	adoptionWait = 2400 * time.Millisecond
+	// aliveWait is the time without a report of the head and without progress
+	// at any entry after which the head is asked whether it is there: longer
+	// than two intervals of both kinds of reports.
+	aliveWait = 3 * time.Second
 	// orphanWait is how long a group of which no head was heard is left alone
 	// without evidence that it stands still. Its head may serve out of reach.
 	orphanWait = 10 * time.Second
 	// lateOrders is the time after which an order without an answer is no longer
 	// carried out: 12 s by the engines' protocol, and a second of margin.
 	lateOrders = 13 * time.Second
-	// patience is how long engines stay idle in favour of the neediest model
-	// before any other that fits may take them.
-	patience = 8 * time.Second
+	// arrivalQuiet is the time without a new engine after which a deployment
+	// that starts is thought complete: half of the interval in which engines
+	// report. Groups that are formed before may not suit the domains.
+	arrivalQuiet = 600 * time.Millisecond
+	// maxArrival bounds the wait for it.
+	maxArrival = 4 * time.Second
+	// patience is how long free engines keep what is staged on their hosts:
+	// engines that are lost for a time, and the members of a group whose head
+	// is isolated, return within it.
+	patience = 9 * time.Second
 	// epochBits is the width of the counter below the generation in an epoch.
 	epochBits = 20
 )
@@ -162,8 +179,12 @@
 	sent map[string]time.Time
 	// suspected is the time of the last evidence that the group stands still.
 	suspected time.Time
-	probed    time.Time
-	truncate  bool
+	// suspectedSince is the first of an unbroken series of such evidence.
+	suspectedSince time.Time
+	probed         time.Time
+	// alive is the time at which an entry last saw progress.
+	alive    time.Time
+	truncate bool
 	// headless is the time at which a member left a group with an unreachable
 	// head.
 	headless time.Time
@@ -188,9 +209,6 @@
 	// staging is the model that was ordered onto the host.
 	staging   string
 	stagingAt time.Time
-	// loading says that an order to load from the store is under way.
-	loading   bool
-	loadingAt time.Time
 	freeSince time.Time
 }
 
@@ -199,8 +217,10 @@
 	cfg     Config
 	counter uint64
 	started time.Time
-	engines map[string]*engine
-	groups  map[string]*group
+	// lastArrival is the time at which an engine was heard of for the first time.
+	lastArrival time.Time
+	engines     map[string]*engine
+	groups      map[string]*group
 	// retired names groups that cannot serve any more. Engines may still report
 	// them until they join another.
 	retired map[string]bool
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -27,11 +27,12 @@
 	w := newWorld(t, 2, 1, 11)
 	w.run(120 * time.Second)
 	require.Equal(t, map[string]int{"large": 1, "small": 1}, w.open())
+	w.traffic = true
 	lost := w.pick(func(e *simEngine) bool { return inGroup(e) && e.model == "large" && e.member.Rank > 0 })
 	w.kill(lost)
 	w.run(4500 * time.Millisecond)
 	require.Empty(t, w.violation)
-	require.Equal(t, map[string]int{"large": 1, "small": 1}, w.open())
+	require.Equal(t, map[string]int{"large": 1, "small": 1}, w.open(), w.about("i-0"))
 }
 
 // Guards against the loss of service while a head cannot be told from one that
@@ -40,6 +41,7 @@
 func TestHeadOutOfReachIsIsolatedFirst(t *testing.T) {
 	w := newWorld(t, 3, 1, 11)
 	w.run(120 * time.Second)
+	w.traffic = true
 	head := w.pick(func(e *simEngine) bool { return e.model == "large" && e.member.State == fleet.Open })
 	head.cut = true
 	w.run(30 * time.Second)
@@ -80,6 +82,7 @@
 	for seed := range seeds {
 		w := newWorld(t, seed, 2, 11)
 		w.run(40 * time.Second)
+		w.traffic = true
 		w.lateShare = []float64{0, 0.15, 0.35}[seed%3]
 		for range 25 {
 			w.fault()
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -30,6 +30,8 @@
 	// lateShare is the part of orders that get no answer and are carried out
 	// seconds later.
 	lateShare float64
+	// traffic says that callers are served, so that loads are bounded.
+	traffic   bool
 	violation string
 	trace     []string
 	orders    map[OrderKind]int
@@ -98,7 +100,7 @@
 	}
 	w.generation++
 	w.note("leader %d", w.generation)
-	w.planner = New(Config{Generation: w.generation, HeartbeatInterval: simBeat, StallTime: simStall, Engine: w.engine}, w.now)
+	w.planner = New(Config{Generation: w.generation, HeartbeatInterval: simBeat, StallTime: simStall, ColdStart: w.generation == 1, Engine: w.engine}, w.now)
 }
 
 func (w *world) after(d time.Duration, do func()) {
@@ -265,6 +267,18 @@
 }
 
 func (w *world) plan() {
+	if w.now.UnixMilli()%500 == 0 {
+		for _, e := range w.engines {
+			if e.alive && e.member.Rank == 0 && e.member.State == fleet.Open && e.standing.IsZero() {
+				w.planner.Alive(w.now, []string{e.member.Group})
+			}
+		}
+	}
+	for i := range w.engine.Models {
+		if m := &w.engine.Models[i]; w.traffic {
+			w.planner.SetWork(m.Name, m.WorkShare*float64(len(w.engines))/float64(m.GroupSize)/1.2)
+		}
+	}
 	w.planner.Observe(w.now, w.table.All())
 	for _, o := range w.planner.Plan(w.now) {
 		w.orders[o.Kind]++
@@ -278,7 +292,8 @@
 	e := w.byID[o.Upstream]
 	switch {
 	case e == nil || e.cut || !e.alive:
-		w.after(300*time.Millisecond, func() { done(NoAnswer) })
+		r := []Result{NoAnswer, NotListening}[w.random.IntN(2)]
+		w.after(300*time.Millisecond, func() { done(r) })
 	case o.Kind != Probe && w.random.Float64() < w.lateShare:
 		late := time.Duration(2000+w.random.IntN(10000)) * time.Millisecond
 		w.after(late, func() { w.execute(e, o) })
