Answer timely requests first, defer late ones, and recover sooner

Cause: under overload every request waited in the engines' queues until all of them were late; callers that return after an outage pushed fresh ones behind; a restarted entry waited up to a second for its first contact. Change: balance estimates the time to the first event by the engines' step model and the measured usual time; requests that can be timely go first, others are deferred to a lower priority, bounded, or refused with the time to return. Entries join and control instances elect sooner; a group that loses a member by plan finishes its requests for 1.5 s at most.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,15 +7,17 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"github.com/bluebellfield/bluebellfield/enginemodel"
 )
 
 // Candidate is an upstream, or a replica group behind its head.
 type Candidate struct {
 	// Running is the estimated number of requests there, waiting ones included.
 	Running float64
-	Slots   int
+	// Deferred is the part of Running that gives way to timely requests.
+	Deferred float64
+	// Unread is the estimated number of prompt tokens that wait to be read.
+	Unread float64
+	Slots  int
 	// Local candidates are in the entry's failure domain.
 	Local bool
 	// Avoided candidates have failed lately and are used only when no other is
@@ -23,8 +25,6 @@
 	Avoided bool
 	// Excluded candidates were tried for this request.
 	Excluded bool
-	// Slowness multiplies the expected times; 1 is the engine's usual pace.
-	Slowness float64
 }
 
 // Request describes what is to be placed.
@@ -32,17 +32,19 @@
 	PromptTokens, AnswerTokens int
 	// Remaining is the time until the request is given up.
 	Remaining time.Duration
-	// Objective is the time to the first event, or to the whole answer.
+	// Objective is the time that is left to the first event, or to the whole
+	// answer, for the request to be timely. It is negative for one that is late
+	// already.
 	Objective time.Duration
-	// Attempt counts from 1. Later attempts go on with work that was begun, so
-	// they are admitted wherever they can end in time.
-	Attempt int
 }
 
 // Decision is the choice for a request.
 type Decision struct {
 	// Index is the chosen candidate, -1 when the request is refused.
 	Index int
+	// Deferred says that the request is too late to be timely and must give way
+	// to those that are not.
+	Deferred bool
 	// Wait is the expected time until the request begins to run.
 	Wait time.Duration
 	// RetryAfter is when a refused request would be admitted.
@@ -58,10 +60,19 @@
 )
 
 const (
-	// remoteCost is the load, as a part of the slots, that a local candidate
-	// may have above a remote one: traffic between failure domains is charged,
-	// and adds its latency.
-	remoteCost = 0.08
+	// draws is the number of candidates that are drawn at random, of which the
+	// best is taken. Entries with lagging reports would all take the same one
+	// if they looked at all.
+	draws = 3
+	// remoteCost is the time that a local candidate may be behind a remote one:
+	// traffic between failure domains is charged, and adds its latency.
+	remoteCost = 8 * time.Millisecond
+	// latePart is the part of the remaining time that a request which cannot be
+	// timely may wait.
+	latePart = 0.35
+	// deferredPart bounds the deferred requests at a candidate, as a part of its
+	// slots: under lasting overload they would wait until they are given up.
+	deferredPart = 0.5
 	// minRetryAfter keeps refused callers from returning before the state that
 	// refused them can have changed: the lag of the load reports.
 	minRetryAfter = 200 * time.Millisecond
@@ -70,28 +81,48 @@
 	maxRetryAfter = 2 * time.Second
 )
 
-// Choose picks the less loaded of two candidates drawn at random, weighted
-// towards the entry's failure domain. Two draws keep entries with lagging
-// reports from all choosing the same candidate.
+// Costs estimates times at a service.
+type Costs interface {
+	// Wait is the time until a new request begins to run beside a number of
+	// others.
+	Wait(c *Candidate, others float64) time.Duration
+	// Answer is the time from then to the first event, or to the whole answer.
+	Answer(c *Candidate, r *Request) time.Duration
+}
+
+// Choose picks the candidate with the soonest answer of some drawn at random. A
+// request that none can answer in time is deferred, and refused when it could
+// not be answered within a part of its remaining time.
 func Choose(random *rand.Rand, costs Costs, r Request, candidates []Candidate) Decision {
 	usable := usableOf(candidates)
 	if len(usable) == 0 {
 		return Decision{Index: -1, RetryAfter: maxRetryAfter, Reason: ReasonNoUpstream}
 	}
-	first := usable[random.IntN(len(usable))]
-	second := usable[random.IntN(len(usable))]
-	best := better(candidates, first, second)
-	if wait := costs.Wait(&candidates[best]); wait > costs.Allowed(&r) {
-		// Neither has room; look at all before a refusal.
-		for _, i := range usable {
-			best = better(candidates, best, i)
+	if r.Objective > 0 {
+		if best, wait, ok := chooseTimely(random, costs, &r, usable, candidates); ok {
+			return Decision{Index: best, Wait: wait}
 		}
 	}
-	wait := costs.Wait(&candidates[best])
-	if allowed := costs.Allowed(&r); wait > allowed {
-		return Decision{Index: -1, Wait: wait, RetryAfter: min(max(wait-allowed, minRetryAfter), maxRetryAfter), Reason: ReasonFull}
+	late := func(c *Candidate) time.Duration { return costs.Wait(c, c.Running) + costs.Answer(c, &r) }
+	best := soonest(usable, candidates, late)
+	c := &candidates[best]
+	wait, allowed := costs.Wait(c, c.Running), time.Duration(latePart*float64(r.Remaining))
+	if wait > allowed || wait > 0 && c.Deferred >= deferredPart*float64(c.Slots) {
+		return Decision{Index: -1, Wait: wait, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter), Reason: ReasonFull}
+	}
+	return Decision{Index: best, Deferred: true, Wait: wait}
+}
+
+// chooseTimely picks a candidate that answers within the objective, or that
+// begins at once, since nothing is gained by deferring such a request.
+func chooseTimely(random *rand.Rand, costs Costs, r *Request, usable []int, candidates []Candidate) (int, time.Duration, bool) {
+	timely := func(c *Candidate) time.Duration { return costs.Wait(c, c.Running-c.Deferred) + costs.Answer(c, r) }
+	best := draw(random, usable, candidates, timely)
+	if timely(&candidates[best]) > r.Objective {
+		best = soonest(usable, candidates, timely)
 	}
-	return Decision{Index: best, Wait: wait}
+	wait := costs.Wait(&candidates[best], candidates[best].Running-candidates[best].Deferred)
+	return best, wait, wait == 0 || timely(&candidates[best]) <= r.Objective
 }
 
 // usableOf returns the indexes of the candidates to choose from: those that
@@ -113,80 +144,30 @@
 	return avoided
 }
 
-func better(candidates []Candidate, a, b int) int {
-	if score(&candidates[b]) < score(&candidates[a]) {
-		return b
-	}
-	return a
-}
-
-// score is the load as a part of the slots; lower is better.
-func score(c *Candidate) float64 {
-	s := (c.Running + 1) / float64(max(c.Slots, 1)) * max(c.Slowness, 1)
-	if !c.Local {
-		s += remoteCost
-	}
-	return s
-}
-
-// Costs estimates times at a service.
-type Costs interface {
-	// Wait is the time until a new request begins to run.
-	Wait(c *Candidate) time.Duration
-	// Allowed is the longest wait with which a request is admitted.
-	Allowed(r *Request) time.Duration
-}
-
-// EngineCosts estimates times at replica groups of one model.
-type EngineCosts struct {
-	Engine *enginemodel.Engine
-	Model  *enginemodel.Model
-}
-
-// Wait implements Costs: requests beyond the slots begin as slots are freed.
-func (e EngineCosts) Wait(c *Candidate) time.Duration {
-	over := c.Running + 1 - float64(c.Slots)
-	if over <= 0 {
-		return 0
+// draw returns the best of some candidates drawn at random.
+func draw(random *rand.Rand, usable []int, candidates []Candidate, cost func(*Candidate) time.Duration) int {
+	drawn := make([]int, 0, draws)
+	for range draws {
+		drawn = append(drawn, usable[random.IntN(len(usable))])
 	}
-	occupancy := e.Engine.Occupancy(e.Model, e.Engine.UsualPrompt, e.Engine.UsualAnswer)
-	return time.Duration(over / float64(max(c.Slots, 1)) * float64(occupancy) * max(c.Slowness, 1))
+	return soonest(drawn, candidates, cost)
 }
 
-const (
-	// objectivePart is the part of the objective that a new request may wait in
-	// an engine's queue; the rest is for its prompt and its first pass.
-	objectivePart = 0.6
-	// resumePart is the part of the remaining time that a later attempt may
-	// wait.
-	resumePart = 0.3
-)
-
-// Allowed implements Costs.
-func (e EngineCosts) Allowed(r *Request) time.Duration {
-	if r.Attempt > 1 {
-		return time.Duration(resumePart * float64(r.Remaining))
+func soonest(indexes []int, candidates []Candidate, cost func(*Candidate) time.Duration) int {
+	best := indexes[0]
+	bestCost := placed(&candidates[best], cost)
+	for _, i := range indexes[1:] {
+		if c := placed(&candidates[i], cost); c < bestCost {
+			best, bestCost = i, c
+		}
 	}
-	return time.Duration(objectivePart * float64(r.Objective))
+	return best
 }
 
-// PlainCosts estimates times at a plain service.
-type PlainCosts struct {
-	// ServiceTime is the usual time of an answer.
-	ServiceTime time.Duration
-}
-
-// Wait implements Costs.
-func (p PlainCosts) Wait(c *Candidate) time.Duration {
-	over := c.Running + 1 - float64(c.Slots)
-	if over <= 0 {
-		return 0
+// placed adds the cost of a remote candidate.
+func placed(c *Candidate, cost func(*Candidate) time.Duration) time.Duration {
+	if c.Local {
+		return cost(c)
 	}
-	return time.Duration(over / float64(max(c.Slots, 1)) * float64(p.ServiceTime))
-}
-
-// Allowed implements Costs: an answer after the objective is worth less, one
-// after the deadline nothing.
-func (p PlainCosts) Allowed(r *Request) time.Duration {
-	return max(r.Remaining/2-p.ServiceTime, 0)
+	return cost(c) + remoteCost
 }
--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -20,7 +20,9 @@
 	// LinesPerSecond bounds the volume: four lines for each of the 100 requests
 	// a second of an entry in a burst of four times the usual.
 	LinesPerSecond = 400
-	burstLines     = 2 * LinesPerSecond
+	// burstLines lets a start or the loss of a failure domain be told in full:
+	// some lines for each upstream within a second.
+	burstLines = 8 * LinesPerSecond
 	// batchBytes bounds one write to the output.
 	batchBytes = 64 << 10
 )
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -30,6 +30,10 @@
 	"github.com/bluebellfield/bluebellfield/placement"
 )
 
+// electionTimeout is four heartbeats of the log: the instances of a region are
+// a millisecond apart, and groups wait for repair while there is no leader.
+const electionTimeout = 400 * time.Millisecond
+
 // logName names the deployment's log.
 const logName = "deployment"
 
@@ -118,7 +122,7 @@
 func (c *Control) openLog() error {
 	options := replica.Options{
 		Log: logName, ID: c.o.ID, Dir: c.o.Dir, Transport: transport{c.o.Network}, Machine: c.machine, Forward: c.forward,
-		Logger: c.o.Logger, SyncCommit: true, Contacts: c.contacts,
+		Logger: c.o.Logger, SyncCommit: true, Contacts: c.contacts, ElectionTimeout: electionTimeout,
 	}
 	if c.o.Bootstrap {
 		options.Voters = c.o.Seeds
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,7 @@
 	configured chan struct{}
 	draining   atomic.Bool
 	demand     demandCounter
+	usual      usualTimes
 	stats      *stats
 	started    time.Time
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -46,6 +46,8 @@
 	priority int
 	body     []byte
 	deadline time.Time
+	// elapsed is the time that the caller spent in earlier attempts.
+	elapsed time.Duration
 
 	sends []sendRecord
 	tried map[*target]bool
@@ -65,6 +67,7 @@
 	upstream, group, result string
 	at, took                time.Duration
 	load                    float64
+	deferred                bool
 	events                  int
 }
 
@@ -78,6 +81,9 @@
 	enc.AddInt64("atMs", s.at.Milliseconds())
 	enc.AddInt64("ms", s.took.Milliseconds())
 	enc.AddFloat64("load", float64(int(s.load*10))/10)
+	if s.deferred {
+		enc.AddBool("deferred", true)
+	}
 	if s.events > 0 {
 		enc.AddInt("events", s.events)
 	}
@@ -144,6 +150,7 @@
 		x.priority = x.account.Priority
 	}
 	x.service = content.Service(x.route.Target(x.random.Float64()))
+	x.elapsed = x.e.usual.elapsed(x.route.Name, request.Patience)
 	x.deadline = x.started.Add(x.route.Timeout)
 	if d := x.started.Add(request.Patience); request.Patience > 0 && d.Before(x.deadline) {
 		x.deadline = d
@@ -193,7 +200,7 @@
 			x.giveUp(ctx, decision.RetryAfter, decision.Reason)
 			return
 		}
-		result := x.send(ctx, t)
+		result := x.send(ctx, t, decision)
 		if result.done {
 			return
 		}
@@ -217,16 +224,17 @@
 	targets := x.candidates()
 	candidates := make([]balance.Candidate, len(targets))
 	for i, t := range targets {
-		running, avoided := t.estimate(now)
-		candidates[i] = balance.Candidate{Running: running, Slots: t.upstream.Slots, Avoided: avoided, Excluded: x.tried[t],
-			Local: t.upstream.FailureDomain == x.e.o.FailureDomain, Slowness: 1}
+		c := t.estimate(now, x.view.entries)
+		c.Slots, c.Excluded = t.upstream.Slots, x.tried[t]
+		c.Local = t.upstream.FailureDomain == x.e.o.FailureDomain
+		candidates[i] = c
 		if x.service.Engine != nil {
 			candidates[i].Slots = x.service.Engine.Slots
 		}
 	}
 	decision := balance.Choose(x.random, x.costs(), balance.Request{
 		PromptTokens: x.request.PromptTokens, AnswerTokens: x.request.expectedAnswer(),
-		Remaining: x.deadline.Sub(now), Objective: x.route.LatencyObjective, Attempt: len(x.sends) + 1,
+		Remaining: x.deadline.Sub(now), Objective: x.route.LatencyObjective - x.elapsed - now.Sub(x.started),
 	}, candidates)
 	if decision.Index < 0 {
 		return nil, decision
@@ -244,9 +252,12 @@
 func (x *exchange) costs() balance.Costs {
 	if engine := x.service.Engine; engine != nil {
 		if m := engine.Model(x.request.Model); m != nil {
-			return balance.EngineCosts{Engine: engine, Model: m}
+			return balance.EngineCosts{Engine: engine, Model: m, Usual: x.e.usual.get(x.service.Name, m.Name)}
 		}
 	}
+	if usual := x.e.usual.get(x.service.Name, ""); usual > 0 {
+		return balance.PlainCosts{ServiceTime: usual}
+	}
 	return balance.PlainCosts{ServiceTime: usualServiceTime}
 }
 
@@ -275,7 +286,7 @@
 // hasAlternative reports whether a target is left that was not tried.
 func (x *exchange) hasAlternative(now time.Time) bool {
 	for _, t := range x.candidates() {
-		if _, avoided := t.estimate(now); !x.tried[t] && !avoided {
+		if !x.tried[t] && !t.estimate(now, x.view.entries).Avoided {
 			return true
 		}
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -18,6 +18,9 @@
 	// maxSources bounds the control instances that an entry subscribes to. With
 	// three, one of them may be lost and one behind.
 	maxSources = 3
+	// joinInterval is the time between subscriptions of an entry that cannot
+	// serve yet.
+	joinInterval = 100 * time.Millisecond
 	// sourceSilence is the time without an update after which all upstreams
 	// are asked for again.
 	sourceSilence = 3 * control.UpdateInterval
@@ -45,21 +48,29 @@
 
 // follow subscribes to control instances and keeps the subscriptions.
 func (e *Entry) follow() {
-	ticker := time.NewTicker(control.SubscribeInterval)
-	defer ticker.Stop()
 	last := time.Now()
 	for {
 		now := time.Now()
 		e.subscribe(now, now.Sub(last))
 		last = now
+		pause := control.SubscribeInterval
+		if !e.hasCatalog() {
+			pause = joinInterval
+		}
 		select {
 		case <-e.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(pause):
 		}
 	}
 }
 
+func (e *Entry) hasCatalog() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.content != nil
+}
+
 // subscribe renews the subscriptions and reports the offered work.
 func (e *Entry) subscribe(now time.Time, interval time.Duration) {
 	demands := e.demand.take()
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -33,6 +33,8 @@
 	// Account is the name of the client account, empty without one.
 	Account  string
 	Priority int
+	// Deferred requests give way to others of any priority.
+	Deferred bool
 	// Resume is as in Request.
 	Resume int64
 }
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/bluebellfield/bluebellfield/balance"
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
@@ -57,16 +58,18 @@
 func (h *heldAnswer) discard() { h.body = nil }
 
 // send sends the request to a target and passes its answer on.
-func (x *exchange) send(ctx context.Context, t *target) sendResult {
+func (x *exchange) send(ctx context.Context, t *target, decision balance.Decision) sendResult {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x.tried[t] = true
-	running, _ := t.estimate(time.Now())
-	record := sendRecord{upstream: t.upstream.ID, group: t.upstream.Member.Group, at: time.Since(x.started), load: running}
 	started := time.Now()
-	t.begin()
-	defer t.end()
-	result := x.exchangeWith(ctx, cancel, t, started, &record)
+	estimate := t.estimate(started, x.view.entries)
+	s := &send{target: t, started: started, deferred: decision.Deferred, waited: decision.Wait > 0, cancel: cancel,
+		record: sendRecord{upstream: t.upstream.ID, group: t.upstream.Member.Group, at: started.Sub(x.started), load: estimate.Running, deferred: decision.Deferred}}
+	s.load = t.begin(x.request.PromptTokens, decision.Deferred)
+	defer s.load.end()
+	result := x.exchangeWith(ctx, s)
+	record := s.record
 	record.took = time.Since(started)
 	record.result = result.reason
 	if result.done && record.result == "" {
@@ -79,25 +82,39 @@
 	return result
 }
 
-func (x *exchange) exchangeWith(ctx context.Context, cancel context.CancelCauseFunc, t *target, started time.Time, record *sendRecord) sendResult {
-	req, err := x.buildRequest(ctx, t)
+// send is one send that is under way.
+type send struct {
+	target  *target
+	started time.Time
+	// deferred sends give way to timely ones.
+	deferred bool
+	// waited says that the send was expected to wait.
+	waited   bool
+	cancel   context.CancelCauseFunc
+	load     *load
+	watchdog *watchdog
+	record   sendRecord
+}
+
+func (x *exchange) exchangeWith(ctx context.Context, s *send) sendResult {
+	t := s.target
+	req, err := x.buildRequest(ctx, s)
 	if err != nil {
 		return sendResult{reason: err.Error()}
 	}
-	var w *watchdog
 	if x.service.Engine != nil {
-		w = x.watch(t, started, cancel)
-		defer w.stop()
+		s.watchdog = x.watch(s)
+		defer s.watchdog.stop()
 	}
 	resp, err := x.e.o.Client.Exchange(req, fault.At{Step: upstream.StepDispatch, Peer: t.upstream.ID}, false)
 	if err != nil {
-		return x.sendFailed(ctx, t, w, err)
+		return x.sendFailed(ctx, s, err)
 	}
 	defer resp.Body.Close()
 	now := time.Now()
 	answer := x.e.o.Protocol.ParseAnswer(resp)
 	if answer.ID != "" && answer.ID != x.request.ID {
-		cancel(errWrongAnswer)
+		s.cancel(errWrongAnswer)
 		return sendResult{ran: true, reason: errWrongAnswer.Error()}
 	}
 	if answer.Load != nil {
@@ -109,9 +126,9 @@
 	}
 	t.alive(now)
 	if x.route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK {
-		return x.relayStream(ctx, t, w, resp, record)
+		return x.relayStream(ctx, s, resp)
 	}
-	return x.relayWhole(ctx, t, resp)
+	return x.relayWhole(ctx, s, resp)
 }
 
 // notRunRetry is when a caller may return after every upstream that was asked
@@ -119,24 +136,25 @@
 const notRunRetry = 300 * time.Millisecond
 
 // sendFailed judges a send without an answer.
-func (x *exchange) sendFailed(ctx context.Context, t *target, w *watchdog, err error) sendResult {
+func (x *exchange) sendFailed(ctx context.Context, s *send, err error) sendResult {
 	ran := fault.OutcomeOf(err) != fault.NotRun
 	cause := context.Cause(ctx)
 	switch {
 	case errors.Is(cause, errMoved):
 		x.e.stats.moved.Inc(1)
-		return sendResult{ran: true, prepaid: true, reason: w.reason}
+		return sendResult{ran: true, prepaid: true, reason: s.watchdog.reason}
 	case ctx.Err() == nil || !ran:
-		t.unreachable(time.Now())
+		s.target.unreachable(time.Now())
 	}
-	x.e.o.Logger.Debug("send failed", zap.String("request", x.request.ID), zap.String("upstream", t.upstream.ID), zap.Error(err))
+	x.e.o.Logger.Debug("send failed", zap.String("request", x.request.ID), zap.String("upstream", s.target.upstream.ID), zap.Error(err))
 	if ctx.Err() != nil {
 		return sendResult{ran: ran, reason: cause.Error()}
 	}
 	return sendResult{ran: ran, retryAfter: notRunRetry, reason: codeOf(err) + ": " + err.Error()}
 }
 
-func (x *exchange) buildRequest(ctx context.Context, t *target) (*http.Request, error) {
+func (x *exchange) buildRequest(ctx context.Context, s *send) (*http.Request, error) {
+	t := s.target
 	req, err := http.NewRequestWithContext(ctx, x.r.Method, "http://"+t.upstream.Address+x.r.URL.RequestURI(), bytes.NewReader(x.body))
 	if err != nil {
 		return nil, err
@@ -152,7 +170,7 @@
 		// Keeps the transport from adding its own.
 		req.Header.Set("User-Agent", "")
 	}
-	attempt := Attempt{Upstream: t.upstream.ID, Remaining: time.Until(x.deadline), Priority: x.priority, Resume: x.request.Resume}
+	attempt := Attempt{Upstream: t.upstream.ID, Remaining: time.Until(x.deadline), Priority: x.priority, Deferred: s.deferred, Resume: x.request.Resume}
 	if x.account != nil {
 		attempt.Account = x.account.Name
 	}
@@ -179,7 +197,8 @@
 
 // relayWhole passes on an answer that is not a stream. It is held until it is
 // whole, so that a request may be sent again when the answer is cut off.
-func (x *exchange) relayWhole(ctx context.Context, t *target, resp *http.Response) sendResult {
+func (x *exchange) relayWhole(ctx context.Context, s *send, resp *http.Response) sendResult {
+	t := s.target
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
 	if err != nil {
 		t.failed(time.Now())
@@ -199,6 +218,9 @@
 		return sendResult{ran: true, held: held, reason: fmt.Sprintf("upstream answered %d", resp.StatusCode)}
 	}
 	t.succeeded()
+	if !s.waited {
+		x.e.usual.add(x.service.Name, "", time.Since(s.started))
+	}
 	x.passOn(ctx, held)
 	return sendResult{done: true}
 }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -17,7 +17,8 @@
 
 // relayStream passes events on as they arrive. Only whole events are passed
 // on, so that another upstream can continue after the last one.
-func (x *exchange) relayStream(ctx context.Context, t *target, w *watchdog, resp *http.Response, record *sendRecord) sendResult {
+func (x *exchange) relayStream(ctx context.Context, s *send, resp *http.Response) sendResult {
+	t := s.target
 	flusher := http.NewResponseController(x.w)
 	events := sse.NewBlockReader(resp.Body, maxEventBytes)
 	for {
@@ -26,11 +27,14 @@
 			return x.endStream(t, resp)
 		}
 		if err != nil {
-			return x.streamBroken(ctx, t, w, err)
+			return x.streamBroken(ctx, s, err)
 		}
 		now := time.Now()
 		t.alive(now)
-		w.progress(now)
+		s.watchdog.progress(now)
+		if s.record.events == 0 {
+			x.firstEvent(s, now)
+		}
 		if position >= 0 && position <= x.position {
 			// The caller has it from an earlier send.
 			continue
@@ -38,7 +42,7 @@
 		if !x.begun {
 			x.writeHeader(resp.StatusCode, resp.Header, -1)
 		}
-		record.events++
+		s.record.events++
 		if _, err := x.w.Write(block); err != nil {
 			return x.callerLeft(err)
 		}
@@ -54,6 +58,14 @@
 	}
 }
 
+// firstEvent takes in that a request has begun to run.
+func (x *exchange) firstEvent(s *send, now time.Time) {
+	s.load.begun()
+	if !s.waited {
+		x.e.usual.add(x.service.Name, x.request.Model, now.Sub(s.started))
+	}
+}
+
 func (x *exchange) callerLeft(err error) sendResult {
 	x.outcome, x.reason = outcomeAbandoned, err.Error()
 	panic(http.ErrAbortHandler)
@@ -68,15 +80,15 @@
 	return sendResult{done: true}
 }
 
-func (x *exchange) streamBroken(ctx context.Context, t *target, w *watchdog, err error) sendResult {
+func (x *exchange) streamBroken(ctx context.Context, s *send, err error) sendResult {
 	if errors.Is(context.Cause(ctx), errMoved) {
 		x.e.stats.moved.Inc(1)
-		return sendResult{ran: true, prepaid: true, reason: w.reason}
+		return sendResult{ran: true, prepaid: true, reason: s.watchdog.reason}
 	}
 	if ctx.Err() != nil {
 		return sendResult{ran: true, reason: context.Cause(ctx).Error()}
 	}
-	t.unreachable(time.Now())
+	s.target.unreachable(time.Now())
 	return sendResult{ran: true, reason: fmt.Sprintf("stream broke after event %d: %v", x.position, err)}
 }
 
@@ -112,8 +124,8 @@
 	reason string
 }
 
-func (x *exchange) watch(t *target, started time.Time, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{x: x, t: t, cancel: cancel, started: started, last: started}
+func (x *exchange) watch(s *send) *watchdog {
+	w := &watchdog{x: x, t: s.target, cancel: s.cancel, started: s.started, last: s.started}
 	w.timer = time.AfterFunc(earlySuspicion, w.check)
 	return w
 }
--- a/internal/entry/target.go
+++ b/internal/entry/target.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/bluebellfield/bluebellfield/balance"
 	"github.com/bluebellfield/bluebellfield/fleet"
 )
 
@@ -31,6 +32,9 @@
 
 	mu       sync.Mutex
 	inFlight int
+	// deferred counts the requests that were sent to give way and have not
+	// begun, unread the prompt tokens of all that have not begun.
+	deferred, unread int
 	// others is the load of other entries in the last report.
 	others   float64
 	reported time.Time
@@ -56,17 +60,48 @@
 	return targetKey{u.ID, u.Born, u.Member.Group, u.Member.Epoch}
 }
 
+// load is what one request adds to a target.
+type load struct {
+	t        *target
+	deferred int
+	unread   int
+}
+
 // begin counts a request that is sent.
-func (t *target) begin() {
+func (t *target) begin(prompt int, deferred bool) *load {
+	l := &load{t: t, unread: prompt}
+	if deferred {
+		l.deferred = 1
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight++
+	t.deferred += l.deferred
+	t.unread += l.unread
+	return l
 }
 
-func (t *target) end() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.inFlight--
+// begun takes in that the request runs.
+func (l *load) begun() {
+	l.t.mu.Lock()
+	defer l.t.mu.Unlock()
+	l.settle()
+}
+
+// settle removes what counts until a request runs. The caller holds the
+// target's mu.
+func (l *load) settle() {
+	l.t.deferred -= l.deferred
+	l.t.unread -= l.unread
+	l.deferred, l.unread = 0, 0
+}
+
+// end takes in that the request has ended.
+func (l *load) end() {
+	l.t.mu.Lock()
+	defer l.t.mu.Unlock()
+	l.settle()
+	l.t.inFlight--
 }
 
 // report takes in the load that the upstream told.
@@ -147,10 +182,20 @@
 	t.failures++
 }
 
-// estimate returns the requests at the upstream and whether it is avoided.
-func (t *target) estimate(now time.Time) (running float64, avoided bool) {
+// estimate returns what the target runs and whether it is avoided. As the
+// last report ages, other entries are taken to have what this one has.
+func (t *target) estimate(now time.Time, entries int) (c balance.Candidate) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	others := t.others * math.Exp(-float64(now.Sub(t.reported))/float64(reportDecay))
-	return float64(t.inFlight) + others, now.Before(t.avoidUntil) || t.failureRate > grievousRate
+	others := float64(max(entries-1, 0))
+	weight := math.Exp(-float64(timeSince(now, t.reported)) / float64(reportDecay))
+	c.Running = float64(t.inFlight) + weight*t.others + (1-weight)*others*float64(t.inFlight)
+	if t.inFlight > 0 {
+		c.Deferred = c.Running * float64(t.deferred) / float64(t.inFlight)
+	}
+	// What others have sent and was not read yet is not reported; entries share
+	// the load evenly.
+	c.Unread = float64(t.unread)
+	c.Avoided = now.Before(t.avoidUntil) || t.failureRate > grievousRate
+	return c
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -41,6 +41,9 @@
 	// instances within the 3 s after which a healed link must work again.
 	peerKeepAlive    = time.Second
 	peerWriteTimeout = 1500 * time.Millisecond
+	// peerDialTimeout bounds the wait for a host that does not answer, so that
+	// one that returns is reached soon after.
+	peerDialTimeout = 400 * time.Millisecond
 	// upstreamDialTimeout bounds the opening of a connection to an upstream;
 	// within a region it takes a few milliseconds.
 	upstreamDialTimeout = 300 * time.Millisecond
@@ -103,7 +106,7 @@
 	}
 	i.network = peer.Listen(listener, peer.Options{ID: s.ID, Logger: i.logger, Registry: i.registry,
 		Resolve:           func(id string) (string, bool) { return control.PeerAddress(id, s.PeerPort) },
-		KeepAliveInterval: peerKeepAlive, WriteTimeout: peerWriteTimeout})
+		KeepAliveInterval: peerKeepAlive, WriteTimeout: peerWriteTimeout, DialTimeout: peerDialTimeout})
 	if s.Listen.Control != "" {
 		if err := i.startControl(); err != nil {
 			return err
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -58,6 +58,8 @@
 	// KeepAliveInterval and WriteTimeout bound the time for which a silent
 	// connection is used; zero means the defaults.
 	KeepAliveInterval, WriteTimeout time.Duration
+	// DialTimeout bounds the opening of a connection; zero means the default.
+	DialTimeout time.Duration
 	// TLS, when set, is used for both directions; the certificate's common
 	// name must be the daemon's id.
 	TLS *tls.Config
@@ -111,8 +113,11 @@
 	if o.WriteTimeout == 0 {
 		o.WriteTimeout = writeTimeout
 	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = dialTimeout
+	}
 	if o.Dial == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout}
+		dialer := &net.Dialer{Timeout: o.DialTimeout}
 		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		}
@@ -296,7 +301,7 @@
 
 // dial opens a session to a peer.
 func (n *Network) dial(ctx context.Context, id, address string) (*yamux.Session, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, n.opts.DialTimeout)
 	defer cancel()
 	conn, err := n.opts.Dial(ctx, address)
 	if err != nil {
--- a/placement/advance.go
+++ b/placement/advance.go
@@ -249,7 +249,7 @@
 		p.release(now, g)
 		return
 	}
-	if !g.truncate && (p.missing(g) || !g.suspected.IsZero() && p.unreachableMember(g)) {
+	if !g.truncate && (now.Sub(g.since) > finishTime || p.missing(g) || !g.suspected.IsZero() && p.unreachableMember(g)) {
 		g.truncate = true
 		clear(g.sent)
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -117,6 +117,10 @@
 	formAllowance = 2
 	// formSlack is added to it for orders and reports.
 	formSlack = 4 * time.Second
+	// finishTime is how long a group that loses a member by plan may finish its
+	// requests: most streams end within it, the others continue elsewhere, and
+	// the engines do not wait for the longest.
+	finishTime = 1500 * time.Millisecond
 	// adoptionWait is how long a new leader waits for the members of groups
 	// that it finds incomplete: two heartbeat intervals of today's engines.
 	adoptionWait = 2400 * time.Millisecond
--- a/placement/stage.go
+++ b/placement/stage.go
@@ -102,7 +102,9 @@
 		best, bestScore := (*enginemodel.Model)(nil), 0.0
 		for i := range p.cfg.Engine.Models {
 			m := &p.cfg.Engine.Models[i]
-			if score := float64(members[m.Name]) / float64(1+ready[m.Name]); score > bestScore {
+			score := float64(members[m.Name]) / float64(1+ready[m.Name])
+			// Among equals the model that has fewer engines ready.
+			if score > bestScore || score == bestScore && best != nil && ready[m.Name] < ready[best.Name] {
 				best, bestScore = m, score
 			}
 		}
