placement: repeat lost orders, and probe an engine before it is given up

Change: an order without an answer is repeated and the engine probed; only a failed probe counts as out of reach. A waiting stream is moved only where it would be admitted.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// orderTimeout bounds an order; engines answer within some milliseconds.
-	orderTimeout = 500 * time.Millisecond
+	// orderTimeout bounds an order; engines answer within some milliseconds, and
+	// an order that is lost is repeated.
+	orderTimeout = 300 * time.Millisecond
 	// probeTimeout bounds a probe. A member that does not answer in it counts
 	// as lost when its group stands still as well.
 	probeTimeout = 250 * time.Millisecond
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -64,7 +64,7 @@
 	x.tried[t] = true
 	started := time.Now()
 	estimate := t.estimate(started, x.view.entries)
-	s := &send{target: t, started: started, deferred: decision.Deferred, waited: decision.Wait > 0, cancel: cancel,
+	s := &send{target: t, started: started, deferred: decision.Deferred, wait: decision.Wait, cancel: cancel,
 		record: sendRecord{upstream: t.upstream.ID, group: t.upstream.Member.Group, at: started.Sub(x.started), load: estimate.Running, deferred: decision.Deferred}}
 	s.load = t.begin(x.request.PromptTokens, decision.Deferred)
 	defer s.load.end()
@@ -88,8 +88,8 @@
 	started time.Time
 	// deferred sends give way to timely ones.
 	deferred bool
-	// waited says that the send was expected to wait.
-	waited   bool
+	// wait is the time for which the send was expected to wait.
+	wait     time.Duration
 	cancel   context.CancelCauseFunc
 	load     *load
 	watchdog *watchdog
@@ -218,7 +218,7 @@
 		return sendResult{ran: true, held: held, reason: fmt.Sprintf("upstream answered %d", resp.StatusCode)}
 	}
 	t.succeeded()
-	if !s.waited {
+	if s.wait == 0 {
 		x.e.usual.add(x.service.Name, "", time.Since(s.started))
 	}
 	x.passOn(ctx, held)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -61,7 +61,7 @@
 // firstEvent takes in that a request has begun to run.
 func (x *exchange) firstEvent(s *send, now time.Time) {
 	s.load.begun()
-	if !s.waited {
+	if s.wait == 0 {
 		x.e.usual.add(x.service.Name, x.request.Model, now.Sub(s.started))
 	}
 }
@@ -104,6 +104,9 @@
 	// silentStream is the time without an event after which a single stream is
 	// moved while its group goes on with others.
 	silentStream = 1500 * time.Millisecond
+	// waitFactor multiplies the expected wait of a stream that queues, which is
+	// an estimate from lagging reports.
+	waitFactor = 2
 	// recheck is the pause between two looks at a stream that waits while its
 	// group goes on.
 	recheck = 100 * time.Millisecond
@@ -116,6 +119,8 @@
 	t       *target
 	cancel  context.CancelCauseFunc
 	started time.Time
+	// patience is how long the stream may be silent while its group goes on.
+	patience time.Duration
 
 	mu     sync.Mutex
 	last   time.Time
@@ -125,7 +130,8 @@
 }
 
 func (x *exchange) watch(s *send) *watchdog {
-	w := &watchdog{x: x, t: s.target, cancel: s.cancel, started: s.started, last: s.started}
+	w := &watchdog{x: x, t: s.target, cancel: s.cancel, started: s.started, last: s.started,
+		patience: silentStream + waitFactor*s.wait}
 	w.timer = time.AfterFunc(earlySuspicion, w.check)
 	return w
 }
@@ -168,7 +174,7 @@
 	if standstill {
 		w.t.avoid(now)
 	}
-	if (standstill || silent >= silentStream) && w.x.mayMove(now) {
+	if (standstill || silent >= w.patience) && w.x.mayMove(now) {
 		w.reason = fmt.Sprintf("no event for %d ms", silent.Milliseconds())
 		w.cancel(errMoved)
 		return
@@ -179,7 +185,11 @@
 // mayMove reports whether a send that is under way may be given up for
 // another, and takes that from the budget.
 func (x *exchange) mayMove(now time.Time) bool {
-	if !x.route.MayRepeat() || x.runs+1 >= x.route.MaxAttempts || x.deadline.Sub(now) < leastRemaining || !x.hasAlternative(now) {
+	if !x.route.MayRepeat() || x.runs+1 >= x.route.MaxAttempts || x.deadline.Sub(now) < leastRemaining {
+		return false
+	}
+	if t, _ := x.choose(now); t == nil {
+		// Nothing else would admit it; it is better off where it waits.
 		return false
 	}
 	return x.e.budget(x.service.Name).take(now, &x.e.o.Budget, x.view.entries)
--- a/placement/commands.go
+++ b/placement/commands.go
@@ -164,13 +164,18 @@
 	if e == nil || e.Born != o.Born {
 		return
 	}
-	switch r {
-	case NoAnswer, NotListening, Misdirected:
-		e.unreachable = now
-	case Conflict:
+	switch {
+	case r == Accepted:
+	case r == Conflict:
 		if o.Kind == Stage {
 			e.staging = ""
 		}
+	case o.Kind == Probe:
+		e.unreachable = now
+	default:
+		// An order may be lost on the way to an engine that is well: a probe
+		// tells, and the order is repeated at once.
+		e.doubted = true
 	}
 	g := e.group
 	if g == nil {
@@ -184,6 +189,9 @@
 			g.joinLost = now
 		}
 	}
+	if e.doubted {
+		delete(g.sent, o.Upstream)
+	}
 	if o.Kind == Leave && r == Accepted && g.stage == isolating && g.headless.IsZero() {
 		g.headless = now
 	}
@@ -192,6 +200,7 @@
 // Plan returns the orders that are due.
 func (p *Planner) Plan(now time.Time) []Order {
 	p.out = nil
+	p.probeDoubted()
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		p.advance(now, p.groups[name])
 	}
@@ -200,6 +209,18 @@
 	return p.out
 }
 
+// probeDoubted asks the engines that left an order unanswered for their state.
+func (p *Planner) probeDoubted() {
+	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
+		e := p.engines[id]
+		if !e.doubted {
+			continue
+		}
+		e.doubted = false
+		p.out = append(p.out, Order{Kind: Probe, Upstream: id, Address: e.Address, Born: e.Born, Reason: "an order got no answer"})
+	}
+}
+
 func (p *Planner) order(now time.Time, kind OrderKind, g *group, id, reason string) {
 	e := p.engines[id]
 	if e == nil {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -208,8 +208,10 @@
 	group *group
 	// last is the model of the engine's last group since its start.
 	last string
-	// unreachable is the time of the last failed probe or order.
+	// unreachable is the time of the last failed probe.
 	unreachable time.Time
+	// doubted says that an order got no answer.
+	doubted bool
 	// staging is the model that was ordered onto the host.
 	staging   string
 	stagingAt time.Time
