balance: count the unseen sends of other entries, and do not queue late requests

Change: a tracker takes an entry's own sends since a report to stand for those of the others and lets reported requests end in their usual time; a request that cannot be timely gets a free slot or the time to return; a timely one waits for a quarter of its slack at most.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -36,6 +36,8 @@
 	// answer, for the request to be timely. It is negative for one that is late
 	// already.
 	Objective time.Duration
+	// Begun says that the request has run in part elsewhere.
+	Begun bool
 }
 
 // Decision is the choice for a request.
@@ -67,12 +69,13 @@
 	// remoteCost is the time that a local candidate may be behind a remote one:
 	// traffic between failure domains is charged, and adds its latency.
 	remoteCost = 8 * time.Millisecond
-	// latePart is the part of the remaining time that a request which cannot be
-	// timely may wait.
+	// slackPart is the part of the slack of a timely request that may be spent
+	// on waiting. Under lasting overload the wait stays at this bound, and
+	// estimates miss what other entries sent since the last report.
+	slackPart = 0.25
+	// latePart is the part of the remaining time that a request which has begun
+	// elsewhere may wait.
 	latePart = 0.35
-	// deferredPart bounds the deferred requests at a candidate, as a part of its
-	// slots: under lasting overload they would wait until they are given up.
-	deferredPart = 0.5
 	// minRetryAfter keeps refused callers from returning before the state that
 	// refused them can have changed: the lag of the load reports.
 	minRetryAfter = 200 * time.Millisecond
@@ -103,16 +106,27 @@
 			return Decision{Index: best, Wait: wait}
 		}
 	}
-	late := func(c *Candidate) time.Duration { return costs.Wait(c, c.Running) + costs.Answer(c, &r) }
-	best := soonest(usable, candidates, late)
-	c := &candidates[best]
-	wait, allowed := costs.Wait(c, c.Running), time.Duration(latePart*float64(r.Remaining))
-	if wait > allowed || wait > 0 && c.Deferred >= deferredPart*float64(c.Slots) {
+	best, wait, ok := chooseLate(costs, &r, usable, candidates)
+	if !ok {
 		return Decision{Index: -1, Wait: wait, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter), Reason: ReasonFull}
 	}
 	return Decision{Index: best, Deferred: true, Wait: wait}
 }
 
+// chooseLate picks a candidate for a request that cannot be timely. It gets a
+// free slot, or none: in a queue it would wait behind all timely requests until
+// it is given up. One that has begun before may wait for a part of its time.
+func chooseLate(costs Costs, r *Request, usable []int, candidates []Candidate) (int, time.Duration, bool) {
+	late := func(c *Candidate) time.Duration { return costs.Wait(c, c.Running) + costs.Answer(c, r) }
+	best := soonest(usable, candidates, late)
+	wait := costs.Wait(&candidates[best], candidates[best].Running)
+	allowed := time.Duration(0)
+	if r.Begun {
+		allowed = time.Duration(latePart * float64(r.Remaining))
+	}
+	return best, wait, wait <= allowed
+}
+
 // chooseTimely picks a candidate that answers within the objective, or that
 // begins at once, since nothing is gained by deferring such a request.
 func chooseTimely(random *rand.Rand, costs Costs, r *Request, usable []int, candidates []Candidate) (int, time.Duration, bool) {
@@ -121,8 +135,10 @@
 	if timely(&candidates[best]) > r.Objective {
 		best = soonest(usable, candidates, timely)
 	}
-	wait := costs.Wait(&candidates[best], candidates[best].Running-candidates[best].Deferred)
-	return best, wait, wait == 0 || timely(&candidates[best]) <= r.Objective
+	c := &candidates[best]
+	wait := costs.Wait(c, c.Running-c.Deferred)
+	slack := r.Objective - costs.Answer(c, r)
+	return best, wait, wait <= time.Duration(slackPart*float64(max(slack, 0)))
 }
 
 // usableOf returns the indexes of the candidates to choose from: those that
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.UnixMilli(1_000_000)
+
+func observe(t *Table, u Upstream) bool {
+	accepted, _ := t.Observe(start, u)
+	return accepted
+}
+
+// Guards against a late report that undoes a newer one.
+func TestOlderReportsAreIgnored(t *testing.T) {
+	table := NewTable()
+	require.True(t, observe(table, Upstream{ID: "a", Address: "1", Born: 10, Sequence: 5, Phase: Draining}))
+	require.False(t, observe(table, Upstream{ID: "a", Address: "1", Born: 10, Sequence: 4, Phase: Ready}))
+	require.False(t, observe(table, Upstream{ID: "a", Address: "1", Born: 10, Sequence: 5, Phase: Ready}))
+	u, ok := table.Get("a")
+	require.True(t, ok)
+	require.Equal(t, Draining, u.Phase)
+}
+
+// Guards against an upstream that restarts under its id, whose counter begins
+// anew, being taken for an old report.
+func TestLaterLifeReplacesEarlier(t *testing.T) {
+	table := NewTable()
+	require.True(t, observe(table, Upstream{ID: "a", Address: "1", Born: 10, Sequence: 90}))
+	require.True(t, observe(table, Upstream{ID: "a", Address: "1", Born: 20, Sequence: 1}))
+	require.False(t, observe(table, Upstream{ID: "a", Address: "1", Born: 10, Sequence: 91}))
+}
+
+// Guards against a delayed heartbeat that brings back an upstream which left.
+func TestDepartureIsFinal(t *testing.T) {
+	table := NewTable()
+	observe(table, Upstream{ID: "a", Address: "1", Born: 10, Sequence: 5})
+	_, ok := table.Leave(start, "a", 0)
+	require.True(t, ok)
+	require.False(t, observe(table, Upstream{ID: "a", Address: "1", Born: 10, Sequence: 6}))
+	_, ok = table.Leave(start, "a", 10)
+	require.False(t, ok, "a second departure changes nothing")
+	require.True(t, observe(table, Upstream{ID: "a", Address: "1", Born: 11, Sequence: 1}))
+	_, ok = table.Leave(start, "a", 10)
+	require.False(t, ok, "the departure of an earlier life is late")
+}
+
+// Guards against a request that goes to an address which belongs to a younger
+// upstream: the older record is gone, whichever report comes last.
+func TestYoungestHoldsAnAddress(t *testing.T) {
+	old := Upstream{ID: "old", Address: "1", Born: 10, Sequence: 7}
+	young := Upstream{ID: "young", Address: "1", Born: 20, Sequence: 1}
+	for _, order := range [][]Upstream{{old, young}, {young, old}} {
+		table := NewTable()
+		for _, u := range order {
+			observe(table, u)
+		}
+		u, ok := table.Get("young")
+		require.True(t, ok)
+		require.Equal(t, Ready, u.Phase)
+		if u, ok := table.Get("old"); ok {
+			require.Equal(t, Gone, u.Phase)
+		}
+	}
+}
+
+// Guards against instances that hold different records after the same reports
+// have reached them in another order.
+func TestOrderOfReportsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reports := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Upstream {
+			return Upstream{
+				ID: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), Address: "", Born: rapid.Int64Range(1, 3).Draw(t, "born"),
+				Sequence: rapid.Uint64Range(1, 4).Draw(t, "sequence"),
+			}
+		}), 1, 10).Draw(t, "reports")
+		for i := range reports {
+			// The content follows from the identity, as it does for real reports.
+			u := &reports[i]
+			u.Address = u.ID
+			u.Slots = int(u.Born)*10 + int(u.Sequence)
+		}
+		shuffled := rapid.Permutation(reports).Draw(t, "shuffled")
+		one, two := NewTable(), NewTable()
+		for i := range reports {
+			observe(one, reports[i])
+			observe(two, shuffled[i])
+		}
+		require.Equal(t, one.All(), two.All())
+	})
+}
+
+// Guards against a table that grows with every upstream that ever lived.
+func TestForget(t *testing.T) {
+	table := NewTable()
+	table.Observe(start, Upstream{ID: "a", Address: "1", Born: 1})
+	table.Observe(start.Add(time.Minute), Upstream{ID: "b", Address: "2", Born: 1})
+	table.Forget(start.Add(30 * time.Second))
+	_, ok := table.Get("a")
+	require.False(t, ok)
+	_, ok = table.Get("b")
+	require.True(t, ok)
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -224,17 +224,14 @@
 	targets := x.candidates()
 	candidates := make([]balance.Candidate, len(targets))
 	for i, t := range targets {
-		c := t.estimate(now, x.view.entries)
-		c.Slots, c.Excluded = t.upstream.Slots, x.tried[t]
+		c := x.estimate(now, t)
+		c.Excluded = x.tried[t]
 		c.Local = t.upstream.FailureDomain == x.e.o.FailureDomain
 		candidates[i] = c
-		if x.service.Engine != nil {
-			candidates[i].Slots = x.service.Engine.Slots
-		}
 	}
 	decision := balance.Choose(x.random, x.costs(), balance.Request{
 		PromptTokens: x.request.PromptTokens, AnswerTokens: x.request.expectedAnswer(),
-		Remaining: x.deadline.Sub(now), Objective: x.route.LatencyObjective - x.elapsed - now.Sub(x.started),
+		Remaining: x.deadline.Sub(now), Objective: x.route.LatencyObjective - x.elapsed - now.Sub(x.started), Begun: x.runs > 0,
 	}, candidates)
 	if decision.Index < 0 {
 		return nil, decision
@@ -242,6 +239,18 @@
 	return targets[decision.Index], decision
 }
 
+// estimate returns what a target runs.
+func (x *exchange) estimate(now time.Time, t *target) balance.Candidate {
+	slots, occupancy := t.upstream.Slots, usualServiceTime
+	if engine := x.service.Engine; engine != nil {
+		slots = engine.Slots
+		if m := engine.Model(x.request.Model); m != nil {
+			occupancy = engine.Occupancy(m, engine.UsualPrompt, engine.UsualAnswer)
+		}
+	}
+	return t.estimate(now, x.view.entries, slots, occupancy)
+}
+
 // candidates returns the targets by the newest view: groups are formed again
 // while a request is on its way.
 func (x *exchange) candidates() []*target {
@@ -286,7 +295,7 @@
 // hasAlternative reports whether a target is left that was not tried.
 func (x *exchange) hasAlternative(now time.Time) bool {
 	for _, t := range x.candidates() {
-		if !x.tried[t] && !t.estimate(now, x.view.entries).Avoided {
+		if !x.tried[t] && !t.isAvoided(now) {
 			return true
 		}
 	}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -63,7 +63,7 @@
 	defer cancel(nil)
 	x.tried[t] = true
 	started := time.Now()
-	estimate := t.estimate(started, x.view.entries)
+	estimate := x.estimate(started, t)
 	s := &send{target: t, started: started, deferred: decision.Deferred, wait: decision.Wait, cancel: cancel,
 		record: sendRecord{upstream: t.upstream.ID, group: t.upstream.Member.Group, at: started.Sub(x.started), load: estimate.Running, deferred: decision.Deferred}}
 	s.load = t.begin(x.request.PromptTokens, decision.Deferred)
--- a/internal/entry/target.go
+++ b/internal/entry/target.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -10,9 +9,6 @@
 )
 
 const (
-	// reportDecay is the time in which the report of others' load at an
-	// upstream loses most of its weight: streams last about two seconds.
-	reportDecay = 2 * time.Second
 	// firstAvoidance is how long an upstream that could not be reached is
 	// avoided; it doubles with each further failure.
 	firstAvoidance = 500 * time.Millisecond
@@ -30,14 +26,11 @@
 	upstream fleet.Upstream
 	model    string
 
-	mu       sync.Mutex
-	inFlight int
+	mu      sync.Mutex
+	tracker balance.Tracker
 	// deferred counts the requests that were sent to give way and have not
 	// begun, unread the prompt tokens of all that have not begun.
 	deferred, unread int
-	// others is the load of other entries in the last report.
-	others   float64
-	reported time.Time
 	// progress is the time of the last sign of life.
 	progress time.Time
 	// suspected is set while the target stands still.
@@ -75,7 +68,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.inFlight++
+	t.tracker.Send()
 	t.deferred += l.deferred
 	t.unread += l.unread
 	return l
@@ -101,15 +94,14 @@
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
 	l.settle()
-	l.t.inFlight--
+	l.t.tracker.End()
 }
 
 // report takes in the load that the upstream told.
 func (t *target) report(now time.Time, l *Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.others = math.Max(0, float64(l.Running+l.Waiting-t.inFlight))
-	t.reported = now
+	t.tracker.Report(now, float64(l.Running+l.Waiting))
 }
 
 // alive takes in a sign of life.
@@ -182,20 +174,28 @@
 	t.failures++
 }
 
-// estimate returns what the target runs and whether it is avoided. As the
-// last report ages, other entries are taken to have what this one has.
-func (t *target) estimate(now time.Time, entries int) (c balance.Candidate) {
+// estimate returns what the target runs and whether it is avoided. Occupancy
+// is the time for which a request runs there.
+func (t *target) estimate(now time.Time, entries, slots int, occupancy time.Duration) (c balance.Candidate) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	others := float64(max(entries-1, 0))
-	weight := math.Exp(-float64(timeSince(now, t.reported)) / float64(reportDecay))
-	c.Running = float64(t.inFlight) + weight*t.others + (1-weight)*others*float64(t.inFlight)
-	if t.inFlight > 0 {
-		c.Deferred = c.Running * float64(t.deferred) / float64(t.inFlight)
+	c.Slots = slots
+	c.Running = t.tracker.Running(now, entries, slots, occupancy)
+	if t.tracker.InFlight > 0 {
+		c.Deferred = c.Running * float64(t.deferred) / float64(t.tracker.InFlight)
 	}
-	// What others have sent and was not read yet is not reported; entries share
-	// the load evenly.
 	c.Unread = float64(t.unread)
-	c.Avoided = now.Before(t.avoidUntil) || t.failureRate > grievousRate
+	c.Avoided = t.avoided(now)
 	return c
 }
+
+// avoided reports whether the target has failed lately. The caller holds mu.
+func (t *target) avoided(now time.Time) bool {
+	return now.Before(t.avoidUntil) || t.failureRate > grievousRate
+}
+
+func (t *target) isAvoided(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.avoided(now)
+}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -100,7 +100,7 @@
 	}
 	for key, t := range known {
 		t.mu.Lock()
-		idle := t.inFlight == 0
+		idle := t.tracker.InFlight == 0
 		t.mu.Unlock()
 		if idle && !current[key] {
 			delete(known, key)
