--- /dev/null
+++ b/internal/asynclog/asynclog_test.go
@@ -0,0 +1,86 @@
+package asynclog
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// blockedOutput accepts nothing until it is opened.
+type blockedOutput struct {
+	open chan struct{}
+	mu   sync.Mutex
+	got  bytes.Buffer
+}
+
+func (b *blockedOutput) Write(p []byte) (int, error) {
+	<-b.open
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.got.Write(p)
+}
+
+func (b *blockedOutput) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.got.String()
+}
+
+// Guards against requests that stand still because nobody reads the log.
+func TestBlockedOutputStopsNothing(t *testing.T) {
+	out := &blockedOutput{open: make(chan struct{})}
+	w := New(out)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 20_000 {
+			_, err := w.Write([]byte("line\n"))
+			require.NoError(t, err)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a write waits for the output")
+	}
+	require.Positive(t, w.Dropped())
+	require.Error(t, w.Sync(), "a blocked output is reported, not waited for")
+	close(out.open)
+	require.Eventually(t, func() bool { return strings.Contains(out.text(), "log lines dropped") }, 5*time.Second, 10*time.Millisecond)
+}
+
+// Guards against a volume without bound: what exceeds the rate is dropped and
+// its number told.
+func TestVolumeIsBounded(t *testing.T) {
+	out := &blockedOutput{open: make(chan struct{})}
+	close(out.open)
+	w := New(out)
+	for range 3 * burstLines {
+		_, err := w.Write([]byte("line\n"))
+		require.NoError(t, err)
+	}
+	require.NoError(t, w.Sync())
+	lines := strings.Count(out.text(), "line\n")
+	require.LessOrEqual(t, lines, 2*burstLines)
+	require.GreaterOrEqual(t, lines, LinesPerSecond)
+}
+
+// Guards against lines that are mixed up or lost below the bounds.
+func TestLinesArriveWholeAndInOrder(t *testing.T) {
+	out := &blockedOutput{open: make(chan struct{})}
+	close(out.open)
+	w := New(out)
+	var want strings.Builder
+	for n := range 200 {
+		line := strings.Repeat("x", n) + "\n"
+		want.WriteString(line)
+		_, err := w.Write([]byte(line))
+		require.NoError(t, err)
+	}
+	require.NoError(t, w.Sync())
+	require.Equal(t, want.String(), out.text())
+}
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,256 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/bluebellfield/bluebellfield/catalog"
+	"github.com/bluebellfield/bluebellfield/enginemodel"
+	"github.com/bluebellfield/bluebellfield/fleet"
+	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
+	"github.com/bluebellfield/bluebellfield/internal/mesh"
+	"github.com/bluebellfield/bluebellfield/internal/peer"
+)
+
+// plainProtocol is a small protocol for tests.
+type plainProtocol struct{}
+
+func (plainProtocol) ParseRequest(r *http.Request) (Request, error) {
+	q := Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Model: r.Header.Get("Model"), PromptTokens: 100, AnswerTokens: 60, Resume: -1}
+	if q.ID == "" {
+		return q, fmt.Errorf("no id")
+	}
+	if millis, err := strconv.Atoi(r.Header.Get("Patience")); err == nil {
+		q.Patience = time.Duration(millis) * time.Millisecond
+	}
+	return q, nil
+}
+
+func (plainProtocol) WriteAttempt(h http.Header, a Attempt) {
+	h.Del("Key")
+	h.Set("Account", a.Account)
+	h.Set("Expect-Upstream", a.Upstream)
+	h.Set("Patience", strconv.FormatInt(a.Remaining.Milliseconds(), 10))
+	if a.Resume >= 0 {
+		h.Set("Resume", strconv.FormatInt(a.Resume, 10))
+	}
+}
+
+func (plainProtocol) ParseAnswer(resp *http.Response) Answer {
+	return Answer{ID: resp.Header.Get("Id"), NotRun: resp.Header.Get("Not-Run") != ""}
+}
+
+func (plainProtocol) Refuse(h http.Header, _ string, retryAfter time.Duration) {
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+	}
+}
+
+// fakeUpstream answers by a script and counts what it ran.
+type fakeUpstream struct {
+	server *httptest.Server
+	id     string
+	mu     sync.Mutex
+	seen   []*http.Request
+	bodies []string
+	runs   atomic.Int32
+}
+
+// handlerFunc scripts an upstream; n counts its requests from 1.
+type handlerFunc func(u *fakeUpstream, n int, w http.ResponseWriter, r *http.Request)
+
+func newUpstream(t *testing.T, id string, script handlerFunc) *fakeUpstream {
+	u := &fakeUpstream{id: id}
+	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		u.mu.Lock()
+		u.seen, u.bodies = append(u.seen, r), append(u.bodies, string(body))
+		n := len(u.seen)
+		u.mu.Unlock()
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Seal", "of-"+id)
+		script(u, n, w, r)
+	}))
+	t.Cleanup(u.server.Close)
+	return u
+}
+
+func (u *fakeUpstream) requests() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.seen)
+}
+
+func (u *fakeUpstream) record(service, model string) fleet.Upstream {
+	r := fleet.Upstream{ID: u.id, Service: service, Address: strings.TrimPrefix(u.server.URL, "http://"), FailureDomain: "z", Born: 1, Sequence: 1, Slots: 6}
+	if model != "" {
+		r.Model = model
+		r.Member = fleet.Membership{Group: "g-" + u.id, Epoch: 1, State: fleet.Open}
+	}
+	return r
+}
+
+func answer(text string) handlerFunc {
+	return func(u *fakeUpstream, _ int, w http.ResponseWriter, _ *http.Request) {
+		u.runs.Add(1)
+		_, _ = io.WriteString(w, text)
+	}
+}
+
+func refuse(status int) handlerFunc {
+	return func(_ *fakeUpstream, _ int, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(status)
+	}
+}
+
+func fail(status int) handlerFunc {
+	return func(u *fakeUpstream, _ int, w http.ResponseWriter, _ *http.Request) {
+		u.runs.Add(1)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, "failed at "+u.id)
+	}
+}
+
+// reset breaks the connection after the request was read.
+func reset(u *fakeUpstream, _ int, w http.ResponseWriter, _ *http.Request) {
+	u.runs.Add(1)
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
+// stream sends events from the position after the one asked for, up to last,
+// and then acts as end says.
+func stream(last int, end func(w http.ResponseWriter, r *http.Request)) handlerFunc {
+	return func(u *fakeUpstream, _ int, w http.ResponseWriter, r *http.Request) {
+		u.runs.Add(1)
+		w.Header().Set("Content-Type", "text/event-stream")
+		first := 0
+		if after, err := strconv.Atoi(r.Header.Get("Resume")); err == nil {
+			first = after + 1
+		}
+		for n := first; n <= last; n++ {
+			fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
+			_ = http.NewResponseController(w).Flush()
+		}
+		if end != nil {
+			end(w, r)
+		}
+	}
+}
+
+func breakOff(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+func hang(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// events is the whole stream up to an event.
+func events(last int) string {
+	var b strings.Builder
+	for n := 0; n <= last; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+// testCatalog has one route for each kind of request.
+func testCatalog(t *testing.T) *catalog.Catalog {
+	route := func(name string, kind catalog.Kind, service string) catalog.Route {
+		return catalog.Route{Name: name, Host: "h.example", PathPrefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second, LatencyObjective: time.Second,
+			Targets: []catalog.Target{{Service: service, Weight: 1}}, MaxAttempts: 2}
+	}
+	content := catalog.Content{Version: 1,
+		Routes: []catalog.Route{route("read", catalog.Idempotent, "app"), route("order", catalog.NonIdempotent, "app"),
+			route("chat", catalog.Stream, "model"), route("once", catalog.Stream, "model"), route("quick", catalog.Idempotent, "app")},
+		Services: []catalog.Service{{Name: "app"}, {Name: "model", Engine: &enginemodel.Engine{Slots: 26, Stride: 6, Step: time.Millisecond,
+			ReadRate: 50000, UsualPrompt: 100, UsualAnswer: 60, Models: []enginemodel.Model{{Name: "m", GroupSize: 2, Pace: 1}}}}},
+		Accounts: []catalog.Account{{Name: "account", Keys: []string{"key"}}},
+	}
+	content.Routes[2].Resumable = true
+	content.Routes[4].Timeout = 300 * time.Millisecond
+	c, err := catalog.New(content)
+	require.NoError(t, err)
+	return c
+}
+
+// newEntry starts an entry that knows the given upstreams, and a server for
+// callers.
+func newEntry(t *testing.T, upstreams ...fleet.Upstream) (*Entry, *httptest.Server) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	network := peer.Listen(listener, peer.Options{ID: "127.0.0.1", Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
+		Resolve: func(string) (string, bool) { return "", false }})
+	t.Cleanup(func() { require.NoError(t, network.Close()) })
+	content := testCatalog(t)
+	e := Start(Options{ID: "127.0.0.1", FailureDomain: "z", Network: network, Protocol: plainProtocol{}, Client: upstream.NewClient(nil),
+		Decode: func([]byte) (*catalog.Catalog, error) { return content, nil }, Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
+		Budget: Budget{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}})
+	t.Cleanup(e.Close)
+	require.NoError(t, e.install("test", 1, nil))
+	update := &mesh.Update{Source: 1, Number: 1, Complete: true, Entries: 1}
+	for i := range upstreams {
+		update.Upstreams = append(update.Upstreams, mesh.EncodeUpstream(&upstreams[i]))
+	}
+	apply(t, e, update)
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	return e, server
+}
+
+func apply(t *testing.T, e *Entry, update *mesh.Update) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.entries = int(update.Entries)
+	e.apply(time.Now(), "test", update)
+	require.NotNil(t, e.view.Load())
+}
+
+// result is what a caller got.
+type result struct {
+	status int
+	body   string
+	header http.Header
+	// whole is false when the answer broke off.
+	whole bool
+	took  time.Duration
+}
+
+func do(t *testing.T, server *httptest.Server, path string, change ...func(*http.Request)) result {
+	req, err := http.NewRequest(http.MethodPost, server.URL+path, strings.NewReader("the body"))
+	require.NoError(t, err)
+	req.Host = "h.example"
+	req.Header.Set("Id", "request-1")
+	req.Header.Set("Key", "key")
+	req.Header.Set("Model", "m")
+	for _, c := range change {
+		c(req)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	started := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return result{took: time.Since(started)}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(bufio.NewReader(resp.Body))
+	return result{resp.StatusCode, string(body), resp.Header, err == nil, time.Since(started)}
+}
--- /dev/null
+++ b/internal/sse/block_test.go
@@ -0,0 +1,60 @@
+package sse
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against events that are changed on their way, and against the part of
+// an event being passed on as a whole one.
+func TestBlocks(t *testing.T) {
+	r := NewBlockReader(strings.NewReader("id: 1\ndata: a\n\nweight: 3\nid:2\r\ndata: b\r\n\r\ndata: c\n"), 1<<10)
+	block, position, err := r.Read()
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\ndata: a\n\n", string(block))
+	require.EqualValues(t, 1, position)
+	require.True(t, r.Buffered())
+	block, position, err = r.Read()
+	require.NoError(t, err)
+	require.Equal(t, "weight: 3\nid:2\r\ndata: b\r\n\r\n", string(block))
+	require.EqualValues(t, 2, position)
+	require.False(t, r.Buffered())
+	_, _, err = r.Read()
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// Guards against an upstream that fills the memory with one event.
+func TestBlockLimit(t *testing.T) {
+	r := NewBlockReader(strings.NewReader(strings.Repeat("data: xxxxxxxx\n", 100)+"\n"), 64)
+	_, _, err := r.Read()
+	require.ErrorIs(t, err, ErrEventTooLarge)
+}
+
+// Guards against bytes that break the reader or are lost by it: the blocks of a
+// stream are its bytes.
+func FuzzBlocks(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Add("\n\n\r\n:x\n\n")
+	f.Add("id: 99999999999999999999\n\n")
+	f.Fuzz(func(t *testing.T, stream string) {
+		r := NewBlockReader(strings.NewReader(stream), 1<<20)
+		var all strings.Builder
+		for {
+			block, _, err := r.Read()
+			if err != nil {
+				if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, ErrEventTooLarge) {
+					t.Fatal(err)
+				}
+				break
+			}
+			all.Write(block)
+		}
+		if !strings.HasPrefix(stream, all.String()) {
+			t.Fatalf("%q is not the start of %q", all.String(), stream)
+		}
+	})
+}
