Let few late callers queue; leave groups alone when a cut heals

Cause: after an outage callers who had returned were refused for good, and groups that had served beyond a cut were closed when it healed. Change: a caller that is late already may wait, beside a quarter of a group's slots of others; an isolated head that is heard again with its group whole goes on serving.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -73,8 +73,11 @@
 	// on waiting. Under lasting overload the wait stays at this bound, and
 	// estimates miss what other entries sent since the last report.
 	slackPart = 0.25
-	// latePart is the part of the remaining time that a request which has begun
-	// elsewhere may wait.
+	// deferredPart bounds the deferred requests at a candidate, as a part of its
+	// slots: under lasting overload they would wait until they are given up.
+	deferredPart = 0.25
+	// latePart is the part of the remaining time that a deferred request may
+	// wait.
 	latePart = 0.35
 	// minRetryAfter keeps refused callers from returning before the state that
 	// refused them can have changed: the lag of the load reports.
@@ -113,18 +116,20 @@
 	return Decision{Index: best, Deferred: true, Wait: wait}
 }
 
-// chooseLate picks a candidate for a request that cannot be timely. It gets a
-// free slot, or none: in a queue it would wait behind all timely requests until
-// it is given up. One that has begun before may wait for a part of its time.
+// chooseLate picks a candidate for a request that cannot be timely. A fresh one
+// gets a free slot, or the time to return: in a queue it would wait behind all
+// timely requests. One that has returned or that has begun elsewhere has no
+// other chance and may wait for a part of its time, beside few others.
 func chooseLate(costs Costs, r *Request, usable []int, candidates []Candidate) (int, time.Duration, bool) {
 	late := func(c *Candidate) time.Duration { return costs.Wait(c, c.Running) + costs.Answer(c, r) }
 	best := soonest(usable, candidates, late)
 	wait := costs.Wait(&candidates[best], candidates[best].Running)
-	allowed := time.Duration(0)
-	if r.Begun {
-		allowed = time.Duration(latePart * float64(r.Remaining))
+	c := &candidates[best]
+	if wait == 0 {
+		return best, wait, true
 	}
-	return best, wait, wait <= allowed
+	lastChance := r.Begun || r.Objective <= 0 && c.Deferred < deferredPart*float64(c.Slots)
+	return best, wait, lastChance && wait <= time.Duration(latePart*float64(r.Remaining))
 }
 
 // chooseTimely picks a candidate that answers within the objective, or that
--- a/placement/advance.go
+++ b/placement/advance.go
@@ -279,6 +279,11 @@
 	case head.stopped(g) && head.unreachable.IsZero():
 		p.release(now, g)
 		return
+	case head.unreachable.IsZero() && g.headless.IsZero() && !p.missing(g):
+		// A cut has healed, and the group has served all the time.
+		g.enter(now, serving)
+		g.suspected, g.suspectedSince = time.Time{}, time.Time{}
+		return
 	case head.unreachable.IsZero():
 		// It is heard again; it can be told to close.
 		p.close(now, g, true)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -58,6 +58,28 @@
 	require.Equal(t, map[string]int{"large": 1, "small": 1}, w.open())
 }
 
+// Guards against groups beyond a cut being closed when the cut heals, although
+// they have served all the time.
+func TestHealedCutLeavesGroupsAlone(t *testing.T) {
+	w := newWorld(t, 4, 2, 11)
+	w.run(120 * time.Second)
+	w.traffic = true
+	joins := w.orders[Join]
+	w.deaf = true
+	for _, e := range w.engines {
+		e.cut = e.domain == "d0"
+	}
+	w.run(5500 * time.Millisecond)
+	for _, e := range w.engines {
+		e.cut = false
+	}
+	w.deaf = false
+	w.run(20 * time.Second)
+	require.Empty(t, w.violation)
+	require.Equal(t, map[string]int{"large": 2, "small": 2}, w.open())
+	require.Equal(t, joins, w.orders[Join], "no group was formed again")
+}
+
 // Guards against a new leader without reports that takes engines out of groups
 // which serve, because it has heard of some members only.
 func TestNewLeaderKeepsGroupsItHearsOfLate(t *testing.T) {
