placement: serve on with leaving members, and reserve engines that wait for a load

Cause: groups were closed for members that leave by plan although nothing could replace them and they stay while the head has work; engines that waited for the last load of their group were loaded with another model; refused loads were ordered again every 100 ms. Change: such a group serves on for 8 s; engines of a group that is on its way are reserved, loads that complete a group go before spares; a refused load waits 2 s. The log tells the free engines by domain and staged model.

--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -40,7 +40,6 @@
 // their load and history.
 func buildView(content *catalog.Catalog, upstreams []fleet.Upstream, known map[targetKey]*target, entries int) *view {
 	v := &view{catalog: content, services: map[string]*serviceTargets{}, entries: entries}
-	leaving := leavingGroups(upstreams)
 	for i := range upstreams {
 		u := &upstreams[i]
 		if u.Phase != fleet.Ready || content == nil {
@@ -58,30 +57,13 @@
 		switch {
 		case service.Engine == nil:
 			s.plain = append(s.plain, targetOf(known, u))
-		case u.Member.Rank == 0 && u.Member.State == fleet.Open && u.Model != "" && !leaving[groupKey{u.Member.Group, u.Member.Epoch}]:
+		case u.Member.Rank == 0 && u.Member.State == fleet.Open && u.Model != "":
 			s.groups[u.Model] = append(s.groups[u.Model], targetOf(known, u))
 		}
 	}
 	return v
 }
 
-type groupKey struct {
-	name  string
-	epoch uint64
-}
-
-// leavingGroups finds the groups with a member that leaves: they get no new
-// work, since they will be formed again.
-func leavingGroups(upstreams []fleet.Upstream) map[groupKey]bool {
-	leaving := map[groupKey]bool{}
-	for i := range upstreams {
-		if u := &upstreams[i]; u.Phase != fleet.Ready && u.Member.Group != "" {
-			leaving[groupKey{u.Member.Group, u.Member.Epoch}] = true
-		}
-	}
-	return leaving
-}
-
 func targetOf(known map[targetKey]*target, u *fleet.Upstream) *target {
 	key := keyOf(u)
 	t := known[key]
--- a/placement/advance.go
+++ b/placement/advance.go
@@ -159,7 +159,7 @@
 		}
 	case head.belongs(g) && head.Member.State == fleet.Broken:
 		p.dissolve(now, g)
-	case p.gracefulExit(g):
+	case p.gracefulExit(now, g):
 		p.close(now, g, false)
 	case p.missing(g):
 		p.close(now, g, true)
@@ -202,18 +202,41 @@
 	}
 }
 
-// gracefulExit reports whether a member leaves by plan while all others are
-// there, so that running requests can be finished.
-func (p *Planner) gracefulExit(g *group) bool {
-	leaving := false
+// gracefulExit reports whether a group is to finish its requests because a
+// member leaves by plan while all others are there. Without an engine that can
+// replace the member at once the group serves on for a while.
+func (p *Planner) gracefulExit(now time.Time, g *group) bool {
+	leaving := 0
 	for _, id := range g.members {
 		e := p.engines[id]
 		if e == nil || !e.belongs(g) {
 			return false
 		}
-		leaving = leaving || e.Phase != fleet.Ready
+		if e.Phase != fleet.Ready {
+			leaving++
+		}
+	}
+	if leaving == 0 {
+		g.leaving = time.Time{}
+		return false
+	}
+	if g.leaving.IsZero() {
+		g.leaving = now
+	}
+	headLeaves := p.engines[g.head()].Phase != fleet.Ready
+	return headLeaves || now.Sub(g.leaving) > serveOn || p.replacements(now, g) >= leaving
+}
+
+// replacements counts the free engines of a group's domain that can join it
+// without a load.
+func (p *Planner) replacements(now time.Time, g *group) int {
+	n := 0
+	for _, e := range p.engines {
+		if e.FabricDomain == g.domain && p.usable(now, e) && e.joinCost(g.model) <= g.model.WarmTime {
+			n++
+		}
 	}
-	return leaving
+	return n
 }
 
 // unreachableMember reports whether a member of a suspected group did not
@@ -304,7 +327,7 @@
 // orderLeave takes one member that can be reached out of a group.
 func (p *Planner) orderLeave(now time.Time, g *group) {
 	for _, id := range g.members[1:] {
-		if e := p.engines[id]; e != nil && e.unreachable.IsZero() && e.Phase != fleet.Gone {
+		if e := p.engines[id]; e != nil && e.unreachable.IsZero() && e.Phase != fleet.Gone && now.Sub(e.Heard) < aliveWait {
 			p.order(now, Leave, g, id, "the head cannot be reached")
 			return
 		}
--- a/placement/commands.go
+++ b/placement/commands.go
@@ -168,7 +168,8 @@
 	case r == Accepted:
 	case r == Conflict:
 		if o.Kind == Stage {
-			e.staging = ""
+			// An order of an earlier leader may still be under way.
+			e.staging, e.stageAfter = "", now.Add(stageRetry)
 		}
 	case o.Kind == Probe:
 		e.unreachable = now
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -117,6 +117,12 @@
 	formAllowance = 2
 	// formSlack is added to it for orders and reports.
 	formSlack = 4 * time.Second
+	// stageRetry is the time after which a refused load is ordered again.
+	stageRetry = 2 * time.Second
+	// serveOn is how long a group serves on with a member that leaves by plan,
+	// where no engine can replace it: leaving members stay for 10 s while the
+	// head has work, less the time to finish requests.
+	serveOn = 8 * time.Second
 	// finishTime is how long a group that loses a member by plan may finish its
 	// requests: most streams end within it, the others continue elsewhere, and
 	// the engines do not wait for the longest.
@@ -192,7 +198,9 @@
 	// headless is the time at which a member left a group with an unreachable
 	// head.
 	headless time.Time
-	adopted  bool
+	// leaving is the time at which a member was first seen to leave by plan.
+	leaving time.Time
+	adopted bool
 	// openSent says that the head was ordered to open and was not seen open.
 	openSent bool
 	// openLost is the time of the last order to open that got no answer.
@@ -215,7 +223,9 @@
 	// staging is the model that was ordered onto the host.
 	staging   string
 	stagingAt time.Time
-	freeSince time.Time
+	// stageAfter is the time before which no load is ordered again.
+	stageAfter time.Time
+	freeSince  time.Time
 }
 
 // Planner decides for the engines of one service.
--- a/placement/queries.go
+++ b/placement/queries.go
@@ -29,3 +29,23 @@
 	}
 	return counts
 }
+
+// Free counts the engines outside groups by fabric domain and by the model that
+// is staged on them, for logs.
+func (p *Planner) Free(now time.Time) map[string]map[string]int {
+	counts := map[string]map[string]int{}
+	for domain, engines := range p.free(now) {
+		counts[domain] = map[string]int{}
+		for _, e := range engines {
+			staged := "none"
+			if len(e.Staged) > 0 {
+				staged = e.Staged[len(e.Staged)-1]
+			}
+			if e.staging != "" {
+				staged = "loading " + e.staging
+			}
+			counts[domain][staged]++
+		}
+	}
+	return counts
+}
--- a/placement/stage.go
+++ b/placement/stage.go
@@ -10,24 +10,59 @@
 	"github.com/bluebellfield/bluebellfield/enginemodel"
 )
 
+// completion is a group that free engines of a domain can form after loads.
+type completion struct {
+	domain  string
+	model   *enginemodel.Model
+	lacking []*engine
+}
+
 // stageSpares loads models onto the hosts of free engines, so that they can
-// join a group without a load: engines that lack to a whole group first, then
-// spares for the members of the domain's groups.
+// join a group without a load: engines that a whole group lacks first, the
+// group with the fewest of them before others, then spares for the members of
+// the domains' groups.
 func (p *Planner) stageSpares(now time.Time) {
 	if p.arriving(now) {
 		return
 	}
 	byDomain := p.free(now)
-	for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
-		engines := byDomain[domain]
+	domains := slices.Sorted(maps.Keys(byDomain))
+	var completions []completion
+	for _, domain := range domains {
+		engines := p.unreserved(now, byDomain[domain])
 		if m, lacking := p.completion(now, engines); m != nil && !p.coldStart() {
-			for _, e := range lacking {
-				p.stage(now, e, m, "completes a group")
+			completions = append(completions, completion{domain, m, lacking})
+		}
+	}
+	slices.SortStableFunc(completions, func(a, b completion) int { return len(a.lacking) - len(b.lacking) })
+	for _, c := range completions {
+		for _, e := range c.lacking {
+			p.stage(now, e, c.model, "completes a group", 0)
+		}
+	}
+	for _, domain := range domains {
+		p.stageEmpty(now, domain, byDomain[domain])
+	}
+}
+
+// unreserved leaves out the engines that wait for the last loads of a group of
+// their model, so that no other plan takes them meanwhile.
+func (p *Planner) unreserved(now time.Time, engines []*engine) []*engine {
+	rest := slices.Clone(engines)
+	for _, m := range p.byNeed(now) {
+		var warm []*engine
+		for _, e := range rest {
+			if e.warm(m) {
+				warm = append(warm, e)
 			}
+		}
+		if len(warm) < m.GroupSize {
 			continue
 		}
-		p.stageEmpty(now, domain, engines)
+		reserved := warm[:m.GroupSize]
+		rest = slices.DeleteFunc(rest, func(e *engine) bool { return slices.Contains(reserved, e) })
 	}
+	return rest
 }
 
 // warm reports whether an engine needs no load to join a group of a model, or
@@ -56,7 +91,7 @@
 			switch {
 			case e.warm(m):
 				ready++
-			case e.staging == "":
+			case e.staging == "" && !now.Before(e.stageAfter):
 				others = append(others, e)
 			}
 		}
@@ -96,7 +131,7 @@
 		}
 	}
 	for _, e := range engines {
-		if len(e.Staged) > 0 || e.staging != "" {
+		if len(e.Staged) > 0 || e.staging != "" || now.Before(e.stageAfter) {
 			continue
 		}
 		best, bestScore := (*enginemodel.Model)(nil), 0.0
@@ -108,7 +143,7 @@
 				best, bestScore = m, score
 			}
 		}
-		if best == nil || !p.stage(now, e, best, "spare engine") {
+		if best == nil || !p.stage(now, e, best, "spare engine", spareReserve) {
 			return
 		}
 		ready[best.Name]++
@@ -126,10 +161,14 @@
 	return members
 }
 
+// spareReserve is the number of loads at once that spares leave to engines which
+// a group lacks.
+const spareReserve = 2
+
 // stage orders a load onto a host unless the weight store is busy.
-func (p *Planner) stage(now time.Time, e *engine, m *enginemodel.Model, reason string) bool {
+func (p *Planner) stage(now time.Time, e *engine, m *enginemodel.Model, reason string, reserve int) bool {
 	if !p.coldStart() {
-		if !p.loads.allow(now, p.running(now)) {
+		if !p.loads.allow(now, p.running(now)+reserve) {
 			return false
 		}
 		p.loads.note(now)
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -393,6 +393,21 @@
 	}
 }
 
+// leave lets an engine drain: it stays for a while, longer while its group has
+// work, and is replaced by an empty one.
+func (w *world) leave(e *simEngine) {
+	e.draining = true
+	w.report(e)
+	stay := 4 * time.Second
+	if e.member.State != fleet.NoGroup {
+		stay = 10 * time.Second
+	}
+	w.after(stay, func() {
+		w.kill(e)
+		w.after(time.Second, func() { w.restart(e) })
+	})
+}
+
 func (w *world) kill(e *simEngine) {
 	e.alive = false
 	w.note("killed %s", e.id)
