replica: forget instances outside the log that are no longer heard of

Cause: an instance that was lost after it had created the log, and removed from it, stayed in the list of instances to add. The leader added it as a learner again and again, and a wiped instance that waited was never added. Change: an instance outside the log is listed for six seconds after its last report. A test runs a deployment of three control instances and an entry on loopback through a loss, a successor, a wipe and a restart of all.

--- /dev/null
+++ b/internal/instance/cluster_test.go
@@ -0,0 +1,243 @@
+package instance_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/bluebellfield/bluebellfield/internal/control"
+	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
+	"github.com/bluebellfield/bluebellfield/internal/instance"
+	"github.com/bluebellfield/bluebellfield/platform"
+)
+
+// cluster is a deployment on loopback addresses, one for each host.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	peerPort int
+	seeds    []string
+	running  map[string]*instance.Instance
+}
+
+const (
+	controlPort = 18229
+	callerPort  = 18227
+	readyPort   = 18220
+	// catchUp is the platform's catch_up_s: a new instance counts after it.
+	catchUp = 4 * time.Second
+)
+
+func newCluster(t *testing.T, block int) *cluster {
+	c := &cluster{t: t, dir: t.TempDir(), peerPort: 17340, running: map[string]*instance.Instance{}}
+	for n := 1; n <= 3; n++ {
+		c.seeds = append(c.seeds, address(hostID(block, n), controlPort))
+	}
+	t.Cleanup(func() {
+		for id := range c.running {
+			c.stop(id)
+		}
+	})
+	return c
+}
+
+// hostID is the loopback address of a host. It differs between processes, so
+// that two runs of the tests do not meet.
+func hostID(block, n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&0x7f, pid&0xff, 10*block+n)
+}
+
+func adapter() instance.Adapter {
+	return instance.Adapter{Decode: platform.DecodeConfiguration, Protocol: platform.Protocol{},
+		Orders: func(client *upstream.Client) control.OrderSender { return &platform.Workers{Client: client} },
+		Control: func(c *control.Control, logger *zap.Logger) http.Handler {
+			return platform.NewControlHandler(c, logger)
+		},
+		Ready: platform.NewReadyHandler}
+}
+
+func (c *cluster) start(id string, bootstrap, entry bool, folder string) {
+	s := &instance.Settings{ID: id, Name: id, FailureDomain: "z", PeerPort: c.peerPort, Seeds: c.seeds, Bootstrap: bootstrap,
+		HeartbeatMS: 1200, StallMS: 6000, Drain: instance.Drain{GraceMS: 1000}, RetryBudget: instance.RetryBudget{Ratio: 0.2, Allowance: 132, WindowMS: 10000}}
+	if entry {
+		s.Listen.Caller, s.Listen.Ready = address(id, callerPort), address(id, readyPort)
+	} else {
+		s.Listen.Control, s.DataFolder = address(id, controlPort), filepath.Join(c.dir, folder)
+	}
+	i, err := instance.Start(s, adapter(), zap.NewNop())
+	require.NoError(c.t, err)
+	c.running[id] = i
+}
+
+func (c *cluster) stop(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	// A leader without followers cannot hand over; that is no failure here.
+	if err := c.running[id].Close(ctx); err != nil {
+		c.t.Logf("stop of %s: %v", id, err)
+	}
+	delete(c.running, id)
+}
+
+func address(id string, port int) string { return net.JoinHostPort(id, fmt.Sprint(port)) }
+
+func host(seed string) string {
+	id, _, _ := net.SplitHostPort(seed)
+	return id
+}
+
+func configuration(version int, path string) []byte {
+	document, err := json.Marshal(map[string]any{"version": version,
+		"routes": []any{map[string]any{"name": "r", "host": "h.example", "path_prefix": path, "kind": "idempotent", "timeout_ms": 2000,
+			"target_latency_ms": 300, "service": "app", "max_attempts": 2}},
+		"services": []any{map[string]any{"name": "app"}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+	if err != nil {
+		panic(err)
+	}
+	return document
+}
+
+// call returns the status and body of a call, 0 without an answer.
+func call(method, url string, body []byte, change ...func(*http.Request)) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	for _, c := range change {
+		c(req)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(data)
+}
+
+func (c *cluster) eventually(what string, condition func() bool) {
+	require.Eventually(c.t, condition, 20*time.Second, 50*time.Millisecond, what)
+}
+
+func (c *cluster) put(id string, version int, path string) bool {
+	status, _ := call("POST", "http://"+address(id, controlPort)+"/v1/Config.Put", configuration(version, path))
+	return status == 200
+}
+
+// newest returns the version that an instance reads out, 0 when it is not sure.
+func (c *cluster) newest(id string) int {
+	status, body := call("GET", "http://"+address(id, controlPort)+"/v1/Config.Get", nil)
+	var document struct{ Version int }
+	if status != 200 || json.Unmarshal([]byte(body), &document) != nil {
+		return 0
+	}
+	return document.Version
+}
+
+func (c *cluster) beat(id, workerAddress string) {
+	body := fmt.Sprintf(`{"service":"app","address":%q,"zone":"z","slots":4,"state":"ready","seq":%d,"born":1000}`, workerAddress, time.Now().UnixMilli())
+	status, _ := call("POST", "http://"+address(id, controlPort)+"/v1/Instances.Heartbeat/w1", []byte(body))
+	require.Equal(c.t, 200, status)
+}
+
+func request(id, path string) (int, string) {
+	return call("GET", "http://"+address(id, callerPort)+path, nil, func(r *http.Request) {
+		r.Host = "h.example"
+		r.Header.Set("Bluebellfield-Attempt-Id", "a1")
+		r.Header.Set("Bluebellfield-Deadline-Ms", "2000")
+	})
+}
+
+// Guards against a deployment that does not find itself by its seeds, an
+// acknowledged change that is lost with a control instance, one that is wiped
+// or one that is replaced at another address, and an entry that serves by an
+// older change.
+func TestDeploymentSurvivesItsControlInstances(t *testing.T) {
+	c := newCluster(t, 1)
+	a, b, d := host(c.seeds[0]), host(c.seeds[1]), host(c.seeds[2])
+	entry, successor := hostID(1, 4), hostID(1, 5)
+	for n, id := range []string{a, b, d} {
+		c.start(id, true, false, fmt.Sprint("first-", n))
+	}
+	c.start(entry, true, true, "")
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Bluebellfield-Attempt-Id", r.Header.Get("Bluebellfield-Attempt-Id"))
+		_, _ = io.WriteString(w, "served "+r.URL.Path)
+	}))
+	defer worker.Close()
+	workerAddress := strings.TrimPrefix(worker.URL, "http://")
+
+	c.eventually("the first change is acknowledged", func() bool { return c.put(b, 1, "/one/") })
+	c.beat(d, workerAddress)
+	c.eventually("the entry serves by it", func() bool { status, _ := request(entry, "/one/x"); return status == 200 })
+	_, body := request(entry, "/one/x")
+	require.Equal(t, "served /one/x", body)
+
+	// One instance is lost for good; an empty one comes at another address.
+	c.stop(a)
+	c.eventually("a change without it", func() bool { return c.put(b, 2, "/two/") })
+	c.start(successor, false, false, "successor")
+	joined := time.Now()
+	c.eventually("the successor reads the newest", func() bool { return c.newest(successor) == 2 })
+	c.eventually("the entry serves by the second change", func() bool { status, _ := request(entry, "/two/x"); return status == 200 })
+
+	// A successor counts within the time that the platform states for it, so
+	// that another loss is borne then.
+	time.Sleep(time.Until(joined.Add(catchUp)))
+	c.stop(b)
+	c.eventually("a change without another one", func() bool { return c.put(successor, 3, "/three/") })
+	require.Equal(t, 3, c.newest(d))
+
+	// The other one comes back without its data.
+	c.start(b, false, false, "wiped")
+	c.eventually("the wiped instance catches up", func() bool { return c.newest(b) == 3 })
+
+	// All of them stop and start again with their data.
+	for _, id := range []string{b, d, successor} {
+		c.stop(id)
+	}
+	c.start(d, false, false, "first-2")
+	require.Zero(t, c.newest(d), "one of three cannot be sure")
+	c.start(successor, false, false, "successor")
+	c.eventually("the acknowledged change is read back", func() bool { return c.newest(d) == 3 && c.newest(successor) == 3 })
+	status, _ := request(entry, "/three/x")
+	require.Equal(t, 200, status, "the entry has served all the time")
+}
+
+// Guards against an instance without a majority that acknowledges a change or
+// reads out what may be old, and against changes sent again being refused.
+func TestMinorityAnswersNothing(t *testing.T) {
+	c := newCluster(t, 2)
+	a, b, d := host(c.seeds[0]), host(c.seeds[1]), host(c.seeds[2])
+	for n, id := range []string{a, b, d} {
+		c.start(id, true, false, fmt.Sprint("n-", n))
+	}
+	c.eventually("acknowledged", func() bool { return c.put(a, 5, "/five/") })
+	require.True(t, c.put(b, 5, "/five/"), "sent again")
+	require.True(t, c.put(d, 4, "/four/"), "overtaken")
+	require.Equal(t, 5, c.newest(a))
+	c.stop(b)
+	c.stop(d)
+	require.False(t, c.put(a, 6, "/six/"))
+	require.Zero(t, c.newest(a))
+}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -285,8 +285,12 @@
 // change.
 func (r *Replica) publish() {
 	s := &Status{Status: r.node.Status(), StorageError: r.storageErr}
-	for instance, stored := range r.strangers {
-		id := consensus.NodeID{Instance: instance, Storage: stored}
+	for instance, other := range r.strangers {
+		if time.Since(other.heard) > strangerLife {
+			delete(r.strangers, instance)
+			continue
+		}
+		id := consensus.NodeID{Instance: instance, Storage: other.storage}
 		if !slices.Contains(s.Members.Voters, id) && !slices.Contains(s.Members.Learners, id) {
 			s.Strangers = append(s.Strangers, id)
 		}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -107,8 +107,8 @@
 			return m, nil
 		}
 	}
-	if stored, ok := r.strangers[c.Instance]; ok {
-		id.Storage = stored
+	if s, ok := r.strangers[c.Instance]; ok {
+		id.Storage = s.storage
 		return id, nil
 	}
 	return id, fmt.Errorf("instance %q has not reported a storage id", c.Instance)
@@ -186,6 +186,9 @@
 const (
 	helloInterval     = 200 * time.Millisecond
 	helloIntervalLate = 2 * time.Second
+	// strangerLife is the time without a report after which an instance outside
+	// the log is no longer listed: one that is gone must not be added.
+	strangerLife = 3 * helloIntervalLate
 )
 
 // sayHello runs while this replica is not a member. The first instance of
@@ -238,7 +241,7 @@
 	if slices.Contains(members.Voters, id) || slices.Contains(members.Learners, id) {
 		delete(r.strangers, from)
 	} else {
-		r.strangers[from] = h.Storage
+		r.strangers[from] = stranger{h.Storage, now}
 	}
 	delete(r.fresh, from)
 	if h.Fresh {
@@ -291,7 +294,7 @@
 		return
 	}
 	r.node, r.helloDue = node, time.Time{}
-	r.strangers = map[string]uint64{}
+	r.strangers = map[string]stranger{}
 	r.applied.Store(meta.Index)
 	r.o.Logger.Info("log created", zap.Strings("voters", r.o.Voters))
 	r.node.Tick(now)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -164,7 +164,7 @@
 	pending       map[uint64][]*proposal
 	reads         map[consensus.ReadID]*barrier
 	waiting       []*barrier
-	strangers     map[string]uint64
+	strangers     map[string]stranger
 	fresh         map[string]uint64
 	helloDue      time.Time
 	snapshots     snapshotState
@@ -173,6 +173,12 @@
 	closeFailures error
 }
 
+// stranger is an instance outside the log that has reported its storage id.
+type stranger struct {
+	storage uint64
+	heard   time.Time
+}
+
 type inbound struct {
 	from string
 	data []byte
@@ -204,7 +210,7 @@
 	}
 	r := &Replica{o: o, wake: make(chan struct{}, 1), done: make(chan struct{}),
 		pending: map[uint64][]*proposal{}, reads: map[consensus.ReadID]*barrier{},
-		strangers: map[string]uint64{}, fresh: map[string]uint64{}}
+		strangers: map[string]stranger{}, fresh: map[string]uint64{}}
 	r.changed.init()
 	st, err := r.openStorage()
 	if err != nil {
