Entries always report to the leader, and the cold start ends by itself

Cause: an entry subscribes to three control instances. With more of them the leader may not be among them, and would plan without the offered work; it would take the deployment for one without traffic and load weights without bound.

--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -22,8 +22,8 @@
 	// subscriptionLife is the time without renewal after which a subscriber is
 	// dropped.
 	subscriptionLife = 5 * time.Second
-	// seedCheckInterval is the time between dials of controls that do not send
-	// updates.
+	// sourceSilence is the time without an update from another control instance
+	// after which all of its records are asked for again.
 	sourceSilence = 3 * UpdateInterval
 )
 
@@ -85,7 +85,7 @@
 func (c *Control) send(id string, s *subscriber, complete bool) {
 	version, _ := c.machine.Catalog()
 	update := &mesh.Update{Source: c.source, Complete: complete, Upstreams: s.pending, CatalogVersion: version,
-		Controls: append(c.controls(), c.o.ID), Entries: c.entries()}
+		Controls: append(c.controls(), c.o.ID), Entries: c.entries(), Leader: c.replica.Status().Leader.Instance}
 	if complete {
 		update.Upstreams = nil
 		for _, u := range c.table.All() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,10 +55,10 @@
 	targets  map[targetKey]*target
 	content  *catalog.Catalog
 	version  uint64
-	wanted   uint64
 	fetching bool
 	sources  map[string]*source
 	controls []string
+	leader   string
 	entries  int
 	budgets  map[string]*budget
 
@@ -123,7 +124,7 @@
 		return
 	}
 	e.mu.Lock()
-	controls := sortControls(append(append([]string{}, e.o.Seeds...), e.controls...))
+	controls := distinct(slices.Concat(e.o.Seeds, e.controls))
 	e.mu.Unlock()
 	e.stats.stalls.Inc(1)
 	e.o.Logger.Info("group stands still", zap.String("group", t.upstream.Member.Group), zap.Uint64("epoch", t.upstream.Member.Epoch),
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -208,10 +208,9 @@
 		}
 		if result.held != nil {
 			if x.maySendAgain(ctx, result) {
-				result.held.discard()
 				continue
 			}
-			x.passOn(ctx, result.held)
+			x.passOn(result.held)
 			return
 		}
 		if !x.maySendAgain(ctx, result) {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -110,7 +110,7 @@
 // chooseSources keeps the control instances that answer and fills up with
 // others. The caller holds mu.
 func (e *Entry) chooseSources(now time.Time) []string {
-	known := sortControls(slices.Concat(e.o.Seeds, e.controls))
+	known := distinct(slices.Concat(e.o.Seeds, e.controls))
 	var kept, fresh, silent []string
 	for _, id := range known {
 		s := e.sources[id]
@@ -128,6 +128,10 @@
 	// Silent ones are tried in turn, so that one that returns is found.
 	slices.SortStableFunc(silent, func(a, b string) int { return e.sources[a].tried.Compare(e.sources[b].tried) })
 	chosen := slices.Concat(kept, fresh, silent)
+	// The leader plans by what entries report, so that it is always among them.
+	if at := slices.Index(chosen, e.leader); at > 0 {
+		chosen = slices.Insert(slices.Delete(chosen, at, at+1), 0, e.leader)
+	}
 	chosen = chosen[:min(len(chosen), maxSources)]
 	for _, id := range chosen {
 		s := e.sources[id]
@@ -166,10 +170,10 @@
 		s.id, s.number, s.heard = update.Source, update.Number, now
 	}
 	e.controls, e.entries = update.Controls, int(update.Entries)
-	e.apply(now, from, &update)
-	if update.CatalogVersion > e.wanted {
-		e.wanted = update.CatalogVersion
+	if update.Leader != "" {
+		e.leader = update.Leader
 	}
+	e.apply(now, from, &update)
 	if update.CatalogVersion > e.version {
 		e.fetchFrom(from)
 	}
--- /dev/null
+++ b/internal/entry/follow_test.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellfield/bluebellfield/internal/mesh"
+)
+
+// Guards against a leader that plans without the reports of the entries, where
+// there are more control instances than an entry subscribes to, and against an
+// entry that keeps to instances which are silent.
+func TestChoosesSources(t *testing.T) {
+	e, _ := newEntry(t)
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.sources)
+	e.o.Seeds = []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
+	e.controls = []string{"10.0.0.4", "10.0.0.5", "10.0.0.6"}
+	require.Equal(t, []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}, e.chooseSources(now))
+	for _, id := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"} {
+		e.sources[id].heard = now
+	}
+	e.leader = "10.0.0.5"
+	require.Equal(t, []string{"10.0.0.5", "10.0.0.1", "10.0.0.2"}, e.chooseSources(now))
+	e.leader = ""
+	// Two fall silent: others are tried in their place.
+	later := now.Add(2 * sourceLife)
+	e.sources["10.0.0.3"].heard = later
+	chosen := e.chooseSources(later)
+	require.Equal(t, "10.0.0.3", chosen[0])
+	require.Contains(t, chosen, "10.0.0.4")
+	require.Contains(t, chosen, "10.0.0.6")
+}
+
+// Guards against a change that is lost between a control instance and an entry
+// for longer than the next update: a gap in the numbers asks for everything.
+func TestGapInUpdatesAsksForAll(t *testing.T) {
+	e, _ := newEntry(t)
+	receive := func(u *mesh.Update) {
+		payload, err := proto.Marshal(u)
+		require.NoError(t, err)
+		_, err = e.serveUpdate(t.Context(), "10.0.0.1", payload)
+		require.NoError(t, err)
+	}
+	position := func() (uint64, uint64) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.sources["10.0.0.1"].id, e.sources["10.0.0.1"].number
+	}
+	receive(&mesh.Update{Source: 7, Number: 1, Complete: true})
+	receive(&mesh.Update{Source: 7, Number: 2})
+	source, number := position()
+	require.EqualValues(t, []uint64{7, 2}, []uint64{source, number})
+	receive(&mesh.Update{Source: 7, Number: 4})
+	_, number = position()
+	require.Zero(t, number, "the next subscription asks for all")
+	receive(&mesh.Update{Source: 9, Number: 1, Complete: true})
+	source, number = position()
+	require.EqualValues(t, []uint64{9, 1}, []uint64{source, number}, "the instance has started again")
+}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -55,8 +55,6 @@
 	body   []byte
 }
 
-func (h *heldAnswer) discard() { h.body = nil }
-
 // send sends the request to a target and passes its answer on.
 func (x *exchange) send(ctx context.Context, t *target, decision balance.Decision) sendResult {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -221,7 +219,7 @@
 	if s.wait == 0 {
 		x.e.usual.add(x.service.Name, "", time.Since(s.started))
 	}
-	x.passOn(ctx, held)
+	x.passOn(held)
 	return sendResult{done: true}
 }
 
@@ -236,7 +234,7 @@
 }
 
 // passOn sends a whole answer of an upstream to the caller.
-func (x *exchange) passOn(_ context.Context, held *heldAnswer) {
+func (x *exchange) passOn(held *heldAnswer) {
 	x.writeHeader(held.status, held.header, int64(len(held.body)))
 	x.outcome = outcomeServed
 	if held.status >= http.StatusInternalServerError {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -90,9 +90,9 @@
 	}
 }
 
-// sortControls orders control instances for subscription: known ones first,
-// by name, so that the choice is stable.
-func sortControls(ids []string) []string {
+// distinct sorts ids and drops repeated ones, so that choices among them are
+// stable.
+func distinct(ids []string) []string {
 	sorted := slices.Clone(ids)
 	slices.SortFunc(sorted, strings.Compare)
 	return slices.Compact(sorted)
--- a/placement/form.go
+++ b/placement/form.go
@@ -88,7 +88,7 @@
 
 // arriving reports whether a deployment that starts waits for its engines.
 func (p *Planner) arriving(now time.Time) bool {
-	return p.coldStart() && now.Sub(p.lastArrival) < arrivalQuiet && now.Sub(p.started) < maxArrival
+	return p.coldStart(now) && now.Sub(p.lastArrival) < arrivalQuiet && now.Sub(p.started) < maxArrival
 }
 
 // byNeed lists the models, the neediest first.
@@ -111,7 +111,7 @@
 				continue
 			}
 			cost := joinTime(pickMembers(byDomain[domain], m), m)
-			if cost > m.WarmTime && !p.coldStart() {
+			if cost > m.WarmTime && !p.coldStart(now) {
 				continue
 			}
 			// Among equals the domain that is left with the fewest free engines
@@ -129,7 +129,9 @@
 
 // coldStart reports whether the deployment starts and has no traffic yet. Loads
 // are fast then and do not count towards the store's bounds.
-func (p *Planner) coldStart() bool { return p.cfg.ColdStart && !p.traffic() }
+func (p *Planner) coldStart(now time.Time) bool {
+	return p.cfg.ColdStart && !p.traffic() && now.Sub(p.started) < maxColdStart
+}
 
 // joinCost ranks how long an engine takes to join a group of a model.
 func (e *engine) joinCost(m *enginemodel.Model) time.Duration {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -146,6 +146,9 @@
 	arrivalQuiet = 600 * time.Millisecond
 	// maxArrival bounds the wait for it.
 	maxArrival = 4 * time.Second
+	// maxColdStart bounds the time in which loads are taken not to count, in case
+	// that the entries' reports of traffic do not reach the leader.
+	maxColdStart = 30 * time.Second
 	// patience is how long free engines keep what is staged on their hosts:
 	// engines that are lost for a time, and the members of a group whose head
 	// is isolated, return within it.
--- a/placement/stage.go
+++ b/placement/stage.go
@@ -30,7 +30,7 @@
 	var completions []completion
 	for _, domain := range domains {
 		engines := p.unreserved(now, byDomain[domain])
-		if m, lacking := p.completion(now, engines); m != nil && !p.coldStart() {
+		if m, lacking := p.completion(now, engines); m != nil && !p.coldStart(now) {
 			completions = append(completions, completion{domain, m, lacking})
 		}
 	}
@@ -167,7 +167,7 @@
 
 // stage orders a load onto a host unless the weight store is busy.
 func (p *Planner) stage(now time.Time, e *engine, m *enginemodel.Model, reason string, reserve int) bool {
-	if !p.coldStart() {
+	if !p.coldStart(now) {
 		if !p.loads.allow(now, p.running(now)+reserve) {
 			return false
 		}
