--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -30,11 +30,13 @@
 // subscriber is an instance that receives updates.
 type subscriber struct {
 	control bool
-	heard   time.Time
-	sent    time.Time
-	number  uint64
-	pending []*mesh.Upstream
-	demand  []serviceDemand
+	// failureDomain is where the instance runs.
+	failureDomain string
+	heard         time.Time
+	sent          time.Time
+	number        uint64
+	pending       []*mesh.Upstream
+	demand        []serviceDemand
 }
 
 // serviceDemand is the offered work that an entry reported last.
@@ -53,7 +55,7 @@
 	defer c.mu.Unlock()
 	s := c.subscribers[from]
 	if s == nil {
-		s = &subscriber{control: request.Control}
+		s = &subscriber{control: request.Control, failureDomain: request.FailureDomain}
 		c.subscribers[from] = s
 		c.o.Logger.Info("subscriber joined", zap.String("peer", from), zap.Bool("control", request.Control))
 	}
--- a/internal/control/voters.go
+++ b/internal/control/voters.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -25,10 +26,12 @@
 	maxVoters = 5
 )
 
-// planVoterChange returns the next change of the members, if one is due. An
-// instance that lost its data is removed and added again; a silent voter gives
-// way to a waiting instance; a learner becomes a voter.
-func planVoterChange(s replica.Status, now time.Time) (replica.VoterChange, bool) {
+// planVoterChange returns the next change of the members, if one is due. Every
+// instance becomes a member, since others know nothing of the log's state. An
+// instance that lost its data is removed and added again, a silent learner is
+// removed, and learners fill up the voters or take the place of a silent one.
+// Domains gives the failure domains of instances.
+func planVoterChange(s replica.Status, domains map[string]string, now time.Time) (replica.VoterChange, bool) {
 	if !s.Leads() {
 		return replica.VoterChange{}, false
 	}
@@ -38,29 +41,52 @@
 			return replica.VoterChange{Kind: replica.Remove, Instance: stranger.Instance, Storage: formerStorage(s.Members, stranger)}, true
 		}
 	}
-	// A waiting instance catches up before a silent voter is removed, so that
-	// the log is without a spare vote for as short a time as possible.
-	silent := silentVoter(s, now)
-	if len(s.Members.Learners) > 0 {
-		learner := s.Members.Learners[0]
+	for _, learner := range s.Members.Learners {
 		if silentMember(s, learner, now) {
 			return replica.VoterChange{Kind: replica.Remove, Instance: learner.Instance, Storage: learner.Storage}, true
 		}
-		if silent.Instance != "" && len(s.Members.Voters) >= targetVoters(s.Members) {
+	}
+	if len(s.Members.Learners) > 0 {
+		if len(s.Members.Voters) < targetVoters(s, now) {
+			learner := bestSpread(s.Members, domains)
+			return replica.VoterChange{Kind: replica.AddVoter, Instance: learner.Instance, Storage: learner.Storage}, true
+		}
+		// The learner that replaces a silent voter has caught up before the voter
+		// is removed, so that the log is short of a vote for as little time as
+		// possible.
+		if silent := silentVoter(s, now); silent.Instance != "" {
 			return replica.VoterChange{Kind: replica.Remove, Instance: silent.Instance, Storage: silent.Storage}, true
 		}
-		return replica.VoterChange{Kind: replica.AddVoter, Instance: learner.Instance, Storage: learner.Storage}, true
 	}
-	if len(s.Strangers) > 0 && (silent.Instance != "" || len(s.Members.Voters) < targetVoters(s.Members)) {
+	if len(s.Strangers) > 0 {
 		return replica.VoterChange{Kind: replica.AddLearner, Instance: s.Strangers[0].Instance, Storage: s.Strangers[0].Storage}, true
 	}
 	return replica.VoterChange{}, false
 }
 
-// targetVoters is the number of voters to keep: the odd number that the log
-// was created with, or three.
-func targetVoters(m consensus.Members) int {
-	return min(max(3, len(m.Voters)|1), maxVoters)
+// targetVoters is the number of voters to have: the largest odd number of
+// members that answer, between three and maxVoters.
+func targetVoters(s replica.Status, now time.Time) int {
+	alive := len(s.Members.Voters) + len(s.Members.Learners)
+	for _, id := range slices.Concat(s.Members.Voters, s.Members.Learners) {
+		if id != s.ID && silentMember(s, id, now) {
+			alive--
+		}
+	}
+	odd := (alive-1)/2*2 + 1
+	return min(max(3, odd), maxVoters)
+}
+
+// bestSpread returns the learner whose failure domain has the fewest voters, so
+// that the loss of a failure domain takes as few votes as possible.
+func bestSpread(m consensus.Members, domains map[string]string) consensus.NodeID {
+	voters := map[string]int{}
+	for _, id := range m.Voters {
+		voters[domains[id.Instance]]++
+	}
+	return slices.MinFunc(m.Learners, func(a, b consensus.NodeID) int {
+		return cmp.Compare(voters[domains[a.Instance]], voters[domains[b.Instance]])
+	})
 }
 
 func formerStorage(m consensus.Members, stranger consensus.NodeID) uint64 {
@@ -99,13 +125,26 @@
 		case <-c.ctx.Done():
 			return
 		case now := <-ticker.C:
-			if change, due := planVoterChange(c.replica.Status(), now); due {
+			if change, due := planVoterChange(c.replica.Status(), c.domains(), now); due {
 				c.changeVoters(change)
 			}
 		}
 	}
 }
 
+// domains returns the failure domains of the control instances that are known.
+func (c *Control) domains() map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	domains := map[string]string{c.o.ID: c.o.FailureDomain}
+	for id, s := range c.subscribers {
+		if s.control {
+			domains[id] = s.failureDomain
+		}
+	}
+	return domains
+}
+
 func (c *Control) changeVoters(change replica.VoterChange) {
 	ctx, cancel := context.WithTimeout(c.ctx, changeTimeout)
 	defer cancel()
--- a/internal/instance/cluster_test.go
+++ b/internal/instance/cluster_test.go
@@ -241,3 +241,24 @@
 	require.False(t, c.put(a, 6, "/six/"))
 	require.Zero(t, c.newest(a))
 }
+
+// Guards against a control instance beyond the seeds that answers nothing, and
+// against a deployment of five that does not bear the loss of two.
+func TestFiveControlInstancesBearTheLossOfTwo(t *testing.T) {
+	c := newCluster(t, 3)
+	var ids []string
+	for n := range 5 {
+		ids = append(ids, hostID(3, n+1))
+		c.start(ids[n], n < len(c.seeds), false, fmt.Sprint("n-", n))
+	}
+	started := time.Now()
+	c.eventually("acknowledged by an instance that is no seed", func() bool { return c.put(ids[4], 1, "/one/") })
+	for _, id := range ids {
+		c.eventually("every instance reads the change", func() bool { return c.newest(id) == 1 })
+	}
+	time.Sleep(time.Until(started.Add(catchUp)))
+	c.stop(ids[0])
+	c.stop(ids[1])
+	c.eventually("a change without two of them", func() bool { return c.put(ids[3], 2, "/two/") })
+	require.Equal(t, 2, c.newest(ids[4]))
+}
