--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -199,6 +199,26 @@
 	}
 }
 
+// Guards against a stream that ends as if it were whole, with a failure's body
+// in it, when the upstream that was to go on with it fails.
+func TestStreamThatCannotGoOnIsCutOff(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusNotFound} {
+		script := func(u *fakeUpstream, n int, w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Resume") != "" {
+				fail(status)(u, n, w, r)
+				return
+			}
+			stream(4, breakOff)(u, n, w, r)
+		}
+		one, two := newUpstream(t, "one", script), newUpstream(t, "two", script)
+		_, server := newEntry(t, one.record("model", "m"), two.record("model", "m"))
+		got := do(t, server, "/chat/")
+		require.Equal(t, events(4), got.body, "status %d", status)
+		require.False(t, got.whole, "status %d", status)
+		require.Equal(t, 2, one.requests()+two.requests())
+	}
+}
+
 // Guards against streams that wait for an upstream without a listener.
 func TestUnreachableHeadIsPassedOver(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -197,6 +197,11 @@
 // whole, so that a request may be sent again when the answer is cut off.
 func (x *exchange) relayWhole(ctx context.Context, s *send, resp *http.Response) sendResult {
 	t := s.target
+	if x.begun {
+		// The caller's stream has begun, and this is no continuation of it.
+		t.failed(time.Now())
+		return sendResult{ran: true, reason: fmt.Sprintf("upstream answered %d to a resumed stream", resp.StatusCode)}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
 	if err != nil {
 		t.failed(time.Now())
