--- a/internal/control/voters.go
+++ b/internal/control/voters.go
@@ -47,7 +47,7 @@
 		}
 	}
 	if len(s.Members.Learners) > 0 {
-		if len(s.Members.Voters) < targetVoters(s, now) {
+		if len(s.Members.Voters) < targetVoters(s.Members) {
 			learner := bestSpread(s.Members, domains)
 			return replica.VoterChange{Kind: replica.AddVoter, Instance: learner.Instance, Storage: learner.Storage}, true
 		}
@@ -65,15 +65,10 @@
 }
 
 // targetVoters is the number of voters to have: the largest odd number of
-// members that answer, between three and maxVoters.
-func targetVoters(s replica.Status, now time.Time) int {
-	alive := len(s.Members.Voters) + len(s.Members.Learners)
-	for _, id := range slices.Concat(s.Members.Voters, s.Members.Learners) {
-		if id != s.ID && silentMember(s, id, now) {
-			alive--
-		}
-	}
-	odd := (alive-1)/2*2 + 1
+// members, between three and maxVoters. Silent ones count, so that the loss of
+// some does not shrink the log to fewer voters than it has when they return.
+func targetVoters(m consensus.Members) int {
+	odd := (len(m.Voters)+len(m.Learners)-1)/2*2 + 1
 	return min(max(3, odd), maxVoters)
 }
 
--- a/internal/control/voters_test.go
+++ b/internal/control/voters_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -72,6 +73,12 @@
 			s.Strangers = []consensus.NodeID{node("f", 4)}
 		}, &replica.VoterChange{Kind: replica.AddLearner, Instance: "f", Storage: 4}},
 		{"six instances have five voters", alive, func(s *replica.Status) { vote(s, now, "d", "e"); learn(s, now, "f") }, nil},
+		{"two of five voters are silent", silent, func(s *replica.Status) {
+			vote(s, now.Add(-3*time.Second), "d")
+			vote(s, now, "e")
+			s.Members.Voters = slices.DeleteFunc(s.Members.Voters, func(id consensus.NodeID) bool { return id.Instance == "c" })
+			learn(s, now, "f")
+		}, &replica.VoterChange{Kind: replica.AddVoter, Instance: "f", Storage: 4}},
 		{"a learner takes the place of a silent voter", silent, func(s *replica.Status) { vote(s, now, "d", "e"); learn(s, now, "f") },
 			&replica.VoterChange{Kind: replica.Remove, Instance: "c", Storage: 1}},
 		{"a successor waits", silent, func(s *replica.Status) { s.Strangers = []consensus.NodeID{node("d", 4)} },
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -300,6 +300,27 @@
 	require.ErrorIs(t, err, ErrNotProposed)
 }
 
+// Guards against a voter that was removed while it was down and, back with its
+// old data, takes itself for a member and stays outside for good.
+func TestRemovedVoterReturns(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, nil)
+	propose(t, c.members["b"], 0, 10)
+	require.NoError(t, c.members["b"].TransferLeadership(testContext(t), "b"))
+	leader, ctx := c.members["b"], testContext(t)
+	c.members["a"].stop(c.n)
+	require.NoError(t, leader.ProposeVoterChange(ctx, VoterChange{Kind: Remove, Instance: "a"}))
+	await(t, "what it reported before the log began is forgotten", func() bool { return len(leader.Status().Strangers) == 0 })
+	back := c.start(t, "a", storage.OS{}, nil)
+	await(t, "the leader hears of the returned instance", func() bool {
+		s := leader.Status().Strangers
+		return len(s) == 1 && s[0] == back.ID()
+	})
+	require.NoError(t, leader.ProposeVoterChange(ctx, VoterChange{Kind: AddVoter, Instance: "a"}))
+	propose(t, leader, 10, 10)
+	requireSame(t, 20, leader, back)
+}
+
 // Guards against damaged logs that pass for new ones, so that an instance that
 // lost its data creates a second log.
 func TestDamagedLogsAreNotNew(t *testing.T) {
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -191,15 +191,23 @@
 	strangerLife = 3 * helloIntervalLate
 )
 
-// sayHello runs while this replica is not a member. The first instance of
+// sayHello runs while this replica is not a member, and while it hears of no
+// leader: it may have been removed while it was down, which its own data does
+// not say. The first instance of
 // Options.Voters creates the log once all of them have reported that they hold
 // none. An instance that lost its data therefore never creates a second log
 // while any other holds the first.
 func (r *Replica) sayHello(now time.Time) {
 	members := r.node.Status().Members
 	if slices.Contains(members.Voters, r.id) || slices.Contains(members.Learners, r.id) {
-		r.helloDue = time.Time{}
-		return
+		if r.node.Leader() != (consensus.NodeID{}) {
+			r.helloDue = time.Time{}
+			return
+		}
+		if r.helloDue.IsZero() {
+			// Elections take less time than this.
+			r.helloDue = now.Add(helloIntervalLate)
+		}
 	}
 	if now.Before(r.helloDue) {
 		return
