--- a/balance/balance.go
+++ b/balance/balance.go
@@ -13,6 +13,8 @@
 type Candidate struct {
 	// Running is the estimated number of requests there, waiting ones included.
 	Running float64
+	// Uncertain is the flow of requests since Running was measured.
+	Uncertain float64
 	// Deferred is the part of Running that gives way to timely requests.
 	Deferred float64
 	// Unread is the estimated number of prompt tokens that wait to be read.
@@ -74,6 +76,16 @@
 	// deferredPart bounds the deferred requests at a candidate, as a part of its
 	// slots: under lasting overload they would wait until they are given up.
 	deferredPart = 0.25
+	// sampleSize is the number of candidates drawn at random, of which the
+	// soonest is taken when it answers in time. Entries that know the same would
+	// all send to the soonest of all. Two gave the fewest late requests in the
+	// simulation of 69 entries.
+	sampleSize = 2
+	// caution is the part of the flow of requests since a report that counts as
+	// still there: of requests that entries send to a freed slot at the same
+	// time, all but one wait. Half had the most timely requests in the
+	// simulation of lasting overload without refusals below capacity.
+	caution = 0.5
 	// latePart is the part of the remaining time that a deferred request may
 	// wait.
 	latePart = 0.35
@@ -98,6 +110,9 @@
 // answer in time is deferred, and refused when it could not be answered within a
 // part of its remaining time.
 func Choose(random *rand.Rand, costs Costs, r Request, candidates []Candidate) Decision {
+	for i := range candidates {
+		candidates[i].Running += caution * candidates[i].Uncertain
+	}
 	usable := usableOf(candidates)
 	if len(usable) == 0 {
 		return Decision{Index: -1, RetryAfter: maxRetryAfter, Reason: ReasonNoUpstream}
@@ -137,11 +152,18 @@
 	// Among equals the choice is random, so that entries which know nothing yet
 	// do not all begin with the same candidate.
 	random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	best := soonest(usable, candidates, timely)
-	c := &candidates[best]
-	wait := costs.Wait(c, c.Running-c.Deferred)
-	slack := r.Objective - costs.Answer(c, r)
-	return best, wait, wait <= time.Duration(slackPart*float64(max(slack, 0)))
+	var best int
+	var wait time.Duration
+	for _, sample := range [][]int{usable[:min(sampleSize, len(usable))], usable} {
+		best = soonest(sample, candidates, timely)
+		c := &candidates[best]
+		wait = costs.Wait(c, c.Running-c.Deferred)
+		slack := r.Objective - costs.Answer(c, r)
+		if wait <= time.Duration(slackPart*float64(max(slack, 0))) {
+			return best, wait, true
+		}
+	}
+	return best, wait, false
 }
 
 // usableOf returns the indexes of the candidates to choose from: those that
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -159,13 +159,13 @@
 	now := time.UnixMilli(1_000_000)
 	var tracker Tracker
 	tracker.Report(now, 20)
-	require.InDelta(t, 20, tracker.Running(now, 7, 26, time.Second), 0.01)
+	require.InDelta(t, 20, tracker.Estimate(now, 7, 26, time.Second).Running, 0.01)
 	tracker.Send()
-	require.InDelta(t, 27, tracker.Running(now, 7, 26, time.Second), 0.01)
+	require.InDelta(t, 27, tracker.Estimate(now, 7, 26, time.Second).Running, 0.01)
 	// Half of the requests that were reported end in half of the time they run.
-	require.InDelta(t, 17, tracker.Running(now.Add(500*time.Millisecond), 7, 26, time.Second), 0.01)
+	require.InDelta(t, 17, tracker.Estimate(now.Add(500*time.Millisecond), 7, 26, time.Second).Running, 0.01)
 	// Without a report of use others are taken to have as many as this entry.
-	require.InDelta(t, 7, tracker.Running(now.Add(2*time.Second), 7, 26, time.Second), 0.01)
+	require.InDelta(t, 7, tracker.Estimate(now.Add(2*time.Second), 7, 26, time.Second).Running, 0.01)
 	tracker.End()
-	require.Zero(t, tracker.Running(now.Add(2*time.Second), 7, 26, time.Second))
+	require.Zero(t, tracker.Estimate(now.Add(2*time.Second), 7, 26, time.Second).Running)
 }
--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -71,7 +72,33 @@
 		}
 	}
 	version, document := c.machine.Catalog()
-	return proto.Marshal(&mesh.CatalogReply{Version: version, Document: document})
+	compressed, err := c.compressed.get(version, document)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, fault.At{Step: mesh.ChannelCatalog}, fault.NotRun)
+	}
+	return proto.Marshal(&mesh.CatalogReply{Version: version, Document: compressed})
+}
+
+// compressedCatalog keeps the compressed document of one version, which every
+// entry asks for at the same time.
+type compressedCatalog struct {
+	mu      sync.Mutex
+	version uint64
+	bytes   []byte
+}
+
+func (c *compressedCatalog) get(version uint64, document []byte) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bytes != nil && c.version == version {
+		return c.bytes, nil
+	}
+	compressed, err := mesh.Compress(document)
+	if err != nil {
+		return nil, err
+	}
+	c.version, c.bytes = version, compressed
+	return compressed, nil
 }
 
 // forwardError marks an error that proves that a request did not reach the
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -82,9 +82,18 @@
 	subscribers map[string]*subscriber
 	// sources holds the last update applied from other control instances.
 	sources map[string]position
+	// loads are the sums of what entries have in flight, as of loadsAt.
+	loads   *mesh.Loads
+	loadsAt time.Time
+	// leaderEntries is the number of entries that the leader told.
+	leaderEntries uint32
+	compressed    compressedCatalog
 	// announced is the last catalog version that subscribers were told of.
 	announced uint64
 
+	// changed wakes the publisher when changes wait for subscribers.
+	changed chan struct{}
+
 	controller *actor.PID
 	// tickQueued is set while a tick waits at the controller.
 	tickQueued atomic.Bool
@@ -103,7 +112,7 @@
 func Start(o Options) (*Control, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Control{o: o, machine: deploymentstate.New(), source: rand.Uint64() | 1, table: fleet.NewTable(),
-		subscribers: map[string]*subscriber{}, sources: map[string]position{}, ctx: ctx, cancel: cancel}
+		subscribers: map[string]*subscriber{}, sources: map[string]position{}, changed: make(chan struct{}, 1), ctx: ctx, cancel: cancel}
 	if err := c.openLog(); err != nil {
 		cancel()
 		return nil, fmt.Errorf("open log: %w", err)
@@ -113,6 +122,7 @@
 	o.Network.Handle(mesh.ChannelUpdate, c.serveUpdate)
 	o.Network.Handle(mesh.ChannelCatalog, c.serveCatalog)
 	o.Network.Handle(mesh.ChannelStall, c.serveStall)
+	o.Network.Handle(mesh.ChannelLoads, c.serveLoads)
 	c.done.Go(c.publish)
 	c.done.Go(c.tick)
 	c.done.Go(c.manageVoters)
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -25,6 +25,13 @@
 	// sourceSilence is the time without an update from another control instance
 	// after which all of its records are asked for again.
 	sourceSilence = 3 * UpdateInterval
+	// sendCost is the pause for each subscriber between two rounds of updates.
+	// An update takes some 30 µs of processor time, so that a burst of changes,
+	// as when many groups are formed, costs a tenth of a core. Sent one by one,
+	// 160 changes for 74 subscribers kept a leader from its heartbeats for 3 s.
+	sendCost = 300 * time.Microsecond
+	// maxPause bounds the pause, whatever the number of subscribers.
+	maxPause = 100 * time.Millisecond
 )
 
 // subscriber is an instance that receives updates.
@@ -37,6 +44,9 @@
 	number        uint64
 	pending       []*mesh.Upstream
 	demand        []serviceDemand
+	// loads is what an entry has in flight, by upstream.
+	loads   map[string]int
+	loadsAt time.Time
 }
 
 // serviceDemand is the offered work that an entry reported last.
@@ -94,6 +104,9 @@
 			update.Upstreams = append(update.Upstreams, mesh.EncodeUpstream(&u))
 		}
 	}
+	if !s.control && c.leads() {
+		update.Loads = c.totalLoads(time.Now())
+	}
 	s.number++
 	update.Number = s.number
 	s.pending, s.sent = nil, time.Now()
@@ -106,22 +119,31 @@
 	c.o.Network.Send(id, mesh.ChannelUpdate, payload)
 }
 
+// entries is the number of entries. Every entry subscribes to the leader, and to
+// some of the other control instances.
 func (c *Control) entries() uint32 {
 	n := uint32(0)
+	if !c.leads() {
+		n = c.leaderEntries
+	}
+	own := uint32(0)
 	for _, s := range c.subscribers {
 		if !s.control {
-			n++
+			own++
 		}
 	}
-	return n
+	return max(n, own)
 }
 
+func (c *Control) leads() bool { return c.replica.Status().Leads() }
+
 // publish sends due updates, renews subscriptions at other control instances
 // and drops what is silent.
 func (c *Control) publish() {
 	ticker := time.NewTicker(UpdateInterval / 2)
 	defer ticker.Stop()
-	var renewed time.Time
+	var renewed, flushed time.Time
+	var flush <-chan time.Time
 	for {
 		applied := c.replica.Watch()
 		select {
@@ -131,6 +153,15 @@
 		case <-applied:
 			c.announceVersion()
 			continue
+		case <-c.changed:
+			if flush == nil {
+				flush = time.After(time.Until(flushed.Add(c.sendPause())))
+			}
+			continue
+		case <-flush:
+			flush, flushed = nil, time.Now()
+			c.sendPending()
+			continue
 		}
 		now := time.Now()
 		c.sendDue(now)
@@ -141,6 +172,31 @@
 	}
 }
 
+func (c *Control) wakePublisher() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// sendPause is the time between two rounds of updates.
+func (c *Control) sendPause() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return min(time.Duration(len(c.subscribers))*sendCost, maxPause)
+}
+
+// sendPending sends the changes that wait for subscribers.
+func (c *Control) sendPending() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, s := range c.subscribers {
+		if len(s.pending) > 0 {
+			c.send(id, s, false)
+		}
+	}
+}
+
 // announceVersion tells all subscribers of a catalog that has just taken
 // effect here.
 func (c *Control) announceVersion() {
@@ -160,12 +216,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.Forget(now.Add(-forgetAfter))
+	interval := UpdateInterval
+	if c.leads() && len(c.totalLoads(now).Loads) > 0 {
+		interval = LoadInterval
+	}
 	for id, s := range c.subscribers {
 		switch {
 		case now.Sub(s.heard) > subscriptionLife:
 			delete(c.subscribers, id)
 			c.o.Logger.Info("subscriber dropped", zap.String("peer", id), zap.Duration("silent", now.Sub(s.heard)))
-		case now.Sub(s.sent) >= UpdateInterval || len(s.pending) > 0:
+		case now.Sub(s.sent) >= interval || len(s.pending) > 0:
 			c.send(id, s, false)
 		}
 	}
--- /dev/null
+++ b/internal/control/publish_test.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellfield/bluebellfield/catalog"
+	"github.com/bluebellfield/bluebellfield/fleet"
+	"github.com/bluebellfield/bluebellfield/internal/mesh"
+	"github.com/bluebellfield/bluebellfield/internal/peer"
+	"github.com/bluebellfield/bluebellfield/internal/storage"
+	"github.com/bluebellfield/bluebellfield/placement"
+)
+
+type noOrders struct{}
+
+func (noOrders) SendOrder(context.Context, placement.Order) (placement.Result, error) {
+	return placement.Accepted, nil
+}
+
+// startControl starts a control instance that is alone and reaches no other.
+func startControl(t *testing.T) *Control {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	network := peer.Listen(listener, peer.Options{ID: "127.0.0.1", Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
+		Resolve: func(string) (string, bool) { return "", false }})
+	dir, err := storage.OpenDir(storage.OS{}, t.TempDir())
+	require.NoError(t, err)
+	c, err := Start(Options{ID: "127.0.0.1", FailureDomain: "z", Seeds: []string{"127.0.0.1"}, Bootstrap: true, Dir: dir, Network: network,
+		System: actor.NewActorSystem(), Decode: func([]byte) (*catalog.Catalog, error) { return catalog.New(catalog.Content{}) },
+		Orders: noOrders{}, HeartbeatInterval: time.Second, StallTime: time.Second, Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		// The only voter cannot hand its leadership over; that is no failure here.
+		if err := c.Close(ctx); err != nil {
+			t.Logf("close: %v", err)
+		}
+		require.NoError(t, network.Close())
+		require.NoError(t, dir.Close())
+	})
+	return c
+}
+
+func subscribe(t *testing.T, c *Control, id string) {
+	payload, err := proto.Marshal(&mesh.Subscribe{FailureDomain: "z"})
+	require.NoError(t, err)
+	_, err = c.serveSubscribe(t.Context(), id, payload)
+	require.NoError(t, err)
+}
+
+// Guards against a burst of changes that is sent to each of many subscribers
+// one by one, which keeps the leader from its heartbeats, and against a single
+// change that waits for others.
+func TestBurstOfChangesIsSentTogether(t *testing.T) {
+	c := startControl(t)
+	const subscribers, changes = 70, 160
+	for n := range subscribers {
+		subscribe(t, c, fmt.Sprint("10.0.0.", n))
+	}
+	sent := func() (messages uint64, waiting int) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, s := range c.subscribers {
+			messages += s.number
+			waiting += len(s.pending)
+		}
+		return messages, waiting
+	}
+	idle := func() bool { _, waiting := sent(); return waiting == 0 }
+	before, _ := sent()
+	c.Announce(fleet.Upstream{ID: "first", Service: "s", Address: "10.1.0.1:1", Born: 1, Sequence: 1})
+	require.Eventually(t, idle, UpdateInterval/4, time.Millisecond, "a single change is sent at once")
+	after, _ := sent()
+	require.GreaterOrEqual(t, after-before, uint64(subscribers))
+	before = after
+	for n := range changes {
+		c.Announce(fleet.Upstream{ID: fmt.Sprint("u", n), Service: "s", Address: fmt.Sprintf("10.2.0.%d:1", n), Born: 1, Sequence: 1})
+	}
+	require.Eventually(t, idle, time.Second, time.Millisecond)
+	after, _ = sent()
+	require.LessOrEqual(t, after-before, uint64(subscribers*changes/10))
+}
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -18,7 +18,8 @@
 const forgetAfter = 60 * time.Second
 
 // Announce takes in a report that an upstream sent to this instance. What it
-// changes has been handed to all subscribers when Announce returns.
+// changes is sent to all subscribers at once, or with the next changes of a
+// burst.
 func (c *Control) Announce(u fleet.Upstream) {
 	now := time.Now()
 	c.mu.Lock()
@@ -55,11 +56,11 @@
 // something. The caller holds mu.
 func (c *Control) relay(u *fleet.Upstream, changed bool) {
 	encoded := mesh.EncodeUpstream(u)
-	for id, s := range c.subscribers {
+	for _, s := range c.subscribers {
 		switch {
 		case changed:
 			s.pending = append(s.pending, encoded)
-			c.send(id, s, false)
+			c.wakePublisher()
 		case s.control:
 			// Unchanged reports only prove life and can wait for the next update.
 			s.pending = append(s.pending, encoded)
@@ -84,6 +85,9 @@
 		return nil, nil
 	}
 	c.sources[from] = position{source: update.Source, number: update.Number, heard: now}
+	if update.Leader == from {
+		c.leaderEntries = update.Entries
+	}
 	for _, encoded := range update.Upstreams {
 		u := mesh.DecodeUpstream(encoded)
 		if accepted, changed := c.table.Observe(now, u); accepted && changed {
@@ -95,10 +99,10 @@
 }
 
 func (c *Control) relayToEntries(encoded *mesh.Upstream) {
-	for id, s := range c.subscribers {
+	for _, s := range c.subscribers {
 		if !s.control {
 			s.pending = append(s.pending, encoded)
-			c.send(id, s, false)
+			c.wakePublisher()
 		}
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,17 +50,21 @@
 	stats      *stats
 	started    time.Time
 
-	mu       sync.Mutex
-	table    *fleet.Table
-	targets  map[targetKey]*target
-	content  *catalog.Catalog
-	version  uint64
-	fetching bool
+	mu      sync.Mutex
+	table   *fleet.Table
+	targets map[targetKey]*target
+	content *catalog.Catalog
+	version uint64
+	// fetches holds when the running fetches of the catalog began, by source.
+	fetches  map[string]time.Time
 	sources  map[string]*source
 	controls []string
 	leader   string
 	entries  int
-	budgets  map[string]*budget
+	// told is what the leader was last told to be in flight, by upstream.
+	told    map[string]int
+	toldAt  time.Time
+	budgets map[string]*budget
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -71,10 +75,11 @@
 func Start(o Options) *Entry {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{o: o, configured: make(chan struct{}), table: fleet.NewTable(), targets: map[targetKey]*target{},
-		sources: map[string]*source{}, budgets: map[string]*budget{}, stats: newStats(o.Registry), started: time.Now(), ctx: ctx, cancel: cancel}
+		sources: map[string]*source{}, budgets: map[string]*budget{}, fetches: map[string]time.Time{}, stats: newStats(o.Registry), started: time.Now(), ctx: ctx, cancel: cancel}
 	o.Network.Handle(mesh.ChannelUpdate, e.serveUpdate)
 	e.done.Go(e.follow)
 	e.done.Go(e.expire)
+	e.done.Go(e.tellLoads)
 	return e
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -233,6 +234,24 @@
 	}
 }
 
+// Guards against requests that are refused because others found an upstream
+// without a listener: what no upstream received is no repeated load.
+func TestUnreachableUpstreamCostsNoBudget(t *testing.T) {
+	var gone [3]fleet.Upstream
+	for n := range gone {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		gone[n] = fleet.Upstream{ID: fmt.Sprint("gone-", n), Service: "app", Address: listener.Addr().String(), FailureDomain: "z", Born: 1, Sequence: 1, Slots: 6}
+		require.NoError(t, listener.Close())
+	}
+	good := newUpstream(t, "good", answer("served"))
+	e, server := newEntry(t, gone[0], gone[1], gone[2], good.record("app", ""))
+	e.o.Budget = Budget{Window: 10 * time.Second}
+	for range 10 {
+		require.Equal(t, "served", do(t, server, "/order/x").body)
+	}
+}
+
 // Guards against requests to groups that do not serve, are of another model, or
 // have a head that leaves.
 func TestViewHoldsServingGroupsOnly(t *testing.T) {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -24,6 +24,9 @@
 	// extraSends bounds the sends of a request that upstreams refuse to run,
 	// beyond the route's attempts.
 	extraSends = 1
+	// maxUnsent bounds the upstreams without a listener that one request tries.
+	// After a lost failure domain a third of those that are known may be gone.
+	maxUnsent = 3
 	// usualServiceTime is assumed of plain services before any was measured.
 	usualServiceTime = 50 * time.Millisecond
 	// leastRemaining is the least time for which another send is worth while.
@@ -51,8 +54,10 @@
 
 	sends []sendRecord
 	tried map[*target]bool
-	// runs counts the sends that may have run.
+	// runs counts the sends that may have run, unsent those that reached no
+	// upstream.
 	runs      int
+	unsent    int
 	position  int64
 	begun     bool
 	firstByte time.Time
@@ -289,7 +294,15 @@
 	if result.ran && (!x.route.MayRepeat() || x.runs >= x.route.MaxAttempts) {
 		return false
 	}
-	if len(x.sends) >= x.route.MaxAttempts+extraSends || !x.hasAlternative(time.Now()) {
+	if !x.hasAlternative(time.Now()) {
+		return false
+	}
+	if result.unsent {
+		// No upstream has more to do because of it.
+		x.unsent++
+		return x.unsent <= maxUnsent
+	}
+	if len(x.sends)-x.unsent >= x.route.MaxAttempts+extraSends {
 		return false
 	}
 	if !x.e.budget(x.service.Name).take(time.Now(), &x.e.o.Budget, x.view.entries) {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -33,6 +33,10 @@
 	currentCatalogWait = 3 * time.Second
 	// fetchTimeout bounds one request for the catalog.
 	fetchTimeout = time.Second
+	// fetchHedge is the time without an answer after which the catalog is asked
+	// for at another control instance as well: several times what a large
+	// catalog takes, and a tenth of the time in which a change must be in force.
+	fetchHedge = 250 * time.Millisecond
 	// forgetAfter is as at control instances.
 	forgetAfter = 60 * time.Second
 )
@@ -174,6 +178,9 @@
 		e.leader = update.Leader
 	}
 	e.apply(now, from, &update)
+	if update.Loads != nil {
+		e.shareLoads(now, update.Loads.Loads)
+	}
 	if update.CatalogVersion > e.version {
 		e.fetchFrom(from)
 	}
@@ -202,19 +209,25 @@
 	e.view.Store(buildView(e.content, upstreams, e.targets, e.entries))
 }
 
-// fetchFrom gets the catalog from a control instance, one request at a time.
-// The caller holds mu.
+// fetchFrom gets the catalog from a control instance, one request at a time
+// while they are answered soon. The caller holds mu.
 func (e *Entry) fetchFrom(id string) {
-	if e.fetching {
+	now := time.Now()
+	if _, running := e.fetches[id]; running {
 		return
 	}
-	e.fetching = true
+	for _, began := range e.fetches {
+		if now.Sub(began) < fetchHedge {
+			return
+		}
+	}
+	e.fetches[id] = now
 	current := e.content == nil && time.Since(e.started) < currentCatalogWait
 	e.done.Go(func() {
 		err := e.fetch(id, current)
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.fetching = false
+		delete(e.fetches, id)
 		if err != nil {
 			e.o.Logger.Warn("catalog not fetched", zap.String("peer", id), zap.Bool("current", current), zap.Error(err))
 		}
@@ -236,7 +249,11 @@
 	if err := proto.Unmarshal(answer, &reply); err != nil {
 		return fault.Wrap(err, fault.Internal, fault.At{Step: mesh.ChannelCatalog, Peer: id}, fault.NotRun)
 	}
-	return e.install(id, reply.Version, reply.Document)
+	document, err := mesh.Decompress(reply.Document)
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, fault.At{Step: mesh.ChannelCatalog, Peer: id}, fault.NotRun)
+	}
+	return e.install(id, reply.Version, document)
 }
 
 // install puts a catalog in force unless a newer one is.
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -63,3 +65,48 @@
 	source, number = position()
 	require.EqualValues(t, []uint64{9, 1}, []uint64{source, number}, "the instance has started again")
 }
+
+// Guards against an entry that knows only of its own requests at an upstream,
+// or counts them twice when the leader tells what all entries have there.
+func TestLoadsOfOtherEntriesCount(t *testing.T) {
+	u := newUpstream(t, "u", stream(1, nil))
+	e, _ := newEntry(t, u.record("model", "m"))
+	e.mu.Lock()
+	e.told = map[string]int{"u": 2}
+	var target *target
+	for _, t := range e.targets {
+		target = t
+	}
+	e.mu.Unlock()
+	l := target.begin(100, false)
+	defer l.end()
+	payload, err := proto.Marshal(&mesh.Update{Source: 3, Number: 1, Complete: true, Entries: 69,
+		Loads: mesh.EncodeLoads(map[string]int{"u": 20, "unknown": 4})})
+	require.NoError(t, err)
+	_, err = e.serveUpdate(t.Context(), "10.0.0.1", payload)
+	require.NoError(t, err)
+	require.InDelta(t, 1+18, target.estimate(time.Now(), 69, 26, time.Second).Running, 0.01)
+}
+
+// Guards against an entry that waits for the catalog of a control instance that
+// does not answer while another could give it.
+func TestCatalogIsAskedForElsewhere(t *testing.T) {
+	e, _ := newEntry(t)
+	running := func() []string {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return slices.Sorted(maps.Keys(e.fetches))
+	}
+	e.mu.Lock()
+	e.fetches["10.0.0.1"] = time.Now()
+	e.fetchFrom("10.0.0.1")
+	e.fetchFrom("10.0.0.2")
+	e.mu.Unlock()
+	require.Equal(t, []string{"10.0.0.1"}, running(), "the first one may still answer")
+	e.mu.Lock()
+	e.fetches["10.0.0.1"] = time.Now().Add(-fetchHedge)
+	e.fetchFrom("10.0.0.2")
+	_, asked := e.fetches["10.0.0.2"]
+	e.mu.Unlock()
+	require.True(t, asked)
+}
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -41,7 +41,9 @@
 	// ran says that the request may have run.
 	ran bool
 	// prepaid says that another send was taken from the budget already.
-	prepaid    bool
+	prepaid bool
+	// unsent says that the upstream received nothing.
+	unsent     bool
 	retryAfter time.Duration
 	reason     string
 	// held is a failure answered by the upstream that can be passed on.
@@ -148,7 +150,7 @@
 	if ctx.Err() != nil {
 		return sendResult{ran: ran, reason: cause.Error()}
 	}
-	return sendResult{ran: ran, retryAfter: notRunRetry, reason: codeOf(err) + ": " + err.Error()}
+	return sendResult{ran: ran, unsent: !ran, retryAfter: notRunRetry, reason: codeOf(err) + ": " + err.Error()}
 }
 
 func (x *exchange) buildRequest(ctx context.Context, s *send) (*http.Request, error) {
--- a/internal/entry/target.go
+++ b/internal/entry/target.go
@@ -105,6 +105,20 @@
 	t.tracker.Report(now, float64(l.Running+l.Waiting))
 }
 
+// inFlight returns the number of this entry's requests there.
+func (t *target) inFlight() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tracker.InFlight
+}
+
+// share takes in how many requests the other entries have there.
+func (t *target) share(now time.Time, others float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tracker.Share(now, others)
+}
+
 // alive takes in a sign of life.
 func (t *target) alive(now time.Time) {
 	t.mu.Lock()
@@ -195,7 +209,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c.Slots = slots
-	c.Running = t.tracker.Running(now, entries, slots, occupancy)
+	estimate := t.tracker.Estimate(now, entries, slots, occupancy)
+	c.Running, c.Uncertain = estimate.Running, estimate.Uncertain
 	if t.tracker.InFlight > 0 {
 		c.Deferred = c.Running * float64(t.deferred) / float64(t.tracker.InFlight)
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -2,7 +2,14 @@
 // the channels that carry them.
 package mesh
 
-import "github.com/bluebellfield/bluebellfield/fleet"
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+
+	"github.com/bluebellfield/bluebellfield/fleet"
+)
 
 // Channels between instances.
 const (
@@ -10,6 +17,7 @@
 	ChannelUpdate    = "fleet.update"
 	ChannelCatalog   = "catalog.get"
 	ChannelStall     = "group.stall"
+	ChannelLoads     = "fleet.loads"
 	ChannelLog       = "log.deployment"
 	ChannelForward   = "forward.deployment"
 )
@@ -31,3 +39,58 @@
 		Member: fleet.Membership{Group: u.Group, Epoch: u.Epoch, Rank: int(u.Rank), State: fleet.MemberState(u.MemberState)},
 	}
 }
+
+// EncodeLoads converts numbers of requests by upstream.
+func EncodeLoads(loads map[string]int) *Loads {
+	encoded := &Loads{Loads: make([]*Load, 0, len(loads))}
+	for id, n := range loads {
+		encoded.Loads = append(encoded.Loads, &Load{Upstream: id, Requests: uint32(n)})
+	}
+	return encoded
+}
+
+// DecodeLoads converts a message back.
+func DecodeLoads(encoded *Loads) map[string]int {
+	loads := make(map[string]int, len(encoded.Loads))
+	for _, l := range encoded.Loads {
+		loads[l.Upstream] = int(l.Requests)
+	}
+	return loads
+}
+
+// Compress compresses a catalog document. A document of two thousand routes
+// shrinks to about a tenth.
+func Compress(document []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(document); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// maxDocument bounds a decompressed document: many times the largest catalog,
+// so that damaged bytes cannot use up the memory.
+const maxDocument = 64 << 20
+
+// Decompress reverses Compress.
+func Decompress(compressed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(compressed))
+	if err != nil {
+		return nil, fmt.Errorf("decompress catalog: %w", err)
+	}
+	document, err := io.ReadAll(io.LimitReader(r, maxDocument+1))
+	if err != nil {
+		return nil, fmt.Errorf("decompress catalog: %w", err)
+	}
+	if len(document) > maxDocument {
+		return nil, fmt.Errorf("catalog is larger than %d bytes", maxDocument)
+	}
+	return document, nil
+}
