--- a/balance/balance.go
+++ b/balance/balance.go
@@ -131,8 +131,9 @@
 
 // chooseLate picks a candidate for a request that cannot be timely. A fresh one
 // gets a free slot, or the time to return: in a queue it would wait behind all
-// timely requests. One that has returned or that has begun elsewhere has no
-// other chance and may wait for a part of its time, beside few others.
+// timely requests. One that has returned has no other chance and may wait for a
+// part of its time, beside few others. One that has begun elsewhere may wait for
+// as long as its caller does.
 func chooseLate(costs Costs, r *Request, usable []int, candidates []Candidate) (int, time.Duration, bool) {
 	late := func(c *Candidate) time.Duration { return costs.Wait(c, c.Running) + costs.Answer(c, r) }
 	best := soonest(usable, candidates, late)
@@ -141,7 +142,11 @@
 	if wait == 0 {
 		return best, wait, true
 	}
-	lastChance := r.Begun || r.Objective <= 0 && c.Deferred < deferredPart*float64(c.Slots)
+	if r.Begun {
+		// Its caller is lost otherwise.
+		return best, wait, wait <= r.Remaining
+	}
+	lastChance := r.Objective <= 0 && c.Deferred < deferredPart*float64(c.Slots)
 	return best, wait, lastChance && wait <= time.Duration(latePart*float64(r.Remaining))
 }
 
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -45,6 +45,9 @@
 	LatencyObjective time.Duration
 	// PauseObjective bounds the pause between two events of a stream.
 	PauseObjective time.Duration
+	// SilencePatience is how long callers of a stream wait for its next event,
+	// the first one included, before they leave; zero when it is not known.
+	SilencePatience time.Duration
 	// Priority ranks the route; 0 is the most urgent.
 	Priority int
 	Targets  []Target
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/fleet"
 	"github.com/bluebellfield/bluebellfield/internal/mesh"
 )
@@ -302,3 +303,18 @@
 	}
 	require.LessOrEqual(t, one.requests()+two.requests(), 60+22)
 }
+
+// Guards against streams that are accepted to wait in a queue for longer than
+// their callers wait for an event.
+func TestCallersOfStreamsLeaveWithoutEvents(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	x := &exchange{started: now, deadline: now.Add(8 * time.Second),
+		route: &catalog.Route{Kind: catalog.Stream, SilencePatience: 2 * time.Second}}
+	require.Equal(t, 1500*time.Millisecond, x.remaining(now.Add(500*time.Millisecond)))
+	x.lastEvent = now.Add(3 * time.Second)
+	require.Equal(t, 1900*time.Millisecond, x.remaining(now.Add(3100*time.Millisecond)))
+	x.lastEvent = now.Add(7 * time.Second)
+	require.Equal(t, 800*time.Millisecond, x.remaining(now.Add(7200*time.Millisecond)))
+	x.route.Kind = catalog.Idempotent
+	require.Equal(t, 7500*time.Millisecond, x.remaining(now.Add(500*time.Millisecond)))
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -243,7 +243,7 @@
 	}
 	decision := balance.Choose(x.random, x.costs(), balance.Request{
 		PromptTokens: x.request.PromptTokens, AnswerTokens: x.request.expectedAnswer(),
-		Remaining: x.deadline.Sub(now), Objective: x.route.LatencyObjective - x.elapsed - now.Sub(x.started), Begun: x.runs > 0,
+		Remaining: x.remaining(now), Objective: x.route.LatencyObjective - x.elapsed - now.Sub(x.started), Begun: x.runs > 0,
 	}, candidates)
 	if decision.Index < 0 {
 		return nil, decision
@@ -251,6 +251,20 @@
 	return targets[decision.Index], decision
 }
 
+// remaining is the time until the caller gives up. Callers of streams leave when
+// no event comes for a while, however long they would wait for the whole.
+func (x *exchange) remaining(now time.Time) time.Duration {
+	left := x.deadline.Sub(now)
+	if x.route.Kind != catalog.Stream || x.route.SilencePatience == 0 {
+		return left
+	}
+	heard := x.started
+	if x.lastEvent.After(heard) {
+		heard = x.lastEvent
+	}
+	return min(left, heard.Add(x.route.SilencePatience).Sub(now))
+}
+
 // estimate returns what a target runs.
 func (x *exchange) estimate(now time.Time, t *target) balance.Candidate {
 	slots, occupancy := t.upstream.Slots, usualServiceTime
