--- a/internal/instance/cluster_test.go
+++ b/internal/instance/cluster_test.go
@@ -262,3 +262,30 @@
 	c.eventually("a change without two of them", func() bool { return c.put(ids[3], 2, "/two/") })
 	require.Equal(t, 2, c.newest(ids[4]))
 }
+
+// Guards against an acknowledged change that is lost when all instances lose
+// power at once and two of five come back without their data.
+func TestTwoOfFiveAreWipedWhileAllAreDown(t *testing.T) {
+	c := newCluster(t, 4)
+	var ids []string
+	for n := range 5 {
+		ids = append(ids, hostID(4, n+1))
+		c.start(ids[n], n < len(c.seeds), false, fmt.Sprint("n-", n))
+	}
+	time.Sleep(catchUp)
+	c.eventually("acknowledged", func() bool { return c.put(ids[0], 7, "/seven/") })
+	for _, id := range ids {
+		c.stop(id)
+	}
+	for n, id := range ids {
+		folder := fmt.Sprint("n-", n)
+		if n < 2 {
+			folder = fmt.Sprint("wiped-", n)
+		}
+		c.start(id, false, false, folder)
+	}
+	for _, id := range ids {
+		c.eventually("every instance reads the change", func() bool { return c.newest(id) == 7 })
+	}
+	c.eventually("a later change", func() bool { return c.put(ids[1], 8, "/eight/") })
+}
