--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -27,15 +27,16 @@
 	return placement.Accepted, nil
 }
 
-// startControl starts a control instance that is alone and reaches no other.
-func startControl(t *testing.T) *Control {
+// startControl starts a control instance that reaches no other. It leads the log
+// when it is the only seed.
+func startControl(t *testing.T, seeds ...string) *Control {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	network := peer.Listen(listener, peer.Options{ID: "127.0.0.1", Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
 		Resolve: func(string) (string, bool) { return "", false }})
 	dir, err := storage.OpenDir(storage.OS{}, t.TempDir())
 	require.NoError(t, err)
-	c, err := Start(Options{ID: "127.0.0.1", FailureDomain: "z", Seeds: []string{"127.0.0.1"}, Bootstrap: true, Dir: dir, Network: network,
+	c, err := Start(Options{ID: "127.0.0.1", FailureDomain: "z", Seeds: seeds, Bootstrap: true, Dir: dir, Network: network,
 		System: actor.NewActorSystem(), Decode: func([]byte) (*catalog.Catalog, error) { return catalog.New(catalog.Content{}) },
 		Orders: noOrders{}, HeartbeatInterval: time.Second, StallTime: time.Second, Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
 	require.NoError(t, err)
@@ -63,7 +64,7 @@
 // one by one, which keeps the leader from its heartbeats, and against a single
 // change that waits for others.
 func TestBurstOfChangesIsSentTogether(t *testing.T) {
-	c := startControl(t)
+	c := startControl(t, "127.0.0.1")
 	const subscribers, changes = 70, 160
 	for n := range subscribers {
 		subscribe(t, c, fmt.Sprint("10.0.0.", n))
@@ -91,3 +92,26 @@
 	after, _ = sent()
 	require.LessOrEqual(t, after-before, uint64(subscribers*changes/10))
 }
+
+// Guards against a retry budget that is divided by too few entries: a control
+// instance that does not lead has only some of them as subscribers.
+func TestEntriesAreCountedByTheLeader(t *testing.T) {
+	c := startControl(t, "127.0.0.1", "10.0.0.2", "10.0.0.3")
+	subscribe(t, c, "10.0.1.1")
+	receive := func(from string, entries uint32) {
+		payload, err := proto.Marshal(&mesh.Update{Source: 1, Number: 1, Complete: true, Leader: "10.0.0.2", Entries: entries})
+		require.NoError(t, err)
+		_, err = c.serveUpdate(t.Context(), from, payload)
+		require.NoError(t, err)
+	}
+	count := func() uint32 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.entries()
+	}
+	require.EqualValues(t, 1, count())
+	receive("10.0.0.2", 69)
+	require.EqualValues(t, 69, count())
+	receive("10.0.0.3", 20)
+	require.EqualValues(t, 69, count(), "only the leader knows all")
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -32,3 +32,22 @@
 	loads := map[string]int{"one": 3, "two": 48}
 	require.Equal(t, loads, DecodeLoads(EncodeLoads(loads)))
 }
+
+// Guards against bytes of a damaged or foreign peer that break an entry.
+func FuzzDecompress(f *testing.F) {
+	compressed, err := Compress([]byte(`{"version":1}`))
+	require.NoError(f, err)
+	f.Add(compressed)
+	f.Add([]byte("no document"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		document, err := Decompress(data)
+		if err != nil {
+			return
+		}
+		again, err := Compress(document)
+		require.NoError(t, err)
+		same, err := Decompress(again)
+		require.NoError(t, err)
+		require.True(t, bytes.Equal(document, same))
+	})
+}
