--- a/balance/balance.go
+++ b/balance/balance.go
@@ -150,8 +150,8 @@
 	return best, wait, lastChance && wait <= time.Duration(latePart*float64(r.Remaining))
 }
 
-// chooseTimely picks a candidate that answers within the objective, or that
-// begins at once, since nothing is gained by deferring such a request.
+// chooseTimely picks a candidate that answers within the objective or begins at
+// once: the best of a few drawn at random, or else of all.
 func chooseTimely(random *rand.Rand, costs Costs, r *Request, usable []int, candidates []Candidate) (int, time.Duration, bool) {
 	timely := func(c *Candidate) time.Duration { return costs.Wait(c, c.Running-c.Deferred) + costs.Answer(c, r) }
 	// Among equals the choice is random, so that entries which know nothing yet
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -25,11 +25,11 @@
 	// sourceSilence is the time without an update from another control instance
 	// after which all of its records are asked for again.
 	sourceSilence = 3 * UpdateInterval
-	// sendCost is the pause for each subscriber between two rounds of updates.
-	// An update takes some 30 µs of processor time, so that a burst of changes,
-	// as when many groups are formed, costs a tenth of a core. Sent one by one,
-	// 160 changes for 74 subscribers kept a leader from its heartbeats for 3 s.
-	sendCost = 300 * time.Microsecond
+	// pausePerSubscriber, times the subscribers, is the time between two rounds
+	// of updates. An update takes some 30 µs of processor time, so that a burst
+	// of changes costs a tenth of a core. Sent one by one, 160 changes for 74
+	// subscribers kept a leader from its heartbeats until it lost its lease.
+	pausePerSubscriber = 300 * time.Microsecond
 	// maxPause bounds the pause, whatever the number of subscribers.
 	maxPause = 100 * time.Millisecond
 )
@@ -183,7 +183,7 @@
 func (c *Control) sendPause() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return min(time.Duration(len(c.subscribers))*sendCost, maxPause)
+	return min(time.Duration(len(c.subscribers))*pausePerSubscriber, maxPause)
 }
 
 // sendPending sends the changes that wait for subscribers.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,7 +61,7 @@
 	controls []string
 	leader   string
 	entries  int
-	// told is what the leader was last told to be in flight, by upstream.
+	// told is what this entry last told the leader to have in flight.
 	told    map[string]int
 	toldAt  time.Time
 	budgets map[string]*budget
