--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -59,7 +59,7 @@
 // Occupancy is the time for which a request runs.
 func (t *Tracker) Estimate(now time.Time, entries, slots int, occupancy time.Duration) Estimate {
 	own := float64(t.InFlight)
-	age, shared := since(now, t.at), since(now, t.sharedAt)
+	age, shared := now.Sub(t.at), now.Sub(t.sharedAt)
 	// flow is the number of requests that begin and end in a time beside others.
 	flow := func(age time.Duration, requests float64) float64 {
 		if occupancy <= 0 {
@@ -80,10 +80,3 @@
 	// Other entries are taken to have as many as this one.
 	return Estimate{Running: own * float64(max(entries, 1))}
 }
-
-func since(now, t time.Time) time.Duration {
-	if t.IsZero() {
-		return 1<<63 - 1
-	}
-	return now.Sub(t)
-}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -26,9 +26,10 @@
 	// after which all of its records are asked for again.
 	sourceSilence = 3 * UpdateInterval
 	// pausePerSubscriber, times the subscribers, is the time between two rounds
-	// of updates. An update takes some 30 µs of processor time, so that a burst
-	// of changes costs a tenth of a core. Sent one by one, 160 changes for 74
-	// subscribers kept a leader from its heartbeats until it lost its lease.
+	// of updates. An update takes 67 to 84 µs of processor time at both ends
+	// together (BenchmarkUpdate), so that a burst of changes costs the sender an
+	// eighth of a core. Sent one by one, 160 changes for 74 subscribers kept a
+	// leader from its heartbeats until it lost its lease.
 	pausePerSubscriber = 300 * time.Microsecond
 	// maxPause bounds the pause, whatever the number of subscribers.
 	maxPause = 100 * time.Millisecond
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -34,8 +34,8 @@
 	// fetchTimeout bounds one request for the catalog.
 	fetchTimeout = time.Second
 	// fetchHedge is the time without an answer after which the catalog is asked
-	// for at another control instance as well: several times what a large
-	// catalog takes, and a tenth of the time in which a change must be in force.
+	// for at another control instance as well: a tenth of the time in which a
+	// change must be in force, so that each source can be tried in it.
 	fetchHedge = 250 * time.Millisecond
 	// forgetAfter is as at control instances.
 	forgetAfter = 60 * time.Second
@@ -164,7 +164,7 @@
 		s = &source{}
 		e.sources[from] = s
 	}
-	if timeSince(now, s.heard) > sourceLife {
+	if now.Sub(s.heard) > sourceLife {
 		e.o.Logger.Info("control instance regained", zap.String("peer", from))
 	}
 	if !update.Complete && (update.Source != s.id || update.Number != s.number+1) {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/enginemodel"
@@ -97,11 +96,3 @@
 	slices.SortFunc(sorted, strings.Compare)
 	return slices.Compact(sorted)
 }
-
-// timeSince is the time since t, or a very long one for the zero time.
-func timeSince(now, t time.Time) time.Duration {
-	if t.IsZero() {
-		return time.Duration(1<<63 - 1)
-	}
-	return now.Sub(t)
-}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -58,8 +58,8 @@
 	return loads
 }
 
-// Compress compresses a catalog document. A document of two thousand routes
-// shrinks to about a tenth.
+// Compress compresses a catalog document. One of 1,934 routes like those of the
+// users shrinks from 501 KB to 31 KB.
 func Compress(document []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
