placement: free the members of a lost head at once, and groups of ended heads

Cause: a group whose head does not answer was held until the head must have given up, 7 s after one member had left; the other members stayed bound for that time.

Hypothesis: survivors that leave are free, as a member that has left belongs to no group, and a head that lacks a member cannot complete work.

Change: all reachable members of an isolated group are ordered to leave; each is used again when it reports that it has left. A failed probe of the head with a reported stall leads to isolation without an order to close. fleet.Table marks an upstream as Replaced when a process that started later has its address; a group whose head is replaced is dissolved.

--- a/fleet/commands.go
+++ b/fleet/commands.go
@@ -10,12 +10,14 @@
 	if old != nil && !supersedes(old, &u) {
 		return false, false
 	}
-	if holder := t.upstreams[t.byAddress[u.Address]]; holder != nil && holder.ID != u.ID && holder.Phase != Gone && u.Phase != Gone {
-		if holder.StartMillis > u.StartMillis {
+	if holder := t.upstreams[t.byAddress[u.Address]]; holder != nil && holder.ID != u.ID && u.Phase != Gone {
+		switch {
+		case holder.StartMillis <= u.StartMillis:
+			holder.Phase, holder.Replaced = Gone, true
+		case holder.Phase != Gone:
 			// A process that started later has the address; this report is delayed.
 			return false, false
 		}
-		holder.Phase = Gone
 	}
 	u.ReceivedAt = now
 	changed = old == nil || !sameContent(old, &u)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,6 +70,10 @@
 	// Staged lists the models whose weights are on the host.
 	Staged []string
 	Member Membership
+	// Replaced is set once another process that started later uses the address,
+	// which proves that this one has ended. A departed upstream that is not
+	// replaced may still be running. It is not compared and not forwarded.
+	Replaced bool
 	// ReceivedAt is the local time at which the report arrived. It is not compared
 	// and not forwarded.
 	ReceivedAt time.Time
--- a/placement/advance.go
+++ b/placement/advance.go
@@ -9,6 +9,10 @@
 // advance moves a group through its lifecycle according to the reports of its
 // members.
 func (p *Planner) advance(now time.Time, g *group) {
+	if g.stage >= serving && p.headEnded(g) {
+		p.dissolve(now, g)
+		return
+	}
 	switch g.stage {
 	case forming:
 		p.advanceForming(now, g)
@@ -27,6 +31,14 @@
 	}
 }
 
+// headEnded reports whether the process of a group's head is known to have
+// ended, so that the group cannot serve anymore. A head that only left or does
+// not answer may still be serving.
+func (p *Planner) headEnded(g *group) bool {
+	head := p.engines[g.head()]
+	return head != nil && head.Replaced
+}
+
 // reportsGroup reports whether the engine's last report names the group.
 func (e *engine) reportsGroup(g *group) bool {
 	return e.Member.Group == g.name && e.Member.Epoch == g.epoch
@@ -175,6 +187,10 @@
 		// Either a new leader adopted the group before the first report of its head,
 		// or a delayed order of an earlier leader closed it.
 		p.release(now, g)
+	case !g.lastStallReport.IsZero() && head.unreachableSince(g.firstStallReport):
+		// An order to close would not reach the head.
+		g.setStage(now, isolating)
+		p.advanceIsolating(now, g)
 	case !g.lastStallReport.IsZero() && p.hasUnreachableMember(g):
 		p.startClosing(now, g, true)
 	case !g.lastStallReport.IsZero() && now.Sub(g.lastStallReport) < probeInterval && now.Sub(g.lastProbe) >= probeInterval:
@@ -252,13 +268,19 @@
 // first stall report.
 func (p *Planner) hasUnreachableMember(g *group) bool {
 	for _, id := range g.members {
-		if e := p.engines[id]; e != nil && !e.unreachable.IsZero() && !e.unreachable.Before(g.firstStallReport) {
+		if e := p.engines[id]; e != nil && e.unreachableSince(g.firstStallReport) {
 			return true
 		}
 	}
 	return false
 }
 
+// unreachableSince reports whether a probe of the engine has failed at or after
+// the given time, and the engine has not reported since.
+func (e *engine) unreachableSince(t time.Time) bool {
+	return !e.unreachable.IsZero() && !e.unreachable.Before(t)
+}
+
 func (p *Planner) queueProbe(g *group, id string) {
 	if e := p.engines[id]; e != nil {
 		p.pendingOrders = append(p.pendingOrders, Order{Kind: Probe, Upstream: id, Address: e.Address, StartMillis: e.StartMillis, Group: g.name, Epoch: g.epoch, Reason: "a stall was reported or the head is silent"})
@@ -327,26 +349,26 @@
 	if g.memberRemovedAt.IsZero() && p.hasMissingMember(g) {
 		g.memberRemovedAt = now
 	}
-	if g.memberRemovedAt.IsZero() {
-		p.orderLeave(now, g)
-		return
-	}
-	if now.Sub(g.memberRemovedAt) > p.cfg.StallTime+stallMargin {
+	p.orderLeave(now, g)
+	removed := !g.memberRemovedAt.IsZero()
+	switch {
+	case removed && now.Sub(g.memberRemovedAt) > p.cfg.StallTime+stallMargin:
+		p.dissolve(now, g)
+	case !removed && now.Sub(g.stageSince) > 2*p.cfg.StallTime+stallMargin:
+		// No member is reachable, so none can be used in another group either.
 		p.dissolve(now, g)
 	}
 }
 
-// orderLeave removes one reachable member from a group, which makes its head
-// stop serving after StallTime.
+// orderLeave orders the reachable members out of a group whose head is
+// unreachable. A member that reports that it has left can be used again at once.
+// A head that is still running stalls without it, and stops serving after
+// StallTime.
 func (p *Planner) orderLeave(now time.Time, g *group) {
 	for _, id := range g.members[1:] {
-		if e := p.engines[id]; e != nil && e.unreachable.IsZero() && e.Phase != fleet.Gone && now.Sub(e.ReceivedAt) < headSilenceTimeout {
+		e := p.engines[id]
+		if e != nil && e.group == g && e.unreachable.IsZero() && e.Phase != fleet.Gone && now.Sub(e.ReceivedAt) < headSilenceTimeout {
 			p.queueOrder(now, Leave, g, id, "the head is unreachable")
-			return
 		}
 	}
-	// No member is reachable, so none can be used in another group either.
-	if now.Sub(g.stageSince) > 2*p.cfg.StallTime+stallMargin {
-		p.dissolve(now, g)
-	}
 }
