placement: move engines between models by demand, with alternates on the hosts

Free engines lay in fragments of two or three in each domain; a group never changed its model, and a load from the store takes 12 to 16 s.

Hypothesis: engines that hold the weights of a second model on the host can change it within two seconds, so that the split follows the demand and one lost member costs one engine instead of a group.

Change: members get another model staged on their host (alternate.go); before traffic that is fast and free. rebalance.go closes groups of the model with the lowest demand per copy in favour of the one with the highest, within a domain, counting free engines. Free engines that can form half of a group of the needier model are kept for it, as joining another one replaces their weights.

--- /dev/null
+++ b/placement/alternate.go
@@ -0,0 +1,41 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/bluebellfield/bluebellfield/enginemodel"
+	"github.com/bluebellfield/bluebellfield/fleet"
+)
+
+// stageAlternates stages a second model on the hosts of group members. The
+// weights of a member's own model stay in its memory, so that it can then join a
+// group of either model without loading from the weight store.
+func (p *Planner) stageAlternates(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
+		e := p.engines[id]
+		if e.group == nil || e.group.stage != serving || !e.reportsGroup(e.group) || e.Phase != fleet.Ready || e.staging != "" || now.Before(e.nextStageAt) {
+			continue
+		}
+		if m := p.alternate(now, e); m != nil && !p.stage(now, e, m, "alternate model of a member", spareLoadReserve) {
+			return
+		}
+	}
+}
+
+// alternate returns the model with the highest demand per copy that a member does
+// not serve, or nil if its host already holds one.
+func (p *Planner) alternate(now time.Time, e *engine) *enginemodel.Model {
+	var best *enginemodel.Model
+	for _, m := range p.modelsByDemand(now) {
+		switch {
+		case m == e.group.model:
+		case e.Has(m.Name):
+			return nil
+		case best == nil:
+			best = m
+		}
+	}
+	return best
+}
--- a/placement/commands.go
+++ b/placement/commands.go
@@ -206,6 +206,7 @@
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		p.advance(now, p.groups[name])
 	}
+	p.rebalance(now)
 	p.formGroups(now)
 	p.stageSpares(now)
 	return p.pendingOrders
--- a/placement/form.go
+++ b/placement/form.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -43,6 +44,7 @@
 			return
 		}
 		p.startGroup(now, domain, m, pickMembers(byDomain[domain], m))
+		delete(p.transfers, domain)
 		byDomain[domain] = slices.DeleteFunc(byDomain[domain], func(e *engine) bool { return e.group != nil })
 	}
 }
@@ -94,12 +96,18 @@
 	return p.coldStart(now) && now.Sub(p.lastArrival) < arrivalQuietPeriod && now.Sub(p.started) < maxArrivalWait
 }
 
-// modelsByDemand returns the models in descending order of demandPerCopy.
-func (p *Planner) modelsByDemand(now time.Time) []*enginemodel.Model {
+// models returns the models of the service.
+func (p *Planner) models() []*enginemodel.Model {
 	models := make([]*enginemodel.Model, 0, len(p.cfg.Engine.Models))
 	for i := range p.cfg.Engine.Models {
 		models = append(models, &p.cfg.Engine.Models[i])
 	}
+	return models
+}
+
+// modelsByDemand returns the models in descending order of demandPerCopy.
+func (p *Planner) modelsByDemand(now time.Time) []*enginemodel.Model {
+	models := p.models()
 	slices.SortStableFunc(models, func(a, b *enginemodel.Model) int {
 		return cmp.Compare(p.demandPerCopy(now, b), p.demandPerCopy(now, a))
 	})
@@ -113,7 +121,7 @@
 	for _, m := range p.modelsByDemand(now) {
 		best, bestCost := "", time.Duration(-1)
 		for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
-			if len(byDomain[domain]) < m.GroupSize {
+			if len(byDomain[domain]) < m.GroupSize || p.reserved(now, domain, m, byDomain[domain]) {
 				continue
 			}
 			cost := joinTime(pickMembers(byDomain[domain], m), m)
@@ -133,6 +141,43 @@
 	return "", nil
 }
 
+// reserved reports whether the free engines of a domain are kept for another
+// model: for the one of a running transfer, or for one with a higher demand per
+// copy of which they can form at least half of a group. Joining a group replaces
+// what an engine can run without a load, so that they would be lost to that
+// model. A model with more demand than copies takes them all the same, unless the
+// other one has no copy at all.
+func (p *Planner) reserved(now time.Time, domain string, m *enginemodel.Model, free []*engine) bool {
+	if t := p.transfers[domain]; t != nil {
+		return t.model != m
+	}
+	if p.coldStart(now) || !p.hasTraffic() {
+		return false
+	}
+	load := p.loadPerCopy(now, m, 0)
+	return slices.ContainsFunc(p.models(), func(other *enginemodel.Model) bool {
+		otherLoad := p.loadPerCopy(now, other, 0)
+		return otherLoad > load && (load < 1 || math.IsInf(otherLoad, 1)) && p.completable(domain, other, free)
+	})
+}
+
+// completable reports whether the free engines of a domain can form at least half
+// of a group of a model, and the engines that serve other models there the rest.
+func (p *Planner) completable(domain string, m *enginemodel.Model, free []*engine) bool {
+	warm, total := 0, len(free)
+	for _, e := range free {
+		if e.warm(m) {
+			warm++
+		}
+	}
+	for _, g := range p.groups {
+		if g.domain == domain && g.model != m && g.stage == serving {
+			total += len(g.members)
+		}
+	}
+	return 2*warm >= m.GroupSize && total >= m.GroupSize
+}
+
 // coldStart reports whether the deployment is starting for the first time and
 // has no traffic yet. Loads are fast in this phase and are not limited.
 func (p *Planner) coldStart(now time.Time) bool {
@@ -145,7 +190,7 @@
 	switch {
 	case e.lastModel == m.Name:
 		return 0
-	case e.Has(m.Name):
+	case e.Has(m.Name) && e.staging == "":
 		return m.WarmTime
 	}
 	return m.LoadTime
@@ -175,7 +220,11 @@
 	epoch := p.nextEpoch()
 	g := &group{name: groupName(epoch), epoch: epoch, model: m, domain: domain, stage: forming, stageSince: now, lastOrders: map[string]time.Time{}}
 	for _, e := range members {
-		e.group, e.staging = g, ""
+		e.group = g
+		if e.lastModel != m.Name {
+			// The join waits for a running load and then replaces what it staged.
+			e.staging = ""
+		}
 		g.members = append(g.members, e.ID)
 	}
 	p.groups[g.name] = g
--- a/placement/stage.go
+++ b/placement/stage.go
@@ -30,7 +30,7 @@
 	domains := slices.Sorted(maps.Keys(byDomain))
 	var completions []completion
 	for _, domain := range domains {
-		engines := p.unreserved(now, byDomain[domain])
+		engines := p.unreserved(now, domain, byDomain[domain])
 		if m, enginesToLoad := p.cheapestCompletion(now, engines); m != nil && !p.coldStart(now) {
 			completions = append(completions, completion{domain, m, enginesToLoad})
 		}
@@ -44,14 +44,18 @@
 	for _, domain := range domains {
 		p.stageSparesIn(now, domain, byDomain[domain])
 	}
+	p.stageAlternates(now)
 }
 
 // unreserved returns the engines that are not reserved. Where enough engines
 // for a whole group are warm, they are reserved until the last load completes,
 // so that they are not staged with another model in the meantime.
-func (p *Planner) unreserved(now time.Time, engines []*engine) []*engine {
+func (p *Planner) unreserved(now time.Time, domain string, engines []*engine) []*engine {
 	remaining := slices.Clone(engines)
 	for _, m := range p.modelsByDemand(now) {
+		if p.reserved(now, domain, m, engines) {
+			continue
+		}
 		var warm []*engine
 		for _, e := range remaining {
 			if e.warm(m) {
@@ -70,10 +74,7 @@
 // warm reports whether an engine can join a group of a model without loading
 // from the weight store, or will be able to after the running load.
 func (e *engine) warm(m *enginemodel.Model) bool {
-	if e.staging != "" {
-		return e.staging == m.Name
-	}
-	return e.joinCost(m) < m.LoadTime
+	return e.joinCost(m) < m.LoadTime || e.staging == m.Name
 }
 
 // cheapestCompletion returns the model of which the free engines of a domain
