entry, control: withdraw groups that the leader has given up; avoid quiet upstreams

The record of a dead head stays open, so that each entry tried it again after each backoff, and every request that arrived before the first timeout waited as well. Alternates took five of the seven concurrent loads, so that new engines waited for the weight store.

Hypothesis: what the leader knows of a group, and what an entry sees of its own requests, can keep requests away earlier than a timeout of each of them.

Change: updates of the leader list the groups that it has given up, and entries take them out of their views until the leader takes them back or falls silent for 3 s. An upstream that has not accepted a connection within 60 ms, or shows no progress for 250 ms with requests in flight, is avoided by further ones. Dials are given up after 150 ms. Alternates leave three quarters of the concurrent loads to engines without a group.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -93,6 +93,10 @@
 	// leaderEntries is the number of entries that the leader last reported.
 	leaderEntries uint32
 	compressed    compressedCatalog
+	// withdrawn lists the groups that this instance has given up as the leader,
+	// nil if it does not lead. withdrawnVersion counts its changes.
+	withdrawn        *mesh.GroupList
+	withdrawnVersion uint64
 	// announcedVersion is the last catalog version that was announced to the
 	// subscribers.
 	announcedVersion uint64
--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -117,9 +117,12 @@
 		return
 	}
 	ctl.refreshPlanners(now)
+	withdrawn := []string{}
 	for _, service := range slices.Sorted(maps.Keys(ctl.planners)) {
 		ctl.plan(now, service, ctl.planners[service])
+		withdrawn = append(withdrawn, ctl.planners[service].WithdrawnGroups()...)
 	}
+	ctl.c.setWithdrawn(withdrawn)
 }
 
 // stepDown stops giving orders and discards the planners.
@@ -128,6 +131,7 @@
 		ctl.c.opts.Logger.Info("stopped controlling groups", zap.Uint64("generation", ctl.generation))
 	}
 	ctl.term, ctl.generation, ctl.planners, ctl.catalogVersion = 0, 0, nil, 0
+	ctl.c.setWithdrawn(nil)
 }
 
 // leaseHeld reports whether the leader's lease excludes any other leader at
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -49,6 +49,8 @@
 	// loads holds the requests that an entry has in flight, by upstream.
 	loads   map[string]int
 	loadsAt time.Time
+	// withdrawnVersion is the version of the withdrawn groups that was last sent.
+	withdrawnVersion uint64
 }
 
 // modelDemand is the offered load that an entry last reported for a model of a
@@ -112,6 +114,7 @@
 	}
 	if !s.control && c.leads() {
 		update.Loads = c.loadTotals(time.Now())
+		update.Withdrawn, s.withdrawnVersion = c.withdrawn, c.withdrawnVersion
 	}
 	s.lastNumber++
 	update.Number = s.lastNumber
@@ -200,12 +203,29 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, s := range c.subscribers {
-		if len(s.pending) > 0 {
+		if len(s.pending) > 0 || !s.control && s.withdrawnVersion != c.withdrawnVersion {
 			c.sendUpdate(id, s, false)
 		}
 	}
 }
 
+// setWithdrawn replaces the list of withdrawn groups and sends it to the entries
+// if it has changed. A nil list means that this instance does not lead.
+func (c *Control) setWithdrawn(groups []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if groups == nil {
+		c.withdrawn = nil
+		return
+	}
+	if c.withdrawn != nil && slices.Equal(c.withdrawn.Groups, groups) {
+		return
+	}
+	c.withdrawn = &mesh.GroupList{Groups: groups}
+	c.withdrawnVersion++
+	c.requestFlush()
+}
+
 // announceVersion sends an update to all subscribers after a new catalog
 // version has taken effect here.
 func (c *Control) announceVersion() {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 
@@ -69,7 +70,7 @@
 	estimate := x.candidate(started, t)
 	a := &upstreamAttempt{target: t, started: started, deferred: decision.Deferred, expectedWait: decision.Wait, cancel: cancel,
 		record: attemptRecord{upstream: t.upstream.ID, group: t.upstream.Member.Group, at: started.Sub(x.started), load: estimate.Running, deferred: decision.Deferred}}
-	a.load = t.addRequest(x.request.PromptTokens, decision.Deferred)
+	a.load = t.addRequest(started, x.request.PromptTokens, decision.Deferred)
 	defer a.load.end()
 	result := x.forward(ctx, a)
 	record := a.record
@@ -111,6 +112,9 @@
 		a.watchdog = x.startWatchdog(a)
 		defer a.watchdog.stop()
 	}
+	slowConnect := time.AfterFunc(connectTimeout, func() { t.recordSlowConnect(time.Now()) })
+	defer slowConnect.Stop()
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { slowConnect.Stop() }}))
 	resp, err := x.e.opts.Client.Exchange(req, fault.Location{Step: upstream.StepDispatch, Peer: t.upstream.ID}, false)
 	if err != nil {
 		return x.handleSendError(ctx, a, err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,7 +67,10 @@
 	// entry last reported to the leader.
 	reportedLoads   map[string]int
 	loadsReportedAt time.Time
-	retryLimiters   map[string]*retryLimiter
+	// withdrawn holds the groups that the leader has given up, as of withdrawnAt.
+	withdrawn     map[string]bool
+	withdrawnAt   time.Time
+	retryLimiters map[string]*retryLimiter
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -229,6 +229,7 @@
 	defer e.mu.Unlock()
 	e.entries = int(update.Entries)
 	e.applyUpstreams(time.Now(), "test", update)
+	e.rebuildView()
 	require.NotNil(t, e.view.Load())
 }
 
--- a/internal/entry/subscription.go
+++ b/internal/entry/subscription.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -86,6 +87,7 @@
 func (e *Entry) subscribe(now time.Time, interval time.Duration) {
 	demands := e.demand.take()
 	e.mu.Lock()
+	e.expireWithdrawn(now)
 	alive := e.aliveGroups(now.Add(-interval))
 	chosen := e.chooseSources(now)
 	e.mu.Unlock()
@@ -186,7 +188,13 @@
 	if update.Leader != "" {
 		e.leader = update.Leader
 	}
-	e.applyUpstreams(now, from, &update)
+	changed := e.applyUpstreams(now, from, &update)
+	if update.Withdrawn != nil {
+		changed = e.applyWithdrawn(now, update.Withdrawn.Groups) || changed
+	}
+	if changed {
+		e.rebuildView()
+	}
 	if update.Loads != nil {
 		e.applyLoads(now, update.Loads.Loads)
 	}
@@ -196,17 +204,40 @@
 	return nil, nil
 }
 
-// applyUpstreams merges the upstream records of an update. The caller holds mu.
-func (e *Entry) applyUpstreams(now time.Time, from string, update *mesh.Update) {
-	changed := 0
+// applyUpstreams merges the upstream records of an update. It reports whether
+// the content of a record changed. The caller holds mu.
+func (e *Entry) applyUpstreams(now time.Time, from string, update *mesh.Update) bool {
+	changed := false
 	for _, encoded := range update.Upstreams {
 		u := mesh.DecodeUpstream(encoded)
 		if _, different := e.table.Observe(now, u); different {
-			changed++
+			changed = true
 			e.opts.Logger.Debug("upstream changed", zap.String("upstream", u.ID), zap.String("peer", from), zap.Stringer("phase", u.Phase))
 		}
 	}
-	if changed > 0 {
+	return changed
+}
+
+// applyWithdrawn replaces the list of groups that the leader has given up. It
+// reports whether the list changed. The caller holds mu.
+func (e *Entry) applyWithdrawn(now time.Time, groups []string) bool {
+	e.withdrawnAt = now
+	withdrawn := make(map[string]bool, len(groups))
+	for _, name := range groups {
+		withdrawn[name] = true
+	}
+	if maps.Equal(withdrawn, e.withdrawn) {
+		return false
+	}
+	e.withdrawn = withdrawn
+	return true
+}
+
+// expireWithdrawn forgets the withdrawn groups when the leader has been silent,
+// because it may have taken a group back since. The caller holds mu.
+func (e *Entry) expireWithdrawn(now time.Time) {
+	if len(e.withdrawn) > 0 && now.Sub(e.withdrawnAt) > sourceTimeout {
+		e.withdrawn = nil
 		e.rebuildView()
 	}
 }
@@ -215,7 +246,7 @@
 func (e *Entry) rebuildView() {
 	upstreams := e.table.All()
 	pruneTargets(e.targets, upstreams)
-	e.view.Store(buildView(e.activeCatalog, upstreams, e.targets, e.entries))
+	e.view.Store(buildView(e.activeCatalog, upstreams, e.targets, e.withdrawn, e.entries))
 }
 
 // startFetch requests the catalog from a control instance, unless a recent
--- a/internal/entry/subscription_test.go
+++ b/internal/entry/subscription_test.go
@@ -80,7 +80,7 @@
 		target = t
 	}
 	e.mu.Unlock()
-	l := target.addRequest(100, false)
+	l := target.addRequest(time.Now(), 100, false)
 	defer l.end()
 	payload, err := proto.Marshal(&mesh.Update{Source: 3, Number: 1, Complete: true, Entries: 69,
 		Loads: mesh.EncodeLoads(map[string]int{"u": 20, "unknown": 4})})
--- a/internal/entry/target.go
+++ b/internal/entry/target.go
@@ -13,6 +13,13 @@
 	// connection. It doubles with each further failure, up to maxBackoff.
 	initialBackoff = 500 * time.Millisecond
 	maxBackoff     = 4 * time.Second
+	// connectTimeout is the time without a connection after which an upstream is
+	// avoided. Connections within a region open within a few milliseconds.
+	connectTimeout = 60 * time.Millisecond
+	// quietTimeout is the time without progress, while requests are in flight,
+	// after which an upstream is avoided. It is longer than the usual time to the
+	// first event and than a few passes of an engine.
+	quietTimeout = 250 * time.Millisecond
 	// failureRateWeight is the weight of the latest result in the moving
 	// average of the failure rate.
 	failureRateWeight = 0.15
@@ -35,8 +42,9 @@
 	// queuedPromptTokens adds up the prompt tokens of all requests that have not
 	// started to run.
 	deferred, queuedPromptTokens int
-	// lastProgress is the time of the last response header or event.
-	lastProgress time.Time
+	// lastProgress is the time of the last response header or event. busySince is
+	// the time since which there have been requests in flight.
+	lastProgress, busySince time.Time
 	// stallReported is the time of the last stall report, zero after progress.
 	stallReported time.Time
 	// backoffUntil is the time until which the target is avoided.
@@ -65,13 +73,16 @@
 }
 
 // addRequest adds the load of a request that is about to be sent.
-func (t *target) addRequest(prompt int, deferred bool) *requestLoad {
+func (t *target) addRequest(now time.Time, prompt int, deferred bool) *requestLoad {
 	l := &requestLoad{t: t, queuedPromptTokens: prompt}
 	if deferred {
 		l.deferred = 1
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.tracker.InFlight == 0 {
+		t.busySince = now
+	}
 	t.tracker.Send()
 	t.deferred += l.deferred
 	t.queuedPromptTokens += l.queuedPromptTokens
@@ -211,6 +222,16 @@
 	t.failures++
 }
 
+// recordSlowConnect keeps new requests away from an upstream that has not
+// accepted a connection within connectTimeout.
+func (t *target) recordSlowConnect(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if until := now.Add(initialBackoff); until.After(t.backoffUntil) {
+		t.backoffUntil = until
+	}
+}
+
 // candidate returns the estimated load of the target and whether it is avoided.
 // Occupancy is the time that a request runs there.
 func (t *target) candidate(now time.Time, entries, slots int, occupancy time.Duration) (c balance.Candidate) {
@@ -223,10 +244,16 @@
 		c.Deferred = c.Running * float64(t.deferred) / float64(t.tracker.InFlight)
 	}
 	c.QueuedPromptTokens = float64(t.queuedPromptTokens)
-	c.Avoided = t.avoidedLocked(now)
+	c.Avoided = t.avoidedLocked(now) || t.quiet(now)
 	return c
 }
 
+// quiet reports whether the target has requests in flight and has made no
+// progress for quietTimeout. The caller holds mu.
+func (t *target) quiet(now time.Time) bool {
+	return t.tracker.InFlight > 0 && now.Sub(t.lastProgress) > quietTimeout && now.Sub(t.busySince) > quietTimeout
+}
+
 // avoidedLocked reports whether the target has failed recently. The caller
 // holds mu.
 func (t *target) avoidedLocked(now time.Time) bool {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -37,9 +37,9 @@
 	return s.groups[model]
 }
 
-// buildView groups the ready upstreams by service and model. Known targets keep
-// their load and history.
-func buildView(content *catalog.Catalog, upstreams []fleet.Upstream, known map[targetKey]*target, entries int) *view {
+// buildView groups the ready upstreams by service and model, without the groups
+// that the leader has withdrawn. Known targets keep their load and history.
+func buildView(content *catalog.Catalog, upstreams []fleet.Upstream, known map[targetKey]*target, withdrawn map[string]bool, entries int) *view {
 	v := &view{catalog: content, services: map[string]*serviceTargets{}, entries: entries}
 	for i := range upstreams {
 		u := &upstreams[i]
@@ -58,7 +58,7 @@
 		switch {
 		case service.Engine == nil:
 			s.plain = append(s.plain, getOrCreateTarget(known, u))
-		case u.Member.Rank == 0 && u.Member.State == fleet.Open && u.Model != "":
+		case u.Member.Rank == 0 && u.Member.State == fleet.Open && u.Model != "" && !withdrawn[u.Member.Group]:
 			s.groups[u.Model] = append(s.groups[u.Model], getOrCreateTarget(known, u))
 		}
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -48,7 +48,7 @@
 	peerDialTimeout = 400 * time.Millisecond
 	// upstreamDialTimeout limits a connection attempt to an upstream. Within a
 	// region, connecting takes a few milliseconds.
-	upstreamDialTimeout = 300 * time.Millisecond
+	upstreamDialTimeout = 150 * time.Millisecond
 	// upstreamIdleTimeout is below the shortest idle timeout of the upstreams, so
 	// that requests are rarely sent on a connection that is being closed.
 	upstreamIdleTimeout = 4 * time.Second
--- a/placement/alternate.go
+++ b/placement/alternate.go
@@ -18,12 +18,17 @@
 		if e.group == nil || e.group.stage != serving || !e.reportsGroup(e.group) || e.Phase != fleet.Ready || e.staging != "" || now.Before(e.nextStageAt) {
 			continue
 		}
-		if m := p.alternate(now, e); m != nil && !p.stage(now, e, m, "alternate model of a member", spareLoadReserve) {
+		if m := p.alternate(now, e); m != nil && !p.stage(now, e, m, "alternate model of a member", p.alternateLoadReserve()) {
 			return
 		}
 	}
 }
 
+// alternateLoadReserve returns the number of concurrent loads that alternates
+// leave free. An engine that holds no model gains more from a load than one that
+// already serves, so most of the weight store is left to those.
+func (p *Planner) alternateLoadReserve() int { return p.cfg.Engine.MaxConcurrentLoads * 3 / 4 }
+
 // alternate returns the model with the highest demand per copy that a member does
 // not serve, or nil if its host already holds one.
 func (p *Planner) alternate(now time.Time, e *engine) *enginemodel.Model {
--- a/placement/queries.go
+++ b/placement/queries.go
@@ -33,6 +33,22 @@
 	return counts
 }
 
+// WithdrawnGroups returns the names of the groups that must not receive requests
+// although their heads may still report them as open, sorted by name.
+func (p *Planner) WithdrawnGroups() []string {
+	var names []string
+	for name, g := range p.groups {
+		if g.stage == closing || g.stage == isolating || g.stage == settling {
+			names = append(names, name)
+		}
+	}
+	for name := range p.retired {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // PendingGroup describes a group that no longer serves and whose engines are not
 // free yet, for logs.
 type PendingGroup struct {
