ctl: show what the engines did over time, from logs

Cause: what binds under load is engine time, and the logs gave groups by stage only.

Change: bluebellctl capacity prints for each service, model and period the engine seconds by state; the leader logs the engines by state with its groups. Reading of several log files is shared with explain.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -237,7 +237,7 @@
 	const summaryInterval = 2 * time.Second
 	if now.Sub(ctl.lastSummary) >= summaryInterval {
 		ctl.lastSummary = now
-		ctl.c.opts.Logger.Info("groups", zap.String("service", service), zap.Any("stages", p.Summary()), zap.Any("held", p.PendingGroups(now)), zap.Any("free", p.Free(now)), zap.Any("work", ctl.smoothedWork))
+		ctl.c.opts.Logger.Info("groups", zap.String("service", service), zap.Any("stages", p.Summary()), zap.Any("engines", p.Engines(now)), zap.Any("held", p.PendingGroups(now)), zap.Any("free", p.Free(now)), zap.Any("work", ctl.smoothedWork))
 	}
 }
 
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -77,7 +77,7 @@
 	if _, err := a.Parser.AddGroup("Options", "", &a.Global); err != nil {
 		return nil, fmt.Errorf("options: %w", err)
 	}
-	for _, add := range []func() error{a.addSettings, a.addGet, a.addOrders, a.addExplain, a.addDemo} {
+	for _, add := range []func() error{a.addSettings, a.addGet, a.addOrders, a.addExplain, a.addCapacity, a.addDemo} {
 		if err := add(); err != nil {
 			return nil, fmt.Errorf("commands: %w", err)
 		}
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -38,13 +38,9 @@
 
 // Execute implements flags.Commander.
 func (c *explainRequestCommand) Execute([]string) error {
-	var lines []logLine
-	for _, name := range c.Args.Files {
-		read, err := readLog(name)
-		if err != nil {
-			return err
-		}
-		lines = append(lines, read...)
+	lines, err := readLogs(c.Args.Files)
+	if err != nil {
+		return err
 	}
 	return explain(c.app.Out, c.Args.Request, lines)
 }
@@ -57,6 +53,19 @@
 	fields   map[string]any
 }
 
+// readLogs returns the lines of all files.
+func readLogs(names []string) ([]logLine, error) {
+	var lines []logLine
+	for _, name := range names {
+		read, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
+}
+
 func readLog(name string) ([]logLine, error) {
 	if name == "-" {
 		return parseLog(os.Stdin)
--- a/placement/queries.go
+++ b/placement/queries.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/enginemodel"
+	"github.com/bluebellfield/bluebellfield/fleet"
 )
 
 // Models returns the models of the service.
@@ -81,6 +82,40 @@
 	return all
 }
 
+// States of engines without a group, for logs.
+const (
+	engineFree    = "free"
+	engineLoading = "loading"
+	// engineAbsent engines are draining, unreachable or silent.
+	engineAbsent = "absent"
+)
+
+// Engines counts the engines by model and stage of their group, and those without
+// a group by state under the model "", for logs.
+func (p *Planner) Engines(now time.Time) map[string]map[string]int {
+	counts := map[string]map[string]int{}
+	add := func(model, state string) {
+		if counts[model] == nil {
+			counts[model] = map[string]int{}
+		}
+		counts[model][state]++
+	}
+	for _, e := range p.engines {
+		switch {
+		case e.group != nil:
+			add(e.group.model.Name, e.group.stage.String())
+		case e.Phase == fleet.Gone:
+		case !p.usable(now, e):
+			add("", engineAbsent)
+		case e.staging != "":
+			add("", engineLoading)
+		default:
+			add("", engineFree)
+		}
+	}
+	return counts
+}
+
 // Free counts the free engines by fabric domain and staged model, for logs.
 func (p *Planner) Free(now time.Time) map[string]map[string]int {
 	counts := map[string]map[string]int{}
