placement: load where most engines go back to work

Hypothesis: each load should go where it returns most engines to work.

Change: completions are ordered by the engines that they put to work for each second of loading, by the need for the model; a spare gets the model whose groups lose most engines with a lost member. Free engines are kept for a needier model only while engines that can change without a load, or loads, can complete its group.

--- a/placement/form.go
+++ b/placement/form.go
@@ -162,20 +162,26 @@
 }
 
 // completable reports whether the free engines of a domain can form at least half
-// of a group of a model, and the engines that serve other models there the rest.
+// of a group of a model without a load, and the rest of it after loads, or with
+// engines that serve other models there and can change without one.
 func (p *Planner) completable(domain string, m *enginemodel.Model, free []*engine) bool {
-	warm, total := 0, len(free)
+	warm, donated := 0, 0
 	for _, e := range free {
 		if e.warm(m) {
 			warm++
 		}
 	}
 	for _, g := range p.groups {
-		if g.domain == domain && g.model != m && g.stage == serving {
-			total += len(g.members)
+		if g.domain != domain || g.model == m || g.stage != serving {
+			continue
+		}
+		for _, id := range g.members {
+			if e := p.engines[id]; e != nil && e.warm(m) {
+				donated++
+			}
 		}
 	}
-	return 2*warm >= m.GroupSize && total >= m.GroupSize
+	return 2*warm >= m.GroupSize && (warm+donated >= m.GroupSize || len(free) >= m.GroupSize)
 }
 
 // coldStart reports whether the deployment is starting for the first time and
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -212,6 +212,10 @@
 		s.run(90 * time.Second)
 		require.Empty(t, s.violation, "seed %d\n%s", seed, s.traceLines(strings.Fields(s.violation)...))
 		total := s.open()
+		// Engines that change their model when the time is up get the time for it.
+		for end := s.now.Add(transferTimeout); 6*total["large"]+3*total["small"] < 17 && s.now.Before(end); total = s.open() {
+			s.run(simStep)
+		}
 		require.GreaterOrEqual(t, 6*total["large"]+3*total["small"], 17, "seed %d: engines stay idle: %v", seed, total)
 	}
 }
--- a/placement/stage.go
+++ b/placement/stage.go
@@ -18,10 +18,26 @@
 	enginesToLoad []*engine
 }
 
+// value returns the engines that a completion puts to work for each second that
+// the weight store loads for it. Engines of a model with less demand than copies
+// count in part.
+func (c *completion) value(p *Planner, now time.Time) float64 {
+	return float64(c.model.GroupSize) * p.need(now, c.model) / (float64(len(c.enginesToLoad)) * c.model.LoadTime.Seconds())
+}
+
+// need returns the fraction of a copy of a model that its demand would use, and 1
+// before there is any traffic.
+func (p *Planner) need(now time.Time, m *enginemodel.Model) float64 {
+	if !p.hasTraffic() {
+		return 1
+	}
+	return min(p.loadPerCopy(now, m, 0), 1)
+}
+
 // stageSpares stages models on the hosts of free engines, so that they can join
 // a group without loading from the weight store. Engines that complete a new
-// group come first, in order of the number of loads that the group needs,
-// followed by spares for the existing groups of each domain.
+// group come first, in order of their value, followed by spares for the existing
+// groups of each domain.
 func (p *Planner) stageSpares(now time.Time) {
 	if p.awaitingEngines(now) {
 		return
@@ -31,11 +47,11 @@
 	var completions []completion
 	for _, domain := range domains {
 		engines := p.unreserved(now, domain, byDomain[domain])
-		if m, enginesToLoad := p.cheapestCompletion(now, engines); m != nil && !p.coldStart(now) {
-			completions = append(completions, completion{domain, m, enginesToLoad})
+		if c := p.bestCompletion(now, domain, engines); c != nil && !p.coldStart(now) {
+			completions = append(completions, *c)
 		}
 	}
-	slices.SortStableFunc(completions, func(a, b completion) int { return len(a.enginesToLoad) - len(b.enginesToLoad) })
+	slices.SortStableFunc(completions, func(a, b completion) int { return cmp.Compare(b.value(p, now), a.value(p, now)) })
 	for _, c := range completions {
 		for _, e := range c.enginesToLoad {
 			p.stage(now, e, c.model, "completes a group", 0)
@@ -77,14 +93,12 @@
 	return e.joinCost(m) < m.LoadTime || e.staging == m.Name
 }
 
-// cheapestCompletion returns the model of which the free engines of a domain
-// can form a group with the fewest loads, and the engines that need a load.
-// Engines that hold another model are reused only if at most a third of the
+// bestCompletion returns the completion of a domain with the highest value, or nil
+// if there is none. Engines that hold another model are reused only if at most a third of the
 // group needs a load or if they have been idle for a while, because lost
 // engines often return within seconds.
-func (p *Planner) cheapestCompletion(now time.Time, engines []*engine) (*enginemodel.Model, []*engine) {
-	var best *enginemodel.Model
-	var enginesToLoad []*engine
+func (p *Planner) bestCompletion(now time.Time, domain string, engines []*engine) *completion {
+	var best *completion
 	for _, m := range p.modelsByDemand(now) {
 		if len(engines) < m.GroupSize {
 			continue
@@ -111,15 +125,18 @@
 		if !fewLoads && slices.ContainsFunc(candidates, func(e *engine) bool { return len(e.Staged) > 0 && now.Sub(e.freeSince) < stagedModelRetention }) {
 			continue
 		}
-		if best == nil || missing < len(enginesToLoad) {
-			best, enginesToLoad = m, candidates
+		if c := (&completion{domain, m, candidates}); best == nil || c.value(p, now) > best.value(p, now) {
+			best = c
 		}
 	}
-	return best, enginesToLoad
+	return best
 }
 
 // stageSparesIn stages models on free engines that hold none. Each engine gets
-// the model with the highest ratio of members in the domain to warm spares.
+// the model for which a spare is expected to return most engines to work: a lost
+// member, which is the likelier the more there are in the domain, takes its whole
+// group out of service. Each spare that is ready already halves the value, and so
+// on.
 func (p *Planner) stageSparesIn(now time.Time, domain string, engines []*engine) {
 	members := p.membersByModel(domain)
 	if len(members) == 0 {
@@ -140,7 +157,7 @@
 		best, bestScore := (*enginemodel.Model)(nil), 0.0
 		for i := range p.cfg.Engine.Models {
 			m := &p.cfg.Engine.Models[i]
-			score := float64(members[m.Name]) / float64(1+ready[m.Name])
+			score := float64(members[m.Name]*m.GroupSize) * p.need(now, m) / float64(1+ready[m.Name])
 			// Break ties in favor of the model with fewer warm engines.
 			if score > bestScore || score == bestScore && best != nil && ready[m.Name] < ready[best.Name] {
 				best, bestScore = m, score
