--- a/placement/alternate.go
+++ b/placement/alternate.go
@@ -25,9 +25,9 @@
 }
 
 // alternateLoadReserve returns the number of concurrent loads that alternates
-// leave free. An engine that holds no model gains more from a load than one that
-// already serves, so most of the weight store is left to those.
-func (p *Planner) alternateLoadReserve() int { return p.cfg.Engine.MaxConcurrentLoads * 3 / 4 }
+// leave free: all but one. An engine that holds no model gains more from a load
+// than one that already serves.
+func (p *Planner) alternateLoadReserve() int { return p.cfg.Engine.MaxConcurrentLoads - 1 }
 
 // alternate returns the model with the highest demand per copy that a member does
 // not serve, or nil if its host already holds one.
