placement: keep transfers over a new catalog; count copies once in a round

Change: SetEngine updates the transfers; copies are counted once in each round, and alternates are not looked at while the weight store is busy. TestTransferSurvivesNewCatalog failed on the former code.

--- a/placement/alternate.go
+++ b/placement/alternate.go
@@ -13,12 +13,15 @@
 // weights of a member's own model stay in its memory, so that it can then join a
 // group of either model without loading from the weight store.
 func (p *Planner) stageAlternates(now time.Time) {
+	if !p.coldStart(now) && !p.loads.allow(now, p.runningLoads(now)+p.alternateLoadReserve()) {
+		return
+	}
 	for _, id := range slices.Sorted(maps.Keys(p.engines)) {
 		e := p.engines[id]
 		if e.group == nil || e.group.stage != serving || !e.reportsGroup(e.group) || e.Phase != fleet.Ready || e.staging != "" || now.Before(e.nextStageAt) {
 			continue
 		}
-		if m := p.alternate(now, e); m != nil && !p.stage(now, e, m, "alternate model of a member", p.alternateLoadReserve()) {
+		if m := p.alternate(e); m != nil && !p.stage(now, e, m, "alternate model of a member", p.alternateLoadReserve()) {
 			return
 		}
 	}
@@ -31,9 +34,9 @@
 
 // alternate returns the model with the highest demand per copy that a member does
 // not serve, or nil if its host already holds one.
-func (p *Planner) alternate(now time.Time, e *engine) *enginemodel.Model {
+func (p *Planner) alternate(e *engine) *enginemodel.Model {
 	var best *enginemodel.Model
-	for _, m := range p.modelsByDemand(now) {
+	for _, m := range p.modelsByDemand() {
 		switch {
 		case m == e.group.model:
 		case e.Has(m.Name):
--- a/placement/commands.go
+++ b/placement/commands.go
@@ -22,6 +22,11 @@
 			g.model = m
 		}
 	}
+	for _, t := range p.transfers {
+		if m := e.Model(t.model.Name); m != nil {
+			t.model = m
+		}
+	}
 }
 
 // ReportStall records a report of an entry that a group has stalled.
@@ -206,6 +211,7 @@
 	for _, name := range slices.Sorted(maps.Keys(p.groups)) {
 		p.advance(now, p.groups[name])
 	}
+	p.countCopies(now)
 	p.rebalance(now)
 	p.formGroups(now)
 	p.stageSpares(now)
--- a/placement/form.go
+++ b/placement/form.go
@@ -49,35 +49,33 @@
 	}
 }
 
-// copies counts the groups of a model that are serving or being formed.
-func (p *Planner) copies(now time.Time, model string) int {
-	n := 0
+// countCopies counts the groups of each model that are serving or being formed.
+// It runs once in each planning round, because the counts are used for every
+// engine and every pair of a model and a domain.
+func (p *Planner) countCopies(now time.Time) {
+	clear(p.copies)
 	for _, g := range p.groups {
-		if g.model.Name != model {
-			continue
-		}
 		switch g.stage {
 		case forming, opening:
-			n++
+			p.copies[g.model.Name]++
 		case serving:
 			// A new leader may have adopted groups whose members were lost long ago.
 			if head := p.engines[g.head()]; head != nil && (now.Sub(head.ReceivedAt) < headSilenceTimeout || now.Sub(g.lastProgress) < headSilenceTimeout) {
-				n++
+				p.copies[g.model.Name]++
 			}
 		}
 	}
-	return n
 }
 
 // demandPerCopy returns the demand per copy of a model if one more copy is
 // formed. Without reports, the demand is derived from the model's usual share
 // of the engines.
-func (p *Planner) demandPerCopy(now time.Time, m *enginemodel.Model) float64 {
+func (p *Planner) demandPerCopy(m *enginemodel.Model) float64 {
 	demand, ok := p.demand[m.Name]
 	if !ok || !p.hasTraffic() {
 		demand = m.DemandShare * float64(len(p.engines)) / float64(max(m.GroupSize, 1))
 	}
-	return demand / float64(p.copies(now, m.Name)+1)
+	return demand / float64(p.copies[m.Name]+1)
 }
 
 // hasTraffic reports whether there is demand for any model.
@@ -106,10 +104,10 @@
 }
 
 // modelsByDemand returns the models in descending order of demandPerCopy.
-func (p *Planner) modelsByDemand(now time.Time) []*enginemodel.Model {
+func (p *Planner) modelsByDemand() []*enginemodel.Model {
 	models := p.models()
 	slices.SortStableFunc(models, func(a, b *enginemodel.Model) int {
-		return cmp.Compare(p.demandPerCopy(now, b), p.demandPerCopy(now, a))
+		return cmp.Compare(p.demandPerCopy(b), p.demandPerCopy(a))
 	})
 	return models
 }
@@ -118,7 +116,7 @@
 // model with the highest demand per copy for which a domain has enough free
 // engines, and the domain whose engines can join fastest.
 func (p *Planner) nextGroup(now time.Time, byDomain map[string][]*engine) (string, *enginemodel.Model) {
-	for _, m := range p.modelsByDemand(now) {
+	for _, m := range p.modelsByDemand() {
 		best, bestCost := "", time.Duration(-1)
 		for _, domain := range slices.Sorted(maps.Keys(byDomain)) {
 			if len(byDomain[domain]) < m.GroupSize || p.reserved(now, domain, m, byDomain[domain]) {
@@ -154,9 +152,9 @@
 	if p.coldStart(now) || !p.hasTraffic() {
 		return false
 	}
-	load := p.loadPerCopy(now, m, 0)
+	load := p.loadPerCopy(m, 0)
 	return slices.ContainsFunc(p.models(), func(other *enginemodel.Model) bool {
-		otherLoad := p.loadPerCopy(now, other, 0)
+		otherLoad := p.loadPerCopy(other, 0)
 		return otherLoad > load && (load < 1 || math.IsInf(otherLoad, 1)) && p.completable(domain, other, free)
 	})
 }
@@ -234,6 +232,7 @@
 		g.members = append(g.members, e.ID)
 	}
 	p.groups[g.name] = g
+	p.copies[m.Name]++
 	for _, id := range g.members {
 		p.queueOrder(now, Join, g, id, "new group")
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -259,6 +259,8 @@
 	// demand is the demand for each model in fully used copies, as reported by the
 	// entries.
 	demand map[string]float64
+	// copies counts the groups of each model, as of the last countCopies.
+	copies map[string]int
 	// transfers holds the running transfers by domain.
 	transfers     map[string]*transfer
 	loads         loadLimiter
@@ -268,7 +270,7 @@
 // New returns a planner for a new leader.
 func New(cfg Config, now time.Time) *Planner {
 	return &Planner{cfg: cfg, started: now, engines: map[string]*engine{}, groups: map[string]*group{}, retired: map[string]bool{},
-		demand: map[string]float64{}, transfers: map[string]*transfer{}, loads: loadLimiter{perSecond: cfg.Engine.LoadsPerSecond, maxConcurrent: cfg.Engine.MaxConcurrentLoads}}
+		demand: map[string]float64{}, copies: map[string]int{}, transfers: map[string]*transfer{}, loads: loadLimiter{perSecond: cfg.Engine.LoadsPerSecond, maxConcurrent: cfg.Engine.MaxConcurrentLoads}}
 }
 
 func (p *Planner) nextEpoch() uint64 {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -101,6 +102,24 @@
 	}
 }
 
+// Guards against engines that stay idle because the catalog changes during their
+// transfer to another model.
+func TestTransferSurvivesNewCatalog(t *testing.T) {
+	s := newSimulation(t, 9, 1, 12)
+	s.run(120 * time.Second)
+	s.traffic = true
+	s.run(time.Second)
+	s.kill(s.pickEngine(func(e *simEngine) bool { return e.model == "large" && e.member.Rank > 0 && e.member.Group != "" }))
+	for range 120 {
+		s.run(simStep)
+		changed := *s.engine
+		changed.Models = slices.Clone(s.engine.Models)
+		s.planner.SetEngine(&changed)
+	}
+	require.Empty(t, s.violation)
+	require.Equal(t, 1, s.open()["large"], s.traceLines("i-0"))
+}
+
 // Guards against closing a group because a member drains although no engine can
 // replace it yet. Draining members stay while the group has work.
 func TestKeepsServingWithDrainingMember(t *testing.T) {
--- a/placement/rebalance.go
+++ b/placement/rebalance.go
@@ -43,8 +43,8 @@
 	if p.coldStart(now) || !p.hasTraffic() {
 		return
 	}
-	m := p.modelsByLoad(now)[0]
-	if p.loadPerCopy(now, m, 0) < transferThreshold {
+	m := p.modelsByLoad()[0]
+	if p.loadPerCopy(m, 0) < transferThreshold {
 		return
 	}
 	if domain, t := p.bestTransfer(now, m); t != nil {
@@ -52,6 +52,7 @@
 		for _, g := range t.donors {
 			p.startClosing(now, g, false)
 		}
+		p.countCopies(now)
 	}
 }
 
@@ -63,8 +64,8 @@
 
 // loadPerCopy returns the demand per copy of a model, with a number of copies
 // more or less. Running transfers count as a copy of the model that they are for.
-func (p *Planner) loadPerCopy(now time.Time, m *enginemodel.Model, change int) float64 {
-	copies := p.copies(now, m.Name) + change
+func (p *Planner) loadPerCopy(m *enginemodel.Model, change int) float64 {
+	copies := p.copies[m.Name] + change
 	for _, t := range p.transfers {
 		if t.model.Name == m.Name {
 			copies++
@@ -81,10 +82,10 @@
 }
 
 // modelsByLoad returns the models in descending order of loadPerCopy.
-func (p *Planner) modelsByLoad(now time.Time) []*enginemodel.Model {
+func (p *Planner) modelsByLoad() []*enginemodel.Model {
 	models := p.models()
 	slices.SortStableFunc(models, func(a, b *enginemodel.Model) int {
-		return cmp.Compare(p.loadPerCopy(now, b, 0), p.loadPerCopy(now, a, 0))
+		return cmp.Compare(p.loadPerCopy(b, 0), p.loadPerCopy(a, 0))
 	})
 	return models
 }
@@ -93,7 +94,7 @@
 // the lowest demand per copy, and its domain. It returns nil if no transfer is
 // worth it.
 func (p *Planner) bestTransfer(now time.Time, m *enginemodel.Model) (string, *transfer) {
-	limit := transferGain * p.loadPerCopy(now, m, 0)
+	limit := transferGain * p.loadPerCopy(m, 0)
 	free := p.free(now)
 	donors := p.donors(m)
 	var best *transfer
@@ -107,7 +108,7 @@
 			if chosen == nil {
 				continue
 			}
-			if load := p.loadPerCopy(now, from, -lost); load <= limit && load < bestLoad {
+			if load := p.loadPerCopy(from, -lost); load <= limit && load < bestLoad {
 				best, bestDomain, bestLoad = &transfer{m, chosen, now}, domain, load
 			}
 		}
--- a/placement/stage.go
+++ b/placement/stage.go
@@ -21,17 +21,17 @@
 // value returns the engines that a completion puts to work for each second that
 // the weight store loads for it. Engines of a model with less demand than copies
 // count in part.
-func (c *completion) value(p *Planner, now time.Time) float64 {
-	return float64(c.model.GroupSize) * p.need(now, c.model) / (float64(len(c.enginesToLoad)) * c.model.LoadTime.Seconds())
+func (c *completion) value(p *Planner) float64 {
+	return float64(c.model.GroupSize) * p.need(c.model) / (float64(len(c.enginesToLoad)) * c.model.LoadTime.Seconds())
 }
 
 // need returns the fraction of a copy of a model that its demand would use, and 1
 // before there is any traffic.
-func (p *Planner) need(now time.Time, m *enginemodel.Model) float64 {
+func (p *Planner) need(m *enginemodel.Model) float64 {
 	if !p.hasTraffic() {
 		return 1
 	}
-	return min(p.loadPerCopy(now, m, 0), 1)
+	return min(p.loadPerCopy(m, 0), 1)
 }
 
 // stageSpares stages models on the hosts of free engines, so that they can join
@@ -51,7 +51,7 @@
 			completions = append(completions, *c)
 		}
 	}
-	slices.SortStableFunc(completions, func(a, b completion) int { return cmp.Compare(b.value(p, now), a.value(p, now)) })
+	slices.SortStableFunc(completions, func(a, b completion) int { return cmp.Compare(b.value(p), a.value(p)) })
 	for _, c := range completions {
 		for _, e := range c.enginesToLoad {
 			p.stage(now, e, c.model, "completes a group", 0)
@@ -68,7 +68,7 @@
 // so that they are not staged with another model in the meantime.
 func (p *Planner) unreserved(now time.Time, domain string, engines []*engine) []*engine {
 	remaining := slices.Clone(engines)
-	for _, m := range p.modelsByDemand(now) {
+	for _, m := range p.modelsByDemand() {
 		if p.reserved(now, domain, m, engines) {
 			continue
 		}
@@ -99,7 +99,7 @@
 // engines often return within seconds.
 func (p *Planner) bestCompletion(now time.Time, domain string, engines []*engine) *completion {
 	var best *completion
-	for _, m := range p.modelsByDemand(now) {
+	for _, m := range p.modelsByDemand() {
 		if len(engines) < m.GroupSize {
 			continue
 		}
@@ -125,7 +125,7 @@
 		if !fewLoads && slices.ContainsFunc(candidates, func(e *engine) bool { return len(e.Staged) > 0 && now.Sub(e.freeSince) < stagedModelRetention }) {
 			continue
 		}
-		if c := (&completion{domain, m, candidates}); best == nil || c.value(p, now) > best.value(p, now) {
+		if c := (&completion{domain, m, candidates}); best == nil || c.value(p) > best.value(p) {
 			best = c
 		}
 	}
@@ -157,7 +157,7 @@
 		best, bestScore := (*enginemodel.Model)(nil), 0.0
 		for i := range p.cfg.Engine.Models {
 			m := &p.cfg.Engine.Models[i]
-			score := float64(members[m.Name]*m.GroupSize) * p.need(now, m) / float64(1+ready[m.Name])
+			score := float64(members[m.Name]*m.GroupSize) * p.need(m) / float64(1+ready[m.Name])
 			// Break ties in favor of the model with fewer warm engines.
 			if score > bestScore || score == bestScore && best != nil && ready[m.Name] < ready[best.Name] {
 				best, bestScore = m, score
