placement: tests of moving demand, steady demand and fragments

Cause: each policy needs a test of the load that it answers, without network.

Change: TestDemandMovesBetweenModels and TestFragmentsAreCompleted fail without transfers; TestSteadyDemandMovesNothing guards against engines that are moved back and forth. The simulation takes a demand for each model.

--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -102,6 +102,65 @@
 	}
 }
 
+// Guards against a split of the engines that stays as it was when the demand moves
+// from one model to the other. Members hold the other model on their hosts, so
+// that no load is needed.
+func TestDemandMovesBetweenModels(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		demand     map[string]float64
+		model      string
+		wantCopies int
+	}{
+		{"to the large model", map[string]float64{"large": 7, "small": 1.5}, "large", 6},
+		{"to the small model", map[string]float64{"large": 1, "small": 9}, "small", 9},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSimulation(t, 20, 4, 12)
+			s.run(120 * time.Second)
+			require.Less(t, s.open()[test.model], test.wantCopies)
+			s.traffic, s.demand = true, test.demand
+			s.run(15 * time.Second)
+			require.Empty(t, s.violation)
+			require.GreaterOrEqual(t, s.open()[test.model], test.wantCopies, "%v", s.open())
+		})
+	}
+}
+
+// Guards against engines being moved back and forth between models while the
+// demand stays the same.
+func TestSteadyDemandMovesNothing(t *testing.T) {
+	s := newSimulation(t, 21, 4, 12)
+	s.run(120 * time.Second)
+	s.traffic, s.demand = true, map[string]float64{"large": 5, "small": 5}
+	s.run(30 * time.Second)
+	closes := s.orders[Close]
+	s.run(120 * time.Second)
+	require.Equal(t, closes, s.orders[Close])
+}
+
+// Guards against fragments of large groups that idle although engines of smaller
+// groups in their domain could complete them: each domain of ten loses members of
+// its large groups.
+func TestFragmentsAreCompleted(t *testing.T) {
+	s := newSimulation(t, 22, 3, 10)
+	s.engine.Models[0].GroupSize, s.engine.Models[1].GroupSize = 4, 2
+	s.run(120 * time.Second)
+	s.traffic = true
+	before := s.open()["large"]
+	s.demand = map[string]float64{"large": float64(before), "small": 0.5}
+	for _, domain := range []string{"d0", "d1", "d2"} {
+		if e := s.pickEngine(func(e *simEngine) bool {
+			return e.domain == domain && e.model == "large" && e.member.Rank > 0 && e.member.Group != ""
+		}); e != nil {
+			s.kill(e)
+		}
+	}
+	s.run(9 * time.Second)
+	require.Empty(t, s.violation)
+	require.Equal(t, before, s.open()["large"], "%v", s.open())
+}
+
 // Guards against engines that stay idle because the catalog changes during their
 // transfer to another model.
 func TestTransferSurvivesNewCatalog(t *testing.T) {
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -32,6 +32,8 @@
 	delayedOrderFraction float64
 	// traffic is set when the entries report load, so that loads are limited.
 	traffic bool
+	// demand overrides the demand of models, in copies.
+	demand map[string]float64
 	// progressReportsLost is set while the progress reports of the entries do not
 	// reach the leader.
 	progressReportsLost bool
@@ -287,7 +289,11 @@
 	}
 	for i := range s.engine.Models {
 		if m := &s.engine.Models[i]; s.traffic {
-			s.planner.SetDemand(m.Name, m.DemandShare*float64(len(s.engines))/float64(m.GroupSize)/1.2)
+			copies, ok := s.demand[m.Name]
+			if !ok {
+				copies = m.DemandShare * float64(len(s.engines)) / float64(m.GroupSize) / 1.2
+			}
+			s.planner.SetDemand(m.Name, copies)
 		}
 	}
 	s.planner.Observe(s.now, s.table.All())
