entry, upstream: bound what a faulty upstream can send; comments are no progress

Cause: an upstream in trouble may send bytes without end. The transport read up to 10 MB of a head, which a few requests at once turn into most of an entry's memory. Blank lines and comments of an event stream were relayed until the deadline, and each of them counted as progress, so that a stalled stream that sent a comment now and then was never moved.

Change: a response head is limited to 64 KiB, and comments between two events to 64 KiB. Only blocks with data count as progress.

--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -32,6 +32,9 @@
 	idleConnTimeout    = 60 * time.Second
 	maxIdlePerUpstream = 64
 	maxReplyBytes      = 64 << 10
+	// maxHeadBytes limits the status line and the headers of a response. A faulty
+	// upstream may send bytes without end.
+	maxHeadBytes = 64 << 10
 )
 
 // Target is the upstream that a request is sent to. Group is set if the upstream
@@ -105,6 +108,8 @@
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     cmp.Or(o.IdleTimeout, idleConnTimeout),
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	singleUse := pooled.Clone()
 	singleUse.DisableKeepAlives = true
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -12,8 +12,17 @@
 	"github.com/bluebellfield/bluebellfield/internal/sse"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits the size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// maxIdleBytes limits the comments between two events. An upstream that sends
+	// more is faulty.
+	maxIdleBytes = 64 << 10
+)
+
+// errIdleBytes is returned for a stream that contains more than maxIdleBytes
+// without an event.
+var errIdleBytes = errors.New("too many bytes without an event")
 
 // relayStream relays events as they arrive. Only complete events are relayed,
 // so that another upstream can resume after the last one.
@@ -21,6 +30,7 @@
 	t := a.target
 	flusher := http.NewResponseController(x.w)
 	events := sse.NewRawReader(resp.Body, maxEventBytes)
+	idleBytes := 0
 	for {
 		block, position, err := events.Read()
 		if errors.Is(err, io.EOF) {
@@ -30,6 +40,18 @@
 			return x.handleStreamError(ctx, a, err)
 		}
 		now := time.Now()
+		if !sse.HasData(block) {
+			// A comment is relayed, but does not show that the request makes
+			// progress.
+			if idleBytes += len(block); idleBytes > maxIdleBytes {
+				return x.handleStreamError(ctx, a, errIdleBytes)
+			}
+			if err := x.relayBlock(flusher, block, resp); err != nil {
+				return x.abandonWrite(err)
+			}
+			continue
+		}
+		idleBytes = 0
 		t.recordProgress(now)
 		a.watchdog.progress(now)
 		if a.record.events == 0 {
@@ -62,6 +84,17 @@
 	}
 }
 
+// relayBlock sends a block that is not an event to the caller.
+func (x *exchange) relayBlock(flusher *http.ResponseController, block []byte, resp *http.Response) error {
+	if !x.headerWritten {
+		x.writeHeader(resp.StatusCode, resp.Header, -1)
+	}
+	if _, err := x.w.Write(block); err != nil {
+		return err
+	}
+	return flusher.Flush()
+}
+
 // recordGap records the time between two events of the caller's stream.
 func (x *exchange) recordGap(now time.Time) {
 	if !x.lastEvent.IsZero() {
--- a/internal/sse/block.go
+++ b/internal/sse/block.go
@@ -54,3 +54,14 @@
 	buffered, _ := r.in.Peek(r.in.Buffered())
 	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
 }
+
+// HasData reports whether a block is an event. A block of comments and other
+// fields alone is not dispatched to the receiver of a stream.
+func HasData(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		if bytes.HasPrefix(line, []byte("data:")) || bytes.Equal(bytes.TrimRight(line, "\r\n"), []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/sse/block_test.go
+++ b/internal/sse/block_test.go
@@ -27,6 +27,16 @@
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
+// Guards against comments that are taken for events.
+func TestHasData(t *testing.T) {
+	for block, want := range map[string]bool{
+		"data: a\n\n": true, "id: 1\r\ndata:a\r\n\r\n": true, "data\n\n": true,
+		": ping\n\n": false, "\n\n": false, "id: 1\n\n": false, "database: a\n\n": false, ":data: a\n\n": false,
+	} {
+		require.Equal(t, want, HasData([]byte(block)), "%q", block)
+	}
+}
+
 // Guards against unbounded memory use by an upstream that sends a huge event.
 func TestBlockLimit(t *testing.T) {
 	r := NewRawReader(strings.NewReader(strings.Repeat("data: xxxxxxxx\n", 100)+"\n"), 64)
