placement, balance, control: say why, not how a value came about

Cause: a second reading of the change.

Change: comments, one function name, and the reason in the log.

Measured: nothing changes for callers.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -86,14 +86,12 @@
 	// sampleSize is the number of candidates drawn at random. The fastest of them
 	// is used if it answers in time. If every entry used the fastest of all
 	// candidates, entries with the same information would all select the same
-	// one. A size of 2 gave the fewest late requests in the simulation of 69
-	// entries.
+	// one; a larger sample comes close to that.
 	sampleSize = 2
 	// endedWeight is the fraction of Candidate.EndedSinceMeasurement that is
 	// counted as running. If several entries send to the same free slot at the
-	// same time, all requests but one have to wait. In the simulation, 0.25 meets
-	// the bound for sustained overload, and 0.5 increased the late requests at
-	// loads below the capacity.
+	// same time, all requests but one have to wait. A higher fraction leaves slots
+	// empty at loads below the capacity.
 	endedWeight = 0.25
 	// maxLateWaitFraction is the fraction of the remaining time that a deferred
 	// request may spend in a queue.
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -12,9 +12,8 @@
 
 const (
 	// LoadReportInterval is the time between two load reports of an entry, and
-	// between two updates that distribute the totals. In a simulation of 69
-	// entries at nine tenths of the capacity, an interval of 400 ms made more
-	// requests late.
+	// between two updates that distribute the totals. At nine tenths of the
+	// capacity, entries that know less of each other make more requests late.
 	LoadReportInterval = 200 * time.Millisecond
 	// LoadReportTimeout is the time after which an entry's load report expires.
 	LoadReportTimeout = 2 * time.Second
--- a/placement/advance.go
+++ b/placement/advance.go
@@ -317,7 +317,7 @@
 	if head.Member.State == fleet.Closing && !g.truncate {
 		return
 	}
-	p.queueOrder(now, Close, g, g.head(), "a member was lost or is draining")
+	p.queueOrder(now, Close, g, g.head(), p.closeReason(g))
 }
 
 // stoppedServing reports whether the last report of a head shows that it does
--- a/placement/rebalance.go
+++ b/placement/rebalance.go
@@ -39,7 +39,7 @@
 // rebalance starts a transfer to the model with the highest demand per copy if
 // that lowers the highest demand per copy of the models involved.
 func (p *Planner) rebalance(now time.Time) {
-	p.dropEndedTransfers(now)
+	p.dropLateTransfers(now)
 	if p.coldStart(now) || !p.hasTraffic() {
 		return
 	}
@@ -56,12 +56,20 @@
 	}
 }
 
-// dropEndedTransfers removes the transfers whose group has been formed or that
-// have taken too long.
-func (p *Planner) dropEndedTransfers(now time.Time) {
+// dropLateTransfers removes the transfers that have taken too long. Forming their
+// group removes the others.
+func (p *Planner) dropLateTransfers(now time.Time) {
 	maps.DeleteFunc(p.transfers, func(_ string, t *transfer) bool { return now.Sub(t.started) > transferTimeout })
 }
 
+// closeReason returns the reason for closing a group, for the log.
+func (p *Planner) closeReason(g *group) string {
+	if t := p.transfers[g.domain]; t != nil && slices.Contains(t.donors, g) {
+		return "its engines are given to another model"
+	}
+	return "a member was lost or is draining"
+}
+
 // loadPerCopy returns the demand per copy of a model, with a number of copies
 // more or less. Running transfers count as a copy of the model that they are for.
 func (p *Planner) loadPerCopy(m *enginemodel.Model, change int) float64 {
@@ -116,7 +124,7 @@
 	return bestDomain, best
 }
 
-// donors returns the groups of other models whose engines can all join a group of
+// donors returns the groups of other models with members that can join a group of
 // the model without a load from the weight store, by domain.
 func (p *Planner) donors(m *enginemodel.Model) map[string][]donor {
 	byDomain := map[string][]donor{}
--- a/placement/stage.go
+++ b/placement/stage.go
@@ -94,9 +94,9 @@
 }
 
 // bestCompletion returns the completion of a domain with the highest value, or nil
-// if there is none. Engines that hold another model are reused only if at most a third of the
-// group needs a load or if they have been idle for a while, because lost
-// engines often return within seconds.
+// if there is none. Engines that hold another model are reused only if at most a
+// third of the group needs a load or if they have been idle for a while, because
+// lost engines often return within seconds.
 func (p *Planner) bestCompletion(now time.Time, domain string, engines []*engine) *completion {
 	var best *completion
 	for _, m := range p.modelsByDemand() {
@@ -135,8 +135,7 @@
 // stageSparesIn stages models on free engines that hold none. Each engine gets
 // the model for which a spare is expected to return most engines to work: a lost
 // member, which is the likelier the more there are in the domain, takes its whole
-// group out of service. Each spare that is ready already halves the value, and so
-// on.
+// group out of service. The value is shared with the spares that are ready.
 func (p *Planner) stageSparesIn(now time.Time, domain string, engines []*engine) {
 	members := p.membersByModel(domain)
 	if len(members) == 0 {
