entry: name the request and its prompt parts where a connection broke

A request line with a broken send now carries the digest (account, method, URI, body) and the ids of the prompt's parts, and each send whether the connection broke and whether the response had begun.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -47,8 +47,11 @@
 	budgetTaken bool
 	// unreachable is set if the request did not reach the upstream.
 	unreachable bool
-	retryAfter  time.Duration
-	reason      string
+	// broken is set if the connection broke while the request was in flight. The
+	// upstream may have ended.
+	broken     bool
+	retryAfter time.Duration
+	reason     string
 	// response is a failure response of the upstream, relayed to the caller if
 	// the request cannot be retried.
 	response *bufferedResponse
@@ -75,7 +78,7 @@
 	result := x.forward(ctx, a)
 	record := a.record
 	record.took = time.Since(started)
-	record.result = result.reason
+	record.result, record.broken = result.reason, result.broken
 	if result.done && record.result == "" {
 		record.result = "answered"
 	}
@@ -134,6 +137,7 @@
 		return attemptResult{reason: fmt.Sprintf("upstream refused with status %d", resp.StatusCode), retryAfter: notRunRetryAfter}
 	}
 	t.recordProgress(now)
+	a.record.begun = true
 	if x.route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK {
 		return x.relayStream(ctx, a, resp)
 	}
@@ -159,7 +163,7 @@
 	if ctx.Err() != nil {
 		return attemptResult{ran: ran, reason: cause.Error()}
 	}
-	return attemptResult{ran: ran, unreachable: !ran, retryAfter: notRunRetryAfter, reason: errorCode(err) + ": " + err.Error()}
+	return attemptResult{ran: ran, unreachable: !ran, broken: ran, retryAfter: notRunRetryAfter, reason: errorCode(err) + ": " + err.Error()}
 }
 
 func (x *exchange) buildRequest(ctx context.Context, a *upstreamAttempt) (*http.Request, error) {
@@ -221,7 +225,7 @@
 		if ctx.Err() != nil {
 			return attemptResult{ran: true, reason: context.Cause(ctx).Error()}
 		}
-		return attemptResult{ran: true, reason: "answer cut off: " + err.Error()}
+		return attemptResult{ran: true, broken: true, reason: "answer cut off: " + err.Error()}
 	}
 	if len(body) > maxBufferedBytes {
 		t.recordSuccess()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +18,7 @@
 	"github.com/bluebellfield/bluebellfield/balance"
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
 const (
@@ -52,6 +55,7 @@
 	service  *catalog.Service
 	priority int
 	body     []byte
+	digest   quarantine.Digest
 	deadline time.Time
 	// elapsed is the time that the caller has spent on its earlier attempts.
 	elapsed time.Duration
@@ -84,7 +88,10 @@
 	at, took                time.Duration
 	load                    float64
 	deferred                bool
-	events                  int
+	// broken is set if the connection broke while the request was in flight;
+	// begun is set if the response header had arrived.
+	broken, begun bool
+	events        int
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler.
@@ -100,6 +107,10 @@
 	if r.deferred {
 		enc.AddBool("deferred", true)
 	}
+	if r.broken {
+		enc.AddBool("broken", true)
+		enc.AddBool("begun", r.begun)
+	}
 	if r.events > 0 {
 		enc.AddInt("events", r.events)
 	}
@@ -135,9 +146,20 @@
 	defer cancel()
 	x.e.demand.add(x.service.Name, &x.request)
 	x.tried = map[*target]bool{}
+	x.digest = x.requestDigest()
 	x.runAttempts(ctx)
 }
 
+// requestDigest identifies the request by its account, method, URI and body, so
+// that a copy has the same digest whichever entry and service it is sent to.
+func (x *exchange) requestDigest() quarantine.Digest {
+	account := ""
+	if x.account != nil {
+		account = x.account.Name
+	}
+	return quarantine.DigestOf(account, x.r.Method+" "+hostOf(x.r.Host)+x.r.URL.RequestURI(), x.body)
+}
+
 // resolve determines the route, account, service and deadline of the request.
 // If it returns false, the caller has been answered.
 func (x *exchange) resolve() bool {
@@ -442,6 +464,10 @@
 	if x.reason != "" {
 		fields = append(fields, zap.String("reason", x.reason))
 	}
+	if slices.ContainsFunc(x.attempts, func(r attemptRecord) bool { return r.broken }) {
+		// Copies of one request have the same digest.
+		fields = append(fields, zap.String("digest", hex.EncodeToString(x.digest[:])), zap.Strings("parts", x.request.PromptParts))
+	}
 	if len(x.attempts) > 0 {
 		fields = append(fields, zap.Array("sends", attemptRecords(x.attempts)))
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -31,6 +31,9 @@
 
 func (testProtocol) ParseRequest(r *http.Request) (Request, error) {
 	q := Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Model: r.Header.Get("Model"), PromptTokens: 100, AnswerTokens: 60, ResumePosition: -1}
+	if parts := r.Header.Get("Parts"); parts != "" {
+		q.PromptParts = strings.Split(parts, ",")
+	}
 	if q.ID == "" {
 		return q, fmt.Errorf("no id")
 	}
@@ -203,6 +206,11 @@
 // newEntry starts an entry with the given upstreams, and a server for its
 // callers.
 func newEntry(t *testing.T, upstreams ...fleet.Upstream) (*Entry, *httptest.Server) {
+	return newLoggedEntry(t, zap.NewNop(), upstreams...)
+}
+
+// newLoggedEntry is newEntry with a logger.
+func newLoggedEntry(t *testing.T, logger *zap.Logger, upstreams ...fleet.Upstream) (*Entry, *httptest.Server) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	network := peer.Listen(listener, peer.Options{ID: "127.0.0.1", Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
@@ -210,7 +218,7 @@
 	t.Cleanup(func() { require.NoError(t, network.Close()) })
 	content := testCatalog(t)
 	e := Start(Options{ID: "127.0.0.1", FailureDomain: "z", Network: network, Protocol: testProtocol{}, Client: upstream.NewClient(nil),
-		Decode: func([]byte) (*catalog.Catalog, error) { return content, nil }, Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
+		Decode: func([]byte) (*catalog.Catalog, error) { return content, nil }, Logger: logger, Registry: metrics.NewRegistry(),
 		RetryBudget: RetryBudget{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}})
 	t.Cleanup(e.Close)
 	require.NoError(t, e.installCatalog("test", 1, nil))
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -22,6 +22,9 @@
 	// ExpectedAnswerTokens is the caller's estimate of the answer tokens, zero
 	// without one.
 	ExpectedAnswerTokens int
+	// PromptParts holds the ids of the parts of the prompt, in order. Requests
+	// share parts, except for the last, which belongs to one request or session.
+	PromptParts []string
 	// ResumePosition is the position of the last event that the caller received,
 	// -1 to start the stream from the beginning.
 	ResumePosition int64
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -137,7 +137,7 @@
 		return attemptResult{ran: true, reason: context.Cause(ctx).Error()}
 	}
 	a.target.recordUnreachable(time.Now())
-	return attemptResult{ran: true, reason: fmt.Sprintf("stream broke after event %d: %v", x.position, err)}
+	return attemptResult{ran: true, broken: !errors.Is(err, errIdleBytes), reason: fmt.Sprintf("stream broke after event %d: %v", x.position, err)}
 }
 
 const (
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -24,11 +24,12 @@
 // another request id has the same digest.
 type Digest [16]byte
 
-// DigestOf returns the digest of a request.
-func DigestOf(account, service string, body []byte) Digest {
+// DigestOf returns the digest of a request of an account. The resource is what
+// the request addresses: a service, or a method and URI.
+func DigestOf(account, resource string, body []byte) Digest {
 	h := sha256.New()
 	var length [8]byte
-	for _, part := range []string{account, service} {
+	for _, part := range []string{account, resource} {
 		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
 		_, _ = h.Write(length[:])
 		_, _ = h.Write([]byte(part))
