entry: quarantine requests that crash upstreams, with the daemon's tracker

Cause: only internal/daemon used package quarantine. Entry instances kept no record, so each copy was a new request and each broken connection an ordinary failure that was retried at the next upstream.

Change: the messages and the ticks of the tracker move from internal/daemon to internal/crashreport, which both paths use. An entry asks it before each attempt and reports a crash when a broken connection is followed by a refused one. Control instances tell the entries which of them are reachable, when that changes. An entry that becomes reachable gets all evidence and verdicts. The tracker is woken by a message, where it could sleep for up to a second. A request that completed within 10 s before a crash is no suspect of it, so that popular requests are not blamed for upstreams that end by themselves.

Why it works: after the first crash a suspect waits until all reachable entries have reported, then runs on one upstream at a time apart from other suspects; two such crashes that it alone explains refuse it everywhere.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -97,6 +97,10 @@
 	// nil if it does not lead. withdrawnVersion counts its changes.
 	withdrawn        *mesh.GroupList
 	withdrawnVersion uint64
+	// reachable lists the entries that have renewed their subscription within
+	// reachableTimeout. reachableVersion counts its changes.
+	reachable        []string
+	reachableVersion uint64
 	// announcedVersion is the last catalog version that was announced to the
 	// subscribers.
 	announcedVersion uint64
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -22,6 +22,10 @@
 	// subscriptionTimeout is the time without renewal after which a subscriber
 	// is dropped.
 	subscriptionTimeout = 5 * time.Second
+	// reachableTimeout is the time without renewal after which the entries no
+	// longer wait for a subscriber when they share what they know of a crash. All
+	// of them must act on a crash within 3 s.
+	reachableTimeout = 3 * SubscribeInterval
 	// resyncTimeout is the time without an update from another control instance
 	// after which all of its records are requested again.
 	resyncTimeout = 3 * UpdateInterval
@@ -51,6 +55,9 @@
 	loadsAt time.Time
 	// withdrawnVersion is the version of the withdrawn groups that was last sent.
 	withdrawnVersion uint64
+	// reachableVersion is the version of the reachable entries that was last
+	// sent.
+	reachableVersion uint64
 }
 
 // modelDemand is the offered load that an entry last reported for a model of a
@@ -76,6 +83,7 @@
 		c.opts.Logger.Info("subscriber joined", zap.String("peer", from), zap.Bool("control", request.Control))
 	}
 	s.renewed = now
+	c.refreshReachable(now)
 	s.offered = demandRates(&request)
 	if len(request.Alive) > 0 {
 		c.opts.System.Root.Send(c.controller, aliveMessage{request.Alive})
@@ -116,6 +124,9 @@
 		update.Loads = c.loadTotals(time.Now())
 		update.Withdrawn, s.withdrawnVersion = c.withdrawn, c.withdrawnVersion
 	}
+	if !s.control && (complete || s.reachableVersion != c.reachableVersion) {
+		update.Reachable, s.reachableVersion = &mesh.InstanceList{Instances: c.reachable}, c.reachableVersion
+	}
 	s.lastNumber++
 	update.Number = s.lastNumber
 	s.pending, s.lastSent = nil, time.Now()
@@ -203,7 +214,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, s := range c.subscribers {
-		if len(s.pending) > 0 || !s.control && s.withdrawnVersion != c.withdrawnVersion {
+		if len(s.pending) > 0 || !s.control && (s.withdrawnVersion != c.withdrawnVersion || s.reachableVersion != c.reachableVersion) {
 			c.sendUpdate(id, s, false)
 		}
 	}
@@ -226,6 +237,24 @@
 	c.requestFlush()
 }
 
+// refreshReachable updates the list of reachable entries and sends it to them if
+// it has changed. The caller holds mu.
+func (c *Control) refreshReachable(now time.Time) {
+	var reachable []string
+	for id, s := range c.subscribers {
+		if !s.control && now.Sub(s.renewed) <= reachableTimeout {
+			reachable = append(reachable, id)
+		}
+	}
+	slices.Sort(reachable)
+	if slices.Equal(reachable, c.reachable) {
+		return
+	}
+	c.reachable = reachable
+	c.reachableVersion++
+	c.requestFlush()
+}
+
 // announceVersion sends an update to all subscribers after a new catalog
 // version has taken effect here.
 func (c *Control) announceVersion() {
@@ -247,6 +276,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.RemoveOlderThan(now.Add(-recordRetention))
+	c.refreshReachable(now)
 	interval := UpdateInterval
 	if c.leads() && len(c.loadTotals(now).Loads) > 0 {
 		interval = LoadReportInterval
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -117,3 +117,30 @@
 	receive("10.0.0.3", 20)
 	require.EqualValues(t, 69, count(), "only the leader's count is complete")
 }
+
+// Guards against entries that wait, after a crash, for the report of one that has
+// stopped or is cut off, and against a list of all entries in each update.
+func TestReachableEntriesAreSentOnChange(t *testing.T) {
+	c := startControl(t, "127.0.0.1")
+	sent := func(id string) (reachable []string, version uint64) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.reachable, c.subscribers[id].reachableVersion
+	}
+	subscribe(t, c, "10.0.1.1")
+	subscribe(t, c, "10.0.1.2")
+	require.Eventually(t, func() bool {
+		reachable, first := sent("10.0.1.1")
+		_, second := sent("10.0.1.2")
+		return len(reachable) == 2 && first == second
+	}, time.Second, time.Millisecond)
+	_, before := sent("10.0.1.1")
+	subscribe(t, c, "10.0.1.1")
+	_, after := sent("10.0.1.1")
+	require.Equal(t, before, after, "no change")
+	require.Eventually(t, func() bool {
+		subscribe(t, c, "10.0.1.1")
+		reachable, version := sent("10.0.1.1")
+		return len(reachable) == 1 && version > before
+	}, 2*reachableTimeout, 10*time.Millisecond, "one entry is silent")
+}
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -4,44 +4,32 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/bluebellfield/bluebellfield/internal/crashreport"
 	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
 	"github.com/bluebellfield/bluebellfield/membership"
 	"github.com/bluebellfield/bluebellfield/quarantine"
-	"github.com/bluebellfield/bluebellfield/quarantine/quarantinepb"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
-const (
-	channelQuarantine = "quarantine"
-	// The tracker is ticked at the busy interval while it has messages due
-	// soon, and at the idle interval otherwise.
-	quarantineBusyInterval = 50 * time.Millisecond
-	quarantineIdleInterval = time.Second
-)
-
 // crashTracker identifies the requests that crash upstreams, in cooperation
 // with the other entries.
 type crashTracker struct {
-	tracker     *quarantine.Tracker
-	network     messenger
-	client      *upstream.Client
-	liveEntries func() []string
-	tree        func() *settings.Tree
-	logger      *zap.Logger
+	tracker  *quarantine.Tracker
+	reporter *crashreport.Reporter
+	client   *upstream.Client
+	tree     func() *settings.Tree
 }
 
 func newCrashTracker(self string, network messenger, client *upstream.Client, live func() []string, tree func() *settings.Tree, logger *zap.Logger) *crashTracker {
-	c := &crashTracker{
-		tracker: quarantine.New(quarantine.Config{Self: self}), network: network, client: client, liveEntries: live, tree: tree, logger: logger,
-	}
-	network.Handle(channelQuarantine, c.receive)
-	return c
+	reporter := crashreport.New(crashreport.Options{Tracker: quarantine.Config{Self: self}, Network: network, LiveEntries: live, Logger: logger})
+	return &crashTracker{tracker: reporter.Tracker(), reporter: reporter, client: client, tree: tree}
 }
 
 func requestDigest(info *caller.RequestInfo) quarantine.Digest {
@@ -84,7 +72,7 @@
 }
 
 func (c *crashTracker) finish(ch *choice, result quarantine.RunResult) {
-	c.send(c.tracker.Finish(time.Now(), ch.run, result))
+	c.reporter.Finish(ch.run, result)
 }
 
 // handleBrokenConnection determines whether a broken connection was caused by
@@ -97,12 +85,7 @@
 		c.finish(ch, quarantine.Failed)
 		return
 	}
-	c.reportCrash(ch.target)
-}
-
-func (c *crashTracker) reportCrash(t quarantine.Target) {
-	c.logger.Info("upstream crashed", zap.String("upstream", t.Upstream), zap.Uint64("incarnation", t.Incarnation))
-	c.send(c.tracker.Crashed(time.Now(), t))
+	c.reporter.Crashed(ch.target)
 }
 
 // onEvents reports lost upstreams as crashed, which makes the requests in
@@ -110,30 +93,7 @@
 func (c *crashTracker) onEvents(events []membership.Event) {
 	for _, e := range events {
 		if e.Kind == membership.Lost {
-			c.reportCrash(quarantine.Target{Upstream: e.ID, Incarnation: e.Incarnation})
-		}
-	}
-}
-
-func (c *crashTracker) receive(_ context.Context, _ string, payload []byte) ([]byte, error) {
-	message, err := quarantinepb.Decode(payload)
-	if err != nil {
-		return nil, err
-	}
-	c.send(c.tracker.Merge(time.Now(), message))
-	return nil, nil
-}
-
-// send sends messages to all live entries.
-func (c *crashTracker) send(messages []quarantine.Message) {
-	for _, m := range messages {
-		payload, err := quarantinepb.Encode(m)
-		if err != nil {
-			c.logger.Error("encode quarantine message", zap.Error(err))
-			continue
-		}
-		for _, id := range c.liveEntries() {
-			c.network.Send(id, channelQuarantine, payload)
+			c.reporter.Crashed(quarantine.Target{Upstream: e.ID, Incarnation: e.Incarnation})
 		}
 	}
 }
@@ -153,16 +113,17 @@
 	return longest
 }
 
-// run ticks the tracker until ctx ends.
+// run shares what is known of crashes until ctx ends.
 func (c *crashTracker) run(ctx context.Context) {
+	var reporting sync.WaitGroup
+	defer reporting.Wait()
+	reporting.Go(func() { c.reporter.Run(ctx) })
 	for ctx.Err() == nil {
-		c.tracker.SetEntries(time.Now(), c.liveEntries())
 		c.tracker.SetQuarantine(c.maxQuarantine())
-		c.send(c.tracker.Tick(time.Now()))
-		pause := quarantineIdleInterval
-		if c.tracker.Busy() {
-			pause = quarantineBusyInterval
-		}
-		wait(ctx, nil, pause)
+		wait(ctx, nil, quarantineSettingsInterval)
 	}
 }
+
+// quarantineSettingsInterval is how often the settings are applied to the
+// tracker.
+const quarantineSettingsInterval = time.Second
--- a/internal/daemon/pick_test.go
+++ b/internal/daemon/pick_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellfield/bluebellfield/group"
+	"github.com/bluebellfield/bluebellfield/internal/crashreport"
 	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
@@ -299,7 +300,7 @@
 
 // tickFor ticks quarantine for a duration while upstream u1 keeps its lease.
 func (p *pickerTest) tickFor(d time.Duration) {
-	for end := time.Now().Add(d); ; time.Sleep(quarantineBusyInterval) {
+	for end := time.Now().Add(d); ; time.Sleep(crashreport.BusyInterval) {
 		p.crashes.tracker.Tick(time.Now())
 		p.report("u1", 2, membership.Ready, membership.GroupRef{})
 		if !time.Now().Before(end) {
--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -71,6 +72,7 @@
 
 // Client sends requests, orders and probes to upstreams.
 type Client struct {
+	dial   DialFunc
 	pooled *http.Transport
 	// singleUse opens a new connection for each request.
 	singleUse *http.Transport
@@ -113,7 +115,21 @@
 	}
 	singleUse := pooled.Clone()
 	singleUse.DisableKeepAlives = true
-	return &Client{pooled: pooled, singleUse: singleUse}
+	return &Client{dial: dial, pooled: pooled, singleUse: singleUse}
+}
+
+// Listening reports whether a process accepts connections at an address. Only a
+// refused connection shows that there is none; without an answer, the result is
+// the error.
+func (c *Client) Listening(ctx context.Context, address string) (bool, error) {
+	conn, err := c.dial(ctx, address)
+	switch {
+	case err == nil:
+		return true, conn.Close()
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return false, nil
+	}
+	return true, fault.Wrap(err, fault.UpstreamUnreachable, fault.Location{Step: StepProbe, Peer: address}, fault.NotRun)
 }
 
 // Close closes idle connections.
--- a/internal/edge/upstream/client_test.go
+++ b/internal/edge/upstream/client_test.go
@@ -482,3 +482,27 @@
 	_, err = client.Order(t.Context(), Target{ID: "u", Address: listener.Addr().String()}, "", Order{})
 	require.Equal(t, fault.NotRun, fault.OutcomeOf(err), "an order that was not sent must be reported as not-run")
 }
+
+// Guards against blaming a request for the end of an upstream that is only slow
+// to accept connections, and against missing one that has ended.
+func TestListening(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	client := NewClient(nil)
+	listening, err := client.Listening(t.Context(), listener.Addr().String())
+	require.NoError(t, err)
+	require.True(t, listening)
+	require.NoError(t, listener.Close())
+	listening, err = client.Listening(t.Context(), listener.Addr().String())
+	require.NoError(t, err)
+	require.False(t, listening)
+	silent := NewClient(func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	listening, err = silent.Listening(ctx, "u")
+	require.Error(t, err)
+	require.True(t, listening, "silence is not the end of the process")
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
 // hopHeaders are the hop-by-hop headers, and headers that would change the
@@ -64,18 +65,32 @@
 	body   []byte
 }
 
-// attempt sends the request to a target and relays the response.
-func (x *exchange) attempt(ctx context.Context, t *target, decision balance.Decision) attemptResult {
-	ctx, cancel := context.WithCancelCause(ctx)
+// attempt sends the request to a target and relays the response. It returns false
+// if quarantine no longer allows the attempt.
+func (x *exchange) attempt(caller context.Context, t *target, decision balance.Decision) (attemptResult, bool) {
+	started := time.Now()
+	run, ok := x.startRun(started, t)
+	if !ok {
+		return attemptResult{}, false
+	}
+	finished := false
+	defer func() {
+		// Writing to a caller that has left ends the exchange with a panic.
+		if !finished {
+			x.e.crashes.Finish(run, quarantine.Cancelled)
+		}
+	}()
+	ctx, cancel := context.WithCancelCause(caller)
 	defer cancel(nil)
 	x.tried[t] = true
-	started := time.Now()
 	estimate := x.candidate(started, t)
 	a := &upstreamAttempt{target: t, started: started, deferred: decision.Deferred, expectedWait: decision.Wait, cancel: cancel,
 		record: attemptRecord{upstream: t.upstream.ID, group: t.upstream.Member.Group, at: started.Sub(x.started), load: estimate.Running, deferred: decision.Deferred}}
 	a.load = t.addRequest(started, x.request.PromptTokens, decision.Deferred)
 	defer a.load.end()
 	result := x.forward(ctx, a)
+	finished = true
+	x.finishRun(caller, t, run, &result)
 	record := a.record
 	record.took = time.Since(started)
 	record.result, record.broken = result.reason, result.broken
@@ -86,7 +101,7 @@
 	if result.ran && !result.done {
 		x.runs++
 	}
-	return result
+	return result, true
 }
 
 // upstreamAttempt is an attempt in progress.
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -1,13 +1,18 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
 // Guards against logs from which it does not follow that two requests whose
@@ -31,3 +36,42 @@
 	require.Equal(t, digests[0], digests[1])
 	require.NotEqual(t, digests[0], digests[2])
 }
+
+// Guards against holding a request that is known to crash upstreams until its
+// deadline, and against refusing others of the same caller with it.
+func TestQuarantinedRequestIsRefusedAtOnce(t *testing.T) {
+	u := newUpstream(t, "u", answer("ok"))
+	e, server := newEntry(t, u.record("app", ""))
+	now := time.Now()
+	culprit := quarantine.DigestOf("account", "POST h.example/read/culprit", []byte("the body"))
+	e.crashes.Tracker().Merge(now, quarantine.Message{From: "other", Verdicts: []quarantine.Verdict{{Digest: culprit, Until: now.Add(time.Minute)}}})
+	got := sendRequest(t, server, "/read/culprit")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Less(t, got.took, time.Second)
+	retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.InDelta(t, time.Minute.Seconds(), retryAfter, 5)
+	require.Zero(t, u.requests(), "not run")
+	require.Equal(t, http.StatusOK, sendRequest(t, server, "/read/other").status)
+}
+
+// Guards against blaming a popular request for upstreams that end by themselves
+// while copies of it are in flight.
+func TestPopularRequestSurvivesCrashes(t *testing.T) {
+	const crashes = 4
+	e, server := newEntry(t)
+	last := newUpstream(t, "last", answer("ok"))
+	for n := range crashes {
+		ending := newUpstream(t, fmt.Sprint("u", n), func(_ *fakeUpstream, _ int, w http.ResponseWriter, r *http.Request) { hang(w, r) })
+		setUpstreams(t, e, last.record("app", ""))
+		require.Equal(t, http.StatusOK, sendRequest(t, server, "/read/popular").status)
+		setUpstreams(t, e, ending.record("app", ""))
+		time.AfterFunc(50*time.Millisecond, func() {
+			setUpstreams(t, e, ending.record("app", ""), last.record("app", ""))
+			_ = ending.server.Listener.Close()
+			ending.server.CloseClientConnections()
+		})
+		require.Equal(t, http.StatusOK, sendRequest(t, server, "/read/popular").status, "the copy in flight moves")
+		require.True(t, e.crashes.Tracker().KnownCrash(quarantine.Target{Upstream: ending.id, Incarnation: 1}))
+	}
+}
--- /dev/null
+++ b/internal/entry/crashes.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bluebellfield/bluebellfield/internal/crashreport"
+	"github.com/bluebellfield/bluebellfield/quarantine"
+)
+
+const (
+	// crashReportTimeout is the maximum time that suspects of a crash wait for the
+	// reports of all entries. Entries of a region need a few ticks of the tracker,
+	// and an unreachable entry must not hold the requests of the others for longer
+	// than callers wait.
+	crashReportTimeout = 500 * time.Millisecond
+	// maxHold is the maximum time that quarantine may delay a request, over all of
+	// its attempts. Then the request is refused, and the caller may try again.
+	maxHold = 2 * crashReportTimeout
+	// holdInterval is the time between two quarantine decisions on a request that
+	// has to wait.
+	holdInterval = 20 * time.Millisecond
+	// holdRetryAfter is the Retry-After of a request that was refused after
+	// maxHold.
+	holdRetryAfter = crashReportTimeout
+	// probeTimeout limits the check whether an upstream that broke a connection
+	// still runs. Connections within a region open within a few milliseconds.
+	probeTimeout = 150 * time.Millisecond
+	// probeValidity is how long the result of that check applies to other
+	// connections that broke at the same time.
+	probeValidity = 100 * time.Millisecond
+)
+
+// Reasons for refusing a suspect.
+const (
+	reasonQuarantined = "the request crashes upstreams"
+	reasonHeld        = "the cause of an upstream's crash is being determined"
+)
+
+func newCrashReporter(o *Options, live func() []string) *crashreport.Reporter {
+	return crashreport.New(crashreport.Options{Tracker: quarantine.Config{Self: o.ID, ReportTimeout: crashReportTimeout},
+		Network: o.Network, LiveEntries: live, Logger: o.Logger})
+}
+
+// permit states where quarantine allows the next attempt of a request. The zero
+// value allows every upstream.
+type permit struct {
+	pin     string
+	isolate func(upstream string) bool
+}
+
+func (p *permit) restricted() bool { return p.pin != "" || p.isolate != nil }
+
+func (p *permit) admits(upstream string) bool {
+	if p.pin != "" {
+		return upstream == p.pin
+	}
+	return p.isolate == nil || p.isolate(upstream)
+}
+
+// awaitPermit waits for the quarantine decision on the request. If it returns
+// false, the caller has been answered.
+func (x *exchange) awaitPermit(ctx context.Context) (permit, bool) {
+	tracker := x.e.crashes.Tracker()
+	for {
+		now := time.Now()
+		decision := tracker.Admit(now, x.digest)
+		switch decision.Action {
+		case quarantine.Run:
+			return permit{pin: decision.Pin}, true
+		case quarantine.Isolate:
+			return permit{pin: decision.Pin, isolate: x.isolation(now)}, true
+		case quarantine.Refuse:
+			x.e.stats.quarantined.Inc(1)
+			x.giveUp(ctx, decision.Until.Sub(now), reasonQuarantined)
+			return permit{}, false
+		case quarantine.Wait:
+		}
+		if !x.hold(ctx) {
+			x.giveUp(ctx, holdRetryAfter, reasonHeld)
+			return permit{}, false
+		}
+	}
+}
+
+// isolation returns the filter of the upstreams on which a suspect may run. The
+// upstreams are divided between the entries anew for each decision, without those
+// that are unlikely to accept the request.
+func (x *exchange) isolation(now time.Time) func(upstream string) bool {
+	tracker := x.e.crashes.Tracker()
+	var usable []string
+	for _, t := range x.targets() {
+		if !t.avoided(now) && !tracker.KnownCrash(t.incarnation()) {
+			usable = append(usable, t.upstream.ID)
+		}
+	}
+	tracker.SetUpstreams(x.isolationPool(), usable)
+	return tracker.Isolation(now, x.isolationPool(), x.digest)
+}
+
+// isolationPool names the set of upstreams that can run the request.
+func (x *exchange) isolationPool() string { return x.service.Name + "\x00" + x.request.Model }
+
+// hold delays the request. It returns false if the request can no longer wait.
+func (x *exchange) hold(ctx context.Context) bool {
+	if x.held >= maxHold || x.remaining(time.Now()) < minRemaining+holdInterval {
+		return false
+	}
+	if x.held == 0 {
+		x.e.stats.held.Inc(1)
+	}
+	x.held += holdInterval
+	timer := time.NewTimer(holdInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// startRun registers an attempt. It returns false if quarantine no longer allows
+// the attempt.
+func (x *exchange) startRun(now time.Time, t *target) (run uint64, ok bool) {
+	run = x.e.lastRun.Add(1)
+	_, ok = x.e.crashes.Tracker().Start(now, x.isolationPool(), run, x.digest, t.incarnation())
+	return run, ok
+}
+
+// finishRun records the end of an attempt. If the upstream has crashed, it
+// reports the crash, which must precede any retry.
+func (x *exchange) finishRun(ctx context.Context, t *target, run uint64, result *attemptResult) {
+	switch {
+	case result.done && x.status < 500:
+		x.e.crashes.Finish(run, quarantine.Completed)
+	case result.done || result.response != nil:
+		x.e.crashes.Finish(run, quarantine.Answered)
+	case !result.ran:
+		x.e.crashes.Finish(run, quarantine.NotStarted)
+	case result.broken && x.e.hasCrashed(t):
+		x.e.crashes.Crashed(t.incarnation())
+	case ctx.Err() != nil && !t.avoided(time.Now()):
+		x.e.crashes.Finish(run, quarantine.Cancelled)
+	default:
+		// A copy of the request need not wait for an upstream that has stalled.
+		x.e.crashes.Finish(run, quarantine.Failed)
+	}
+}
+
+// hasCrashed reports whether an upstream that broke a connection has ended.
+func (e *Entry) hasCrashed(t *target) bool {
+	t.probe.Lock()
+	defer t.probe.Unlock()
+	if e.crashes.Tracker().KnownCrash(t.incarnation()) {
+		return true
+	}
+	if time.Since(t.probedAt) < probeValidity {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
+	defer cancel()
+	listening, err := e.opts.Client.Listening(ctx, t.upstream.Address)
+	if err != nil {
+		e.opts.Logger.Debug("upstream not probed", zap.String("upstream", t.upstream.ID), zap.Error(err))
+	}
+	t.probedAt = time.Now()
+	return !listening
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/fleet"
+	"github.com/bluebellfield/bluebellfield/internal/crashreport"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/mesh"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
@@ -50,6 +51,10 @@
 	baselines  baselineLatencies
 	stats      *stats
 	started    time.Time
+	crashes    *crashreport.Reporter
+	// lastRun is the number of the last attempt, by which quarantine identifies
+	// it.
+	lastRun atomic.Uint64
 
 	mu             sync.Mutex
 	table          *fleet.Table
@@ -83,7 +88,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Entry{opts: o, configured: make(chan struct{}), table: fleet.NewTable(), targets: map[targetKey]*target{},
 		sources: map[string]*updateSource{}, retryLimiters: map[string]*retryLimiter{}, fetches: map[string]time.Time{}, stats: newStats(o.Registry), started: time.Now(), ctx: ctx, cancel: cancel}
+	e.crashes = newCrashReporter(&e.opts, e.reachableEntries)
 	o.Network.Handle(mesh.ChannelUpdate, e.serveUpdate)
+	e.wg.Go(func() { e.crashes.Run(ctx) })
 	e.wg.Go(e.runSubscriptions)
 	e.wg.Go(e.expireUpstreams)
 	e.wg.Go(e.runLoadReports)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -64,6 +64,8 @@
 	// targets and that of an attempt in progress.
 	attempts []attemptRecord
 	tried    map[*target]bool
+	// held is the time for which quarantine has delayed the request.
+	held time.Duration
 	// runs counts the failed attempts that the upstream may have run.
 	// unreachable counts those whose request reached no upstream.
 	runs        int
@@ -236,12 +238,22 @@
 	limiter := x.e.retryLimiter(x.service.Name)
 	limiter.recordFirst(x.started, &x.e.opts.RetryBudget)
 	for {
-		t, decision := x.chooseTarget(time.Now())
+		allowed, ok := x.awaitPermit(ctx)
+		if !ok {
+			return
+		}
+		t, decision := x.chooseTarget(time.Now(), allowed)
+		if t == nil && allowed.restricted() && x.hold(ctx) {
+			continue
+		}
 		if t == nil {
 			x.giveUp(ctx, decision.RetryAfter, decision.Reason)
 			return
 		}
-		result := x.attempt(ctx, t, decision)
+		result, started := x.attempt(ctx, t, decision)
+		if !started {
+			continue
+		}
 		if result.done {
 			return
 		}
@@ -259,9 +271,10 @@
 	}
 }
 
-// chooseTarget selects the target of the next attempt. The target is nil if
-// none is eligible; the decision then holds the reason.
-func (x *exchange) chooseTarget(now time.Time) (*target, balance.Decision) {
+// chooseTarget selects the target of the next attempt among those that quarantine
+// allows. The target is nil if none is eligible; the decision then holds the
+// reason.
+func (x *exchange) chooseTarget(now time.Time, allowed permit) (*target, balance.Decision) {
 	targets := x.targets()
 	candidates := make([]balance.Candidate, len(targets))
 	gaps := make([]time.Duration, len(targets))
@@ -272,7 +285,8 @@
 	for i, t := range targets {
 		c := x.candidate(now, t)
 		c.SlowdownFactor = slowdown[i]
-		c.Excluded = x.tried[t]
+		c.Excluded = x.tried[t] || !allowed.admits(t.upstream.ID)
+		c.Avoided = c.Avoided || x.e.crashes.Tracker().KnownCrash(t.incarnation())
 		c.Local = t.upstream.FailureDomain == x.e.opts.FailureDomain
 		candidates[i] = c
 	}
@@ -464,7 +478,10 @@
 	if x.reason != "" {
 		fields = append(fields, zap.String("reason", x.reason))
 	}
-	if slices.ContainsFunc(x.attempts, func(r attemptRecord) bool { return r.broken }) {
+	if x.held > 0 {
+		fields = append(fields, zap.Int64("heldMs", milliseconds(x.held)))
+	}
+	if x.held > 0 || x.reason == reasonQuarantined || slices.ContainsFunc(x.attempts, func(r attemptRecord) bool { return r.broken }) {
 		// Copies of one request have the same digest.
 		fields = append(fields, zap.String("digest", hex.EncodeToString(x.digest[:])), zap.Strings("parts", x.request.PromptParts))
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -241,6 +241,18 @@
 	require.NotNil(t, e.view.Load())
 }
 
+// setUpstreams replaces the upstreams that the entry knows.
+func setUpstreams(t *testing.T, e *Entry, upstreams ...fleet.Upstream) {
+	update := &mesh.Update{Entries: 1}
+	for i := range upstreams {
+		update.Upstreams = append(update.Upstreams, mesh.EncodeUpstream(&upstreams[i]))
+	}
+	e.mu.Lock()
+	e.table = fleet.NewTable()
+	e.mu.Unlock()
+	apply(t, e, update)
+}
+
 // result is the response that a caller received.
 type result struct {
 	status int
--- a/internal/entry/stats.go
+++ b/internal/entry/stats.go
@@ -10,6 +10,7 @@
 type stats struct {
 	served, refused, failed, rejected, abandoned metrics.Counter
 	moved, retried, stalls                       metrics.Counter
+	held, quarantined                            metrics.Counter
 	firstByte, total                             metrics.Histogram
 }
 
@@ -29,6 +30,7 @@
 		served: counter("requests.served"), refused: counter("requests.refused"), failed: counter("requests.failed"),
 		rejected: counter("requests.rejected"), abandoned: counter("requests.abandoned"),
 		moved: counter("streams.moved"), retried: counter("sends.repeated"), stalls: counter("groups.stalls_seen"),
+		held: counter("requests.held"), quarantined: counter("requests.quarantined"),
 		firstByte: histogram("latency.first_byte_ms"), total: histogram("latency.total_ms"),
 	}
 }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -241,7 +241,7 @@
 	if !x.route.Retryable() || x.runs+1 >= x.route.MaxAttempts || x.deadline.Sub(now) < minRemaining {
 		return false
 	}
-	if t, _ := x.chooseTarget(now); t == nil {
+	if t, _ := x.chooseTarget(now, permit{}); t == nil {
 		// No other target would accept the request, so it stays in its queue.
 		return false
 	}
--- a/internal/entry/subscription.go
+++ b/internal/entry/subscription.go
@@ -55,6 +55,9 @@
 	// triedSince is the time of the first subscription request that was not
 	// answered.
 	triedSince time.Time
+	// reachable lists the entries that the control instance last reported as
+	// reachable.
+	reachable []string
 }
 
 // runSubscriptions subscribes to control instances and renews the
@@ -180,10 +183,13 @@
 	if !update.Complete && (update.Source != s.id || update.Number != s.lastNumber+1) {
 		// An update was lost. The next subscription request asks for all
 		// records.
-		*s = updateSource{lastUpdate: now}
+		*s = updateSource{lastUpdate: now, reachable: s.reachable}
 	} else {
 		s.id, s.lastNumber, s.lastUpdate = update.Source, update.Number, now
 	}
+	if update.Reachable != nil {
+		s.reachable = update.Reachable.Instances
+	}
 	e.controls, e.entries = update.Controls, int(update.Entries)
 	if update.Leader != "" {
 		e.leader = update.Leader
@@ -204,6 +210,21 @@
 	return nil, nil
 }
 
+// reachableEntries lists the other entries that a control instance with current
+// updates reports as reachable.
+func (e *Entry) reachableEntries() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	var all []string
+	for _, s := range e.sources {
+		if now.Sub(s.lastUpdate) < resyncTimeout {
+			all = append(all, s.reachable...)
+		}
+	}
+	return slices.DeleteFunc(sortedUnique(all), func(id string) bool { return id == e.opts.ID })
+}
+
 // applyUpstreams merges the upstream records of an update. It reports whether
 // the content of a record changed. The caller holds mu.
 func (e *Entry) applyUpstreams(now time.Time, from string, update *mesh.Update) bool {
--- a/internal/entry/target.go
+++ b/internal/entry/target.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellfield/bluebellfield/balance"
 	"github.com/bluebellfield/bluebellfield/fleet"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
 const (
@@ -51,6 +52,16 @@
 	backoffUntil time.Time
 	failures     int
 	failureRate  float64
+
+	// probe is held while the upstream is probed; probedAt is the time of the
+	// last probe.
+	probe    sync.Mutex
+	probedAt time.Time
+}
+
+// incarnation identifies the process of the upstream for quarantine.
+func (t *target) incarnation() quarantine.Target {
+	return quarantine.Target{Upstream: t.upstream.ID, Incarnation: uint64(t.upstream.StartMillis)}
 }
 
 // targetKey identifies a target.
--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -15,6 +15,7 @@
 	cfg.EndedRetention = cmp.Or(cfg.EndedRetention, d.EndedRetention)
 	cfg.Resend = cmp.Or(cfg.Resend, d.Resend)
 	cfg.CompletedRetention = cmp.Or(cfg.CompletedRetention, d.CompletedRetention)
+	cfg.SoundRetention = cmp.Or(cfg.SoundRetention, d.SoundRetention)
 	cfg.MaxCrashes = cmp.Or(cfg.MaxCrashes, d.MaxCrashes)
 	cfg.MaxDigests = cmp.Or(cfg.MaxDigests, d.MaxDigests)
 	cfg.MaxVerdicts = cmp.Or(cfg.MaxVerdicts, d.MaxVerdicts)
@@ -139,13 +140,22 @@
 // were reset and it is gone, its lease expired, or membership shows a newer
 // incarnation. All requests in flight there become suspects, so Crashed must be
 // called before any of them is retried. The caller must send the returned messages
-// to all other entries.
+// to all other entries. Each request that a crash interrupts may report it; the
+// repeated reports return nothing.
 func (t *Tracker) Crashed(now time.Time, target Target) []Message {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if c := t.crashes[target]; c != nil && c.reports[t.cfg.Self] != nil && !t.runsOn(target) {
+		return nil
+	}
 	return t.sendCrashes(now, []*crash{t.recordCrash(now, target)})
 }
 
+// runsOn reports whether this entry has a run on a target.
+func (t *Tracker) runsOn(target Target) bool {
+	return slices.ContainsFunc(t.runsByUpstream[target.Upstream], func(r *run) bool { return r.target == target })
+}
+
 func (t *Tracker) recordCrash(now time.Time, target Target) *crash {
 	c := t.ensureCrash(now, target)
 	t.addOwnReport(now, c)
@@ -176,7 +186,7 @@
 		c := t.ensureCrash(now, e.Target)
 		t.ensureReport(c, m.From, e.Truncated)
 		for _, a := range e.Requests {
-			t.addRequest(c, m.From, a)
+			t.addRequest(now, c, m.From, a)
 		}
 		for _, d := range e.Cleared {
 			t.addCleared(c, d)
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -42,7 +42,7 @@
 	t.ensureReport(c, t.cfg.Self, false)
 	for _, r := range t.runsByUpstream[c.target.Upstream] {
 		if r.target == c.target && (r.endedAt.IsZero() || now.Sub(r.endedAt) < t.cfg.EndedRetention) {
-			t.addRequest(c, t.cfg.Self, ReportedRequest{r.digest, r.presence()})
+			t.addRequest(now, c, t.cfg.Self, ReportedRequest{r.digest, r.presence()})
 		}
 	}
 }
@@ -62,8 +62,9 @@
 }
 
 // addRequest adds a request to an entry's report, which is the union of all
-// requests that the entry has reported.
-func (t *Tracker) addRequest(c *crash, from string, request ReportedRequest) {
+// requests that the entry has reported. A request that this entry knows to be
+// sound is cleared at once.
+func (t *Tracker) addRequest(now time.Time, c *crash, from string, request ReportedRequest) {
 	r, d := c.reports[from], request.Digest
 	previous, known := r.digests[d]
 	if !known && len(r.digests) >= MaxReport {
@@ -77,7 +78,11 @@
 		c.sum ^= presenceHash(from, d, previous) ^ presenceHash(from, d, request.Presence)
 		r.digests[d] = request.Presence
 	}
-	if !c.cleared[d] {
+	switch at, completed := t.completed[d]; {
+	case c.cleared[d]:
+	case completed && now.Sub(at) < t.cfg.SoundRetention:
+		t.addCleared(c, d)
+	default:
 		t.addSuspect(d, c)
 	}
 	for t.digestCount > t.cfg.MaxDigests && t.crashOrder[0] != c {
@@ -184,7 +189,11 @@
 		delete(t.verdicts, first.Digest)
 		delete(t.resendUntil, first.Digest)
 	}
+	_, known := t.verdicts[v.Digest]
 	t.verdicts[v.Digest] = v.Until
+	if !known && t.cfg.OnVerdict != nil {
+		t.cfg.OnVerdict(v)
+	}
 }
 
 // sendCrashes returns one message with this entry's evidence of the crashes and
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -16,6 +16,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"sync"
 	"time"
 )
@@ -39,6 +40,9 @@
 	return Digest(h.Sum(sum[:0])[:16])
 }
 
+// String returns the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
 // Target is one incarnation of an upstream. A target crashes at most once.
 type Target struct {
 	Upstream    string
@@ -68,6 +72,14 @@
 	// CompletedRetention is how long a request may run on several upstreams at
 	// once after it has completed.
 	CompletedRetention time.Duration
+	// SoundRetention is how long before a crash a request must have completed not
+	// to be a suspect. It keeps a popular request, of which a copy is in flight at
+	// most crashes, from being blamed. A request that begins to crash upstreams
+	// becomes a suspect when it has not completed for this time.
+	SoundRetention time.Duration
+	// OnVerdict, if set, is called for each new verdict. It must not call the
+	// Tracker.
+	OnVerdict func(Verdict)
 	// MaxCrashes, MaxDigests, MaxVerdicts and MaxCompleted limit the memory used
 	// for crashes, the digests in all their reports, quarantined requests and
 	// completed requests. At a limit, the oldest crash or completed request, or
@@ -88,7 +100,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Quarantine: 10 * time.Minute, ReportTimeout: 2 * MaxOneWayDelay, EndedRetention: 2*time.Second + MaxOneWayDelay,
-		Resend: 250 * time.Millisecond, CompletedRetention: time.Minute,
+		Resend: 250 * time.Millisecond, CompletedRetention: time.Minute, SoundRetention: 10 * time.Second,
 		MaxCrashes: 256, MaxDigests: 1 << 16, MaxVerdicts: 4096, MaxCompleted: 8192,
 	}
 }
@@ -140,6 +152,10 @@
 	Completed RunResult = iota
 	// NotStarted means that the upstream did not start the request.
 	NotStarted
+	// Answered means that the upstream answered with an error of its own. It is
+	// no longer processing the request, but may have failed before the part that
+	// would crash it.
+	Answered
 	// Cancelled means that the caller disconnected or that its deadline expired.
 	// For EndedRetention, a retry runs on the same upstream, which may still
 	// crash because of the request.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -316,3 +316,57 @@
 	}
 	require.Equal(t, Decision{Action: Refuse, Until: now.Add(20 * time.Minute)}, tracker.Admit(now, x))
 }
+
+// A popular request must not be blamed for upstreams that end by themselves: a
+// copy of it is in flight at most crashes. Any entry may know that it is sound.
+func TestPopularRequestIsNotASuspect(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := New(Config{Self: "a"}), New(Config{Self: "b"})
+	a.SetEntries(now, []string{"b"})
+	b.SetEntries(now, []string{"a"})
+	a.SetUpstreams("s", []string{"u1", "u2", "u3"})
+	x := digest("x")
+	b.Start(now, "s", 1, x, Target{"u3", 1})
+	b.Finish(now, 1, Completed)
+	now = now.Add(b.cfg.SoundRetention / 2)
+	a.Start(now, "s", 1, x, Target{"u1", 1})
+	reply := b.Merge(now, a.Crashed(now, Target{"u1", 1})[0])
+	a.Merge(now, reply[0])
+	require.Equal(t, Run, a.Admit(now, x).Action, "the other entry has completed it")
+	require.Equal(t, Run, b.Admit(now, x).Action)
+	require.Zero(t, a.CrashCount(x))
+
+	// A request that has begun to crash upstreams must not stay protected.
+	now = now.Add(b.cfg.SoundRetention)
+	a.Start(now, "s", 2, x, Target{"u2", 1})
+	a.Merge(now, b.Merge(now, a.Crashed(now, Target{"u2", 1})[0])[0])
+	require.Equal(t, 1, a.CrashCount(x))
+}
+
+// An error of an upstream must not clear a suspect: it may have failed before the
+// part that crashes upstreams.
+func TestErrorAnswerProvesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := New(Config{Self: "e0"})
+	tracker.SetUpstreams("s", []string{"u1", "u2"})
+	x := digest("x")
+	tracker.Start(now, "s", 1, x, Target{"u1", 1})
+	tracker.Crashed(now, Target{"u1", 1})
+	tracker.Start(now, "s", 2, x, Target{"u2", 1})
+	tracker.Finish(now, 2, Answered)
+	require.Equal(t, Decision{Action: Isolate}, tracker.Admit(now, x), "neither cleared nor pinned")
+}
+
+// Many requests may find that their upstream has crashed. Only the first must
+// cost messages.
+func TestCrashIsReportedOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := New(Config{Self: "e0"})
+	target := Target{"u1", 1}
+	require.False(t, tracker.KnownCrash(target))
+	tracker.Start(now, "s", 1, digest("x"), target)
+	tracker.Start(now, "s", 2, digest("y"), target)
+	require.Len(t, tracker.Crashed(now, target), 1)
+	require.Empty(t, tracker.Crashed(now, target))
+	require.True(t, tracker.KnownCrash(target))
+}
--- a/quarantine/queries.go
+++ b/quarantine/queries.go
@@ -102,6 +102,13 @@
 	return len(t.resendUntil) > 0
 }
 
+// KnownCrash reports whether a target is known to have crashed.
+func (t *Tracker) KnownCrash(target Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.crashes[target] != nil
+}
+
 // Snapshot returns a message with this entry's own evidence and all verdicts, for
 // an entry that has just started or become reachable.
 func (t *Tracker) Snapshot(now time.Time) Message {
