quarantine: find prompt parts that crash upstreams, in both serving paths

Cause: quarantine identified whole requests only. A part that several requests share was no suspect, so each new request with it was unsuspicious.

Change: the tracker takes the shared parts of a prompt with each request and treats their digests like those of requests. Of what two isolated crashes have in common it quarantines the narrowest. A run that delivers events for 100 ms clears its parts; its own request becomes a suspect only if a second crash interrupts it. The platform's entries read the parts from the prompt prefix, the daemon's from the messages of a chat; the last one belongs to the request.

Why it works: after the first crash one request with the part runs at a time, apart from other suspects; the other parts of sound requests are cleared as these progress, and two isolated crashes leave the part as what they have in common.

--- a/internal/cluster/client.go
+++ b/internal/cluster/client.go
@@ -42,10 +42,16 @@
 // Stream requests a streamed chat completion of a number of tokens. The url is that
 // of the entry, without a path.
 func (c *Caller) Stream(ctx context.Context, url, model, prompt string, tokens int) Response {
-	body, err := json.Marshal(map[string]any{
-		"model": model, "stream": true, "max_tokens": tokens,
-		"messages": []map[string]string{{"role": "user", "content": prompt}},
-	})
+	return c.StreamChat(ctx, url, model, []string{prompt}, tokens)
+}
+
+// StreamChat is Stream for a chat of several messages.
+func (c *Caller) StreamChat(ctx context.Context, url, model string, prompts []string, tokens int) Response {
+	messages := make([]map[string]string, len(prompts))
+	for i, prompt := range prompts {
+		messages[i] = map[string]string{"role": "user", "content": prompt}
+	}
+	body, err := json.Marshal(map[string]any{"model": model, "stream": true, "max_tokens": tokens, "messages": messages})
 	if err != nil {
 		return Response{Err: err}
 	}
--- a/internal/cluster/crash_test.go
+++ b/internal/cluster/crash_test.go
@@ -81,6 +81,49 @@
 	}
 }
 
+// Guards against a part of a prompt that crashes each engine, which quarantine of
+// whole requests does not find: no two requests are alike.
+func TestCrashCausingPromptPart(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 1)
+	limit := quarantine.MaxUpstreamsLost(len(c.IDs()))
+	var engines []*fake.Engine
+	for i := range limit + 3 {
+		e := c.addEngine(fmt.Sprintf("p%02d", i), []string{"a", "b", "c"}[i%3])
+		e.SetFaults(fake.Faults{CrashOn: "poison"})
+		engines = append(engines, e)
+	}
+	for _, id := range c.IDs() {
+		c.waitServed(id)
+	}
+	sent := 0
+	stream := func(id, document string) Response {
+		sent++
+		return c.paying.StreamChat(context.Background(), c.CallerURL(id), "rug-model", []string{"you are helpful", document, fmt.Sprint("question ", sent)}, 5)
+	}
+	for _, id := range c.IDs() {
+		// The first requests are quarantined themselves after they have crashed
+		// engines. From the verdict on the part on, they do not run.
+		c.eventually("the rejection through "+id, func() bool {
+			r := stream(id, "poison document")
+			require.False(t, r.Complete)
+			return strings.Contains(r.Body, fmt.Sprintf("%q", fault.Quarantined)) && r.Outcome == fault.NotRun
+		})
+	}
+	lost := 0
+	for _, e := range engines {
+		if e.Killed() {
+			lost++
+		}
+	}
+	t.Logf("%d of %d engines lost, at most %d allowed", lost, len(engines), limit)
+	require.LessOrEqual(t, lost, limit)
+	require.Positive(t, lost)
+	for _, id := range c.IDs() {
+		c.eventually("a sound request with the same first part through "+id, func() bool { return stream(id, "sound document").Complete })
+	}
+}
+
 // Guards against paying streams that wait for free ones when those occupy all
 // batch slots, and against free streams that are lost when they are preempted.
 func TestPayingBeforeFree(t *testing.T) {
--- a/internal/crashreport/crashreport.go
+++ b/internal/crashreport/crashreport.go
@@ -72,12 +72,17 @@
 	}
 	r.opts.Logger.Info("upstream crashed", zap.String("upstream", t.Upstream), zap.Uint64("incarnation", t.Incarnation),
 		zap.Int("inFlight", len(messages[0].Evidence[0].Requests)))
-	r.send(r.opts.LiveEntries(), messages)
+	r.sendAll(messages)
 }
 
 // Finish records the end of a run.
 func (r *Reporter) Finish(run uint64, result quarantine.RunResult) {
-	r.send(r.opts.LiveEntries(), r.tracker.Finish(time.Now(), run, result))
+	r.sendAll(r.tracker.Finish(time.Now(), run, result))
+}
+
+// Progressed records that a run has come past the start of its answer.
+func (r *Reporter) Progressed(run uint64) {
+	r.sendAll(r.tracker.Progressed(time.Now(), run))
 }
 
 func (r *Reporter) receive(_ context.Context, _ string, payload []byte) ([]byte, error) {
@@ -85,11 +90,18 @@
 	if err != nil {
 		return nil, err
 	}
-	r.send(r.opts.LiveEntries(), r.tracker.Merge(time.Now(), message))
+	r.sendAll(r.tracker.Merge(time.Now(), message))
 	r.wakeUp()
 	return nil, nil
 }
 
+// sendAll sends messages to all reachable entries.
+func (r *Reporter) sendAll(messages []quarantine.Message) {
+	if len(messages) > 0 {
+		r.send(r.opts.LiveEntries(), messages)
+	}
+}
+
 func (r *Reporter) send(to []string, messages []quarantine.Message) {
 	for _, m := range messages {
 		payload, err := quarantinepb.Encode(m)
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -36,9 +36,18 @@
 	return quarantine.Digest(info.Digest[:16])
 }
 
+// promptParts identifies the parts of the prompt that other requests may share.
+func promptParts(info *caller.RequestInfo) []quarantine.Digest {
+	parts := make([]quarantine.Digest, len(info.Parts))
+	for i := range info.Parts {
+		parts[i] = quarantine.PartDigest(info.Route.Service, string(info.Parts[i][:]))
+	}
+	return parts
+}
+
 // Check implements caller.Quarantine.
 func (c *crashTracker) Check(info *caller.RequestInfo) error {
-	return quarantineError(c.tracker.Admit(time.Now(), requestDigest(info)))
+	return quarantineError(c.tracker.Admit(time.Now(), requestDigest(info), promptParts(info)...))
 }
 
 func quarantineError(r quarantine.Decision) error {
@@ -57,7 +66,7 @@
 		if err := ctx.Err(); errors.Is(err, context.Canceled) {
 			return quarantine.Decision{}, fault.Wrap(err, fault.Unavailable, fault.Location{Step: "quarantine"}, fault.NotRun)
 		}
-		decision := c.tracker.Admit(time.Now(), requestDigest(info))
+		decision := c.tracker.Admit(time.Now(), requestDigest(info), promptParts(info)...)
 		if err := quarantineError(decision); err != nil {
 			return decision, err
 		}
--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -165,7 +165,7 @@
 	}
 	req.Pinned, req.Isolate = decision.Pin, nil
 	if decision.Action == quarantine.Isolate {
-		req.Isolate = p.crashes.tracker.Isolation(time.Now(), info.Route.Service, requestDigest(info))
+		req.Isolate = p.crashes.tracker.Isolation(time.Now(), info.Route.Service, requestDigest(info), promptParts(info)...)
 	}
 	return nil
 }
@@ -200,7 +200,7 @@
 	}
 	target := quarantine.Target{Upstream: u.ID, Incarnation: u.Incarnation}
 	run := p.lastRun.Add(1)
-	decision, ok := p.crashes.tracker.Start(now, info.Route.Service, run, requestDigest(info), target)
+	decision, ok := p.crashes.tracker.Start(now, info.Route.Service, run, requestDigest(info), target, promptParts(info)...)
 	if !ok {
 		return nil, &retryPickError{upstream: u.ID, suspect: true}
 	}
@@ -521,6 +521,9 @@
 // FirstByte implements caller.Choice.
 func (c *choice) FirstByte() { c.firstByte = time.Since(c.startedAt) }
 
+// Progressed implements caller.Choice.
+func (c *choice) Progressed() { c.picker.crashes.reporter.Progressed(c.run) }
+
 // Finish implements caller.Choice.
 func (c *choice) Finish(r caller.Result) {
 	p := c.picker
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
 	"github.com/bluebellfield/bluebellfield/membership"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
@@ -52,11 +53,26 @@
 	cancelDeadline context.CancelFunc
 	// responded is set when the response headers have arrived.
 	responded bool
+	// firstEvent is the time of the first event of a stream; progressed is set
+	// when the choice has been told that the stream is past its start.
+	firstEvent time.Time
+	progressed bool
 	// disablePreemption stops the watch for preemption. When it returns, the
 	// attempt either has been preempted or cannot be preempted any more.
 	disablePreemption func()
 }
 
+// recordEvent records an event of the stream.
+func (a *attempt) recordEvent(now time.Time) {
+	if a.firstEvent.IsZero() {
+		a.firstEvent = now
+	}
+	if !a.progressed && now.Sub(a.firstEvent) >= quarantine.ProgressTime {
+		a.progressed = true
+		a.choice.Progressed()
+	}
+}
+
 // watchPreemption cancels the attempt when preempted is closed, unless the
 // engine orders its batch by priority. This includes attempts that are still in
 // the engine's queue, since paying requests would queue behind them.
--- a/internal/edge/caller/deps.go
+++ b/internal/edge/caller/deps.go
@@ -77,7 +77,10 @@
 	Prompt string
 	// Digest is a hash of account, service, method, URI and body. It does not
 	// depend on the request id.
-	Digest   [32]byte
+	Digest [32]byte
+	// Parts are hashes of the messages of a chat other than the last, which
+	// other requests may share.
+	Parts    [][32]byte
 	Deadline time.Time
 }
 
@@ -132,6 +135,8 @@
 	OutlivesCaller() bool
 	// FirstByte records the time to the first byte of the response.
 	FirstByte()
+	// Progressed records that a stream has come past the start of its answer.
+	Progressed()
 	// Finish records the result of the attempt.
 	Finish(Result)
 }
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -271,16 +271,24 @@
 		x.info.Tokens = n
 	}
 	var prompt strings.Builder
-	for _, m := range x.chat.Messages {
+	for i, m := range x.chat.Messages {
+		start := prompt.Len()
 		prompt.WriteString(m.Role)
 		prompt.WriteByte('\n')
 		prompt.Write(m.Content)
+		if i < min(len(x.chat.Messages)-1, maxSharedParts) {
+			x.info.Parts = append(x.info.Parts, sha256.Sum256([]byte(prompt.String()[start:])))
+		}
 	}
 	x.info.Prompt = prompt.String()
 	x.info.Tokens += promptTokens(x.info.Prompt)
 	return nil
 }
 
+// maxSharedParts limits the messages of a chat that quarantine tracks. Long chats
+// share the first ones.
+const maxSharedParts = 16
+
 // bytesPerToken is the approximate length of a token in English text.
 const bytesPerToken = 4
 
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -146,6 +146,7 @@
 func (c harnessChoice) HonoursPriority() bool   { return false }
 func (c harnessChoice) CanResume() bool         { return c.canResume }
 func (c harnessChoice) FirstByte()              {}
+func (c harnessChoice) Progressed()             {}
 func (c harnessChoice) OutlivesCaller() bool    { return c.outlives }
 func (c harnessChoice) Finish(r Result)         { c.onFinish(r) }
 
--- a/internal/edge/caller/stream.go
+++ b/internal/edge/caller/stream.go
@@ -135,6 +135,7 @@
 		if err := s.deliver(a, &e); err != nil {
 			return err
 		}
+		a.recordEvent(time.Now())
 		// Flush events that arrived together with one system call.
 		if in.Buffered() {
 			continue
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -84,7 +84,7 @@
 	defer cancel(nil)
 	x.tried[t] = true
 	estimate := x.candidate(started, t)
-	a := &upstreamAttempt{target: t, started: started, deferred: decision.Deferred, expectedWait: decision.Wait, cancel: cancel,
+	a := &upstreamAttempt{target: t, run: run, started: started, deferred: decision.Deferred, expectedWait: decision.Wait, cancel: cancel,
 		record: attemptRecord{upstream: t.upstream.ID, group: t.upstream.Member.Group, at: started.Sub(x.started), load: estimate.Running, deferred: decision.Deferred}}
 	a.load = t.addRequest(started, x.request.PromptTokens, decision.Deferred)
 	defer a.load.end()
@@ -106,8 +106,14 @@
 
 // upstreamAttempt is an attempt in progress.
 type upstreamAttempt struct {
-	target  *target
+	target *target
+	// run is the number of the attempt in quarantine.
+	run     uint64
 	started time.Time
+	// firstEvent is the time of the first event; progressed is set when the
+	// attempt has been reported as past the start of its answer.
+	firstEvent time.Time
+	progressed bool
 	// deferred attempts yield to those that can meet their deadline.
 	deferred bool
 	// expectedWait is the queueing delay that was estimated when the target was
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -31,6 +31,9 @@
 	// probeValidity is how long the result of that check applies to other
 	// connections that broke at the same time.
 	probeValidity = 100 * time.Millisecond
+	// maxSharedParts bounds the parts of a prompt that quarantine tracks. Prompts
+	// have a few; a caller may list any number.
+	maxSharedParts = 16
 )
 
 // Reasons for refusing a suspect.
@@ -44,6 +47,31 @@
 		Network: o.Network, LiveEntries: live, Logger: o.Logger})
 }
 
+// requestDigest identifies the request by its account, method, URI and body, so
+// that a copy has the same digest whichever entry and service it is sent to.
+func (x *exchange) requestDigest() quarantine.Digest {
+	account := ""
+	if x.account != nil {
+		account = x.account.Name
+	}
+	return quarantine.DigestOf(account, x.r.Method+" "+hostOf(x.r.Host)+x.r.URL.RequestURI(), x.body)
+}
+
+// sharedParts identifies the parts of the prompt that other requests may share:
+// all but the last.
+func (x *exchange) sharedParts() []quarantine.Digest {
+	ids := x.request.PromptParts
+	if x.service.Engine == nil || len(ids) == 0 {
+		return nil
+	}
+	ids = ids[:min(len(ids)-1, maxSharedParts)]
+	parts := make([]quarantine.Digest, len(ids))
+	for i, id := range ids {
+		parts[i] = quarantine.PartDigest(x.service.Name, id)
+	}
+	return parts
+}
+
 // permit states where quarantine allows the next attempt of a request. The zero
 // value allows every upstream.
 type permit struct {
@@ -66,7 +94,7 @@
 	tracker := x.e.crashes.Tracker()
 	for {
 		now := time.Now()
-		decision := tracker.Admit(now, x.digest)
+		decision := tracker.Admit(now, x.digest, x.parts...)
 		switch decision.Action {
 		case quarantine.Run:
 			return permit{pin: decision.Pin}, true
@@ -97,7 +125,7 @@
 		}
 	}
 	tracker.SetUpstreams(x.isolationPool(), usable)
-	return tracker.Isolation(now, x.isolationPool(), x.digest)
+	return tracker.Isolation(now, x.isolationPool(), x.digest, x.parts...)
 }
 
 // isolationPool names the set of upstreams that can run the request.
@@ -126,7 +154,7 @@
 // the attempt.
 func (x *exchange) startRun(now time.Time, t *target) (run uint64, ok bool) {
 	run = x.e.lastRun.Add(1)
-	_, ok = x.e.crashes.Tracker().Start(now, x.isolationPool(), run, x.digest, t.incarnation())
+	_, ok = x.e.crashes.Tracker().Start(now, x.isolationPool(), run, x.digest, t.incarnation(), x.parts...)
 	return run, ok
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -56,6 +56,8 @@
 	priority int
 	body     []byte
 	digest   quarantine.Digest
+	// parts identifies the parts of the prompt that other requests may share.
+	parts    []quarantine.Digest
 	deadline time.Time
 	// elapsed is the time that the caller has spent on its earlier attempts.
 	elapsed time.Duration
@@ -148,20 +150,10 @@
 	defer cancel()
 	x.e.demand.add(x.service.Name, &x.request)
 	x.tried = map[*target]bool{}
-	x.digest = x.requestDigest()
+	x.digest, x.parts = x.requestDigest(), x.sharedParts()
 	x.runAttempts(ctx)
 }
 
-// requestDigest identifies the request by its account, method, URI and body, so
-// that a copy has the same digest whichever entry and service it is sent to.
-func (x *exchange) requestDigest() quarantine.Digest {
-	account := ""
-	if x.account != nil {
-		account = x.account.Name
-	}
-	return quarantine.DigestOf(account, x.r.Method+" "+hostOf(x.r.Host)+x.r.URL.RequestURI(), x.body)
-}
-
 // resolve determines the route, account, service and deadline of the request.
 // If it returns false, the caller has been answered.
 func (x *exchange) resolve() bool {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/internal/sse"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
 const (
@@ -54,9 +55,13 @@
 		idleBytes = 0
 		t.recordProgress(now)
 		a.watchdog.progress(now)
-		if a.record.events == 0 {
+		if a.firstEvent.IsZero() {
 			x.recordFirstEvent(a, now)
 		}
+		if !a.progressed && now.Sub(a.firstEvent) >= quarantine.ProgressTime {
+			a.progressed = true
+			x.e.crashes.Progressed(a.run)
+		}
 		if a.record.events > 0 {
 			t.recordGap(now, now.Sub(x.lastEvent))
 		}
@@ -105,6 +110,7 @@
 
 // recordFirstEvent records that the upstream has started to run the request.
 func (x *exchange) recordFirstEvent(a *upstreamAttempt, now time.Time) {
+	a.firstEvent = now
 	a.load.started()
 	if a.expectedWait == 0 {
 		x.e.baselines.add(x.service.Name, x.request.Model, now.Sub(a.started))
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -75,6 +75,16 @@
 	return r.Messages[len(r.Messages)-1].Content
 }
 
+// contains reports whether a message contains a text.
+func (r *chatRequest) contains(text string) bool {
+	for _, m := range r.Messages {
+		if strings.Contains(m.Content, text) {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *chatRequest) tokens() int {
 	if r.MaxTokens <= 0 {
 		return defaultTokens
@@ -110,7 +120,7 @@
 		return
 	}
 	faults := e.Faults()
-	if faults.CrashOn != "" && strings.Contains(req.prompt(), faults.CrashOn) {
+	if faults.CrashOn != "" && req.contains(faults.CrashOn) {
 		e.Kill()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -38,7 +38,7 @@
 
 // Faults selects the faults that a running upstream injects.
 type Faults struct {
-	// CrashOn kills the engine when a prompt contains this text.
+	// CrashOn kills the engine when a message of a prompt contains this text.
 	CrashOn string
 	// TruncateAfter aborts each stream after this many tokens, and any other
 	// response before the end of its body. Zero disables truncation.
--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -25,7 +25,7 @@
 		crashes: map[Target]*crash{}, suspects: map[Digest][]*crash{},
 		verdicts: map[Digest]time.Time{}, resendUntil: map[Digest]time.Time{},
 		runs: map[uint64]*run{}, runsByDigest: map[Digest][]*run{}, runsByUpstream: map[string][]*run{},
-		completed: map[Digest]time.Time{},
+		progressed: map[Digest]time.Time{}, completed: map[Digest]time.Time{},
 	}
 }
 
@@ -74,8 +74,9 @@
 // of Admit. It decides again, and if the current decision does not allow the run
 // on this upstream, it registers nothing and returns that decision and false. If
 // this entry still has runs on an older incarnation of the upstream, Start first
-// records a crash of that incarnation, which the next Tick reports.
-func (t *Tracker) Start(now time.Time, service string, id uint64, d Digest, target Target) (Decision, bool) {
+// records a crash of that incarnation, which the next Tick reports. The parts are
+// those of the prompt that other requests may share.
+func (t *Tracker) Start(now time.Time, service string, id uint64, d Digest, target Target, parts ...Digest) (Decision, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.runsByUpstream[target.Upstream] {
@@ -86,23 +87,25 @@
 			break
 		}
 	}
-	decision := t.decideAdmission(now, d)
+	decision := t.decideAdmission(now, d, parts)
 	switch {
 	case decision.Action == Wait || decision.Action == Refuse:
 		return decision, false
 	case decision.Pin != "" && decision.Pin != target.Upstream:
 		return decision, false
-	case decision.Action == Isolate && decision.Pin == "" && !t.canIsolate(now, service, d, target.Upstream):
+	case decision.Action == Isolate && decision.Pin == "" && !t.canIsolate(now, service, d, parts, target.Upstream):
 		return decision, false
 	}
-	r := &run{id: id, digest: d, target: target, isolated: decision.Action == Isolate}
+	r := &run{id: id, digest: d, parts: parts, target: target, isolated: decision.Action == Isolate}
 	if decision.Pin != "" {
 		r.isolated = t.runsByDigest[d][0].isolated
 	}
 	if r.isolated {
 		// Tell the other entries, which hold back copies until this run ends.
-		for _, c := range t.suspects[d] {
-			c.placementChanged = true
+		for _, key := range keysOf(d, parts) {
+			for _, c := range t.suspects[key] {
+				c.placementChanged = true
+			}
 		}
 	}
 	t.runs[id] = r
@@ -111,7 +114,24 @@
 	return decision, true
 }
 
-// Finish ends a run. A completed request is cleared of all known crashes.
+// Progressed records that a run has come past the start of its answer. Its parts
+// are cleared of all known crashes, since a part that crashes upstreams does so as
+// soon as one begins to write an answer on it. The request itself is not cleared,
+// but as long as no crash has interrupted it before, it is not a suspect of the
+// next one.
+func (t *Tracker) Progressed(now time.Time, id uint64) []Message {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.runs[id]
+	if r == nil || r.progressed {
+		return nil
+	}
+	r.progressed = true
+	return t.recordSound(now, r.parts)
+}
+
+// Finish ends a run. A completed request is cleared of all known crashes, and so
+// are its parts.
 func (t *Tracker) Finish(now time.Time, id uint64, result RunResult) []Message {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -132,8 +152,7 @@
 	if result != Completed {
 		return nil
 	}
-	t.recordCompletion(now, r.digest)
-	return t.clearRequest(now, r.digest)
+	return t.recordSound(now, keysOf(r.digest, r.parts))
 }
 
 // Crashed records a crash of a target that this entry detected: its connections
@@ -252,6 +271,11 @@
 			delete(t.resendUntil, d)
 		}
 	}
+	for d, at := range t.progressed {
+		if now.Sub(at) >= t.cfg.CompletedRetention {
+			delete(t.progressed, d)
+		}
+	}
 	for _, rs := range t.runsByUpstream {
 		for _, r := range append([]*run(nil), rs...) {
 			if !r.endedAt.IsZero() && now.Sub(r.endedAt) >= t.cfg.EndedRetention {
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -17,7 +18,7 @@
 		t.removeCrash(t.crashOrder[0])
 	}
 	c := &crash{
-		target: target, knownSince: now, reports: map[string]*report{}, cleared: map[Digest]bool{},
+		target: target, knownSince: now, reports: map[string]*report{}, cleared: map[Digest]bool{}, depths: map[Digest]uint8{},
 		peerSums: map[string]uint64{}, peerPlacements: map[string]placements{},
 	}
 	t.crashes[target] = c
@@ -37,12 +38,24 @@
 }
 
 // addOwnReport adds the requests that this entry has in flight at the target to
-// its report.
+// its report. A request that has progressed is added when a crash has interrupted
+// it before; requests that crash upstreams late in their runs are found by that.
 func (t *Tracker) addOwnReport(now time.Time, c *crash) {
 	t.ensureReport(c, t.cfg.Self, false)
 	for _, r := range t.runsByUpstream[c.target.Upstream] {
-		if r.target == c.target && (r.endedAt.IsZero() || now.Sub(r.endedAt) < t.cfg.EndedRetention) {
-			t.addRequest(now, c, t.cfg.Self, ReportedRequest{r.digest, r.presence()})
+		if r.target != c.target || !r.endedAt.IsZero() && now.Sub(r.endedAt) >= t.cfg.EndedRetention {
+			continue
+		}
+		keys := keysOf(r.digest, r.parts)
+		if r.progressed {
+			keys = keys[:1]
+			_, interrupted := t.progressed[r.digest]
+			if t.progressed[r.digest] = now; !interrupted && len(t.suspects[r.digest]) == 0 {
+				continue
+			}
+		}
+		for depth, key := range keys {
+			t.addRequest(now, c, t.cfg.Self, ReportedRequest{key, r.presence(), uint8(min(depth, math.MaxUint8))})
 		}
 	}
 }
@@ -74,6 +87,9 @@
 	if !known {
 		t.digestCount++
 	}
+	if request.Depth > c.depths[d] {
+		c.depths[d] = request.Depth
+	}
 	if request.Presence > previous {
 		c.sum ^= presenceHash(from, d, previous) ^ presenceHash(from, d, request.Presence)
 		r.digests[d] = request.Presence
@@ -136,11 +152,18 @@
 	}
 }
 
-// clearRequest clears a completed request of all known crashes.
-func (t *Tracker) clearRequest(now time.Time, d Digest) []Message {
-	crashes := append([]*crash(nil), t.suspects[d]...)
-	for _, c := range crashes {
-		t.addCleared(c, d)
+// recordSound records that requests or parts do not crash upstreams, and clears
+// them of all known crashes.
+func (t *Tracker) recordSound(now time.Time, sound []Digest) []Message {
+	var crashes []*crash
+	for _, d := range sound {
+		t.recordCompletion(now, d)
+		for _, c := range slices.Clone(t.suspects[d]) {
+			t.addCleared(c, d)
+			if !slices.Contains(crashes, c) {
+				crashes = append(crashes, c)
+			}
+		}
 	}
 	for _, c := range crashes {
 		t.quarantineCulprits(now, c)
@@ -148,8 +171,8 @@
 	return t.sendCrashes(now, crashes)
 }
 
-// quarantineCulprits quarantines the requests that ran in isolation at this crash
-// and at another one, and are the only suspects common to both. One isolated run
+// quarantineCulprits quarantines the requests and parts that ran in isolation at
+// this crash and at another one, and are the only suspects common to both. One isolated run
 // is not enough, because a request that crashes upstreams but is not a suspect yet
 // may have run on the same upstream. Both crashes need the reports of all entries,
 // since a missing report could name another common suspect.
@@ -162,7 +185,7 @@
 			continue
 		}
 		for _, other := range t.suspects[d] {
-			if other != c && other.presence(d) == Isolated && t.allReported(other) && isOnlyCommonSuspect(c, other, d) {
+			if other != c && other.presence(d) == Isolated && t.allReported(other) && explainsBoth(c, other, d) {
 				until := now.Add(t.cfg.Quarantine)
 				t.mergeVerdict(now, Verdict{d, until})
 				t.resendUntil[d] = now.Add(t.cfg.ReportTimeout)
@@ -207,7 +230,7 @@
 		e := Evidence{Target: c.target, Sum: c.sum, Elsewhere: t.localPlacements(c), Open: !t.converged(c)}
 		if own := c.reports[t.cfg.Self]; own != nil {
 			for _, d := range sortedDigests(own.digests) {
-				e.Requests = append(e.Requests, ReportedRequest{d, own.digests[d]})
+				e.Requests = append(e.Requests, ReportedRequest{d, own.digests[d], c.depths[d]})
 			}
 			e.Truncated = own.truncated
 		}
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -22,10 +22,14 @@
 	down      map[[2]int]time.Time
 	nextRun   uint64
 
-	crashes   []modelCrash
+	crashes []modelCrash
+	// starts are the times at which requests with a culprit began to run.
+	starts    []time.Time
 	completed map[Digest]bool
 	refused   map[Digest]int
-	waiting   int
+	// soundRefused holds the refused requests that have no culprit.
+	soundRefused map[Digest]bool
+	waiting      int
 }
 
 type modelUpstream struct {
@@ -38,9 +42,11 @@
 type modelRequest struct {
 	entry    int
 	digest   Digest
+	parts    []Digest
 	run      uint64
 	target   Target
 	endsAt   time.Time // zero before it runs
+	beginsAt time.Time // when it progresses, zero if never
 	cancelAt time.Time
 	done     bool
 }
@@ -78,7 +84,7 @@
 func newModel(seed uint64, entries, upstreams int) *model {
 	m := &model{
 		now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), culprits: map[Digest]bool{},
-		down: map[[2]int]time.Time{}, completed: map[Digest]bool{}, refused: map[Digest]int{},
+		down: map[[2]int]time.Time{}, completed: map[Digest]bool{}, refused: map[Digest]int{}, soundRefused: map[Digest]bool{},
 	}
 	var ids []string
 	for i := range upstreams {
@@ -101,14 +107,25 @@
 	return low + time.Duration(m.random.Int64N(int64(high-low)+1))
 }
 
-func (m *model) send(entry int, d Digest, cancelled bool) {
-	r := &modelRequest{entry: entry, digest: d}
+func (m *model) send(entry int, d Digest, cancelled bool, parts ...Digest) {
+	r := &modelRequest{entry: entry, digest: d, parts: parts}
 	if cancelled {
 		r.cancelAt = m.now.Add(m.between(0, time.Second))
 	}
 	m.requests = append(m.requests, r)
 }
 
+// culprit returns the digest of the request or of the part that makes a request
+// crash its upstream.
+func (m *model) culprit(r *modelRequest) (Digest, bool) {
+	for _, key := range keysOf(r.digest, r.parts) {
+		if m.culprits[key] {
+			return key, true
+		}
+	}
+	return Digest{}, false
+}
+
 // broadcast sends messages to all other entries over links that are intermittently
 // down.
 func (m *model) broadcast(from int, msgs []Message) {
@@ -167,14 +184,18 @@
 			u.incarnation++
 		}
 		for _, r := range slices.Clone(u.running) {
+			cause, crashes := m.culprit(r)
+			if u.backAt.IsZero() && !r.done && !r.beginsAt.IsZero() && !m.now.Before(r.beginsAt) {
+				m.broadcast(r.entry, m.trackers[r.entry].Progressed(m.now, r.run))
+			}
 			switch {
 			case !u.backAt.IsZero():
 			case !r.done && !r.cancelAt.IsZero() && !m.now.Before(r.cancelAt):
 				r.done = true
 				m.broadcast(r.entry, m.trackers[r.entry].Finish(m.now, r.run, Cancelled))
 			case m.now.Before(r.endsAt):
-			case m.culprits[r.digest]:
-				m.crash(u, r.digest)
+			case crashes:
+				m.crash(u, cause)
 			default:
 				u.running = slices.DeleteFunc(u.running, func(o *modelRequest) bool { return o == r })
 				if !r.done {
@@ -194,8 +215,8 @@
 		c.digests[r.digest] = true
 		if !r.done {
 			entries[r.entry] = true
-			if !m.culprits[r.digest] || m.random.IntN(2) == 0 {
-				m.send(r.entry, r.digest, false) // the entry retries
+			if _, crashes := m.culprit(r); !crashes || m.random.IntN(2) == 0 {
+				m.send(r.entry, r.digest, false, r.parts...) // the entry retries
 			}
 		}
 		cancelled[r.entry] = cancelled[r.entry] || r.done
@@ -220,16 +241,19 @@
 	m.waiting = 0
 	m.requests = slices.DeleteFunc(m.requests, func(r *modelRequest) bool {
 		tracker := m.trackers[r.entry]
-		decision := tracker.Admit(m.now, r.digest)
+		decision := tracker.Admit(m.now, r.digest, r.parts...)
 		if decision.Action == Refuse {
 			m.refused[r.digest]++
+			if _, crashes := m.culprit(r); !crashes {
+				m.soundRefused[r.digest] = true
+			}
 			return true
 		}
 		m.waiting++
 		if decision.Action == Wait {
 			return false
 		}
-		isolated := tracker.Isolation(m.now, modelService, r.digest)
+		isolated := tracker.Isolation(m.now, modelService, r.digest, r.parts...)
 		for _, i := range m.random.Perm(len(m.upstreams)) {
 			u := m.upstreams[i]
 			if !u.backAt.IsZero() || (decision.Pin != "" && decision.Pin != u.id) ||
@@ -238,15 +262,20 @@
 			}
 			m.nextRun++
 			r.run, r.target = m.nextRun, Target{u.id, u.incarnation}
-			if _, ok := tracker.Start(m.now, modelService, r.run, r.digest, r.target); !ok {
+			if _, ok := tracker.Start(m.now, modelService, r.run, r.digest, r.target, r.parts...); !ok {
 				return false
 			}
 			if decision.Action == Isolate {
 				r.cancelAt = time.Time{}
 			}
 			r.endsAt = m.now.Add(m.between(modelTick, maxCrashIn))
-			if !m.culprits[r.digest] {
+			if _, crashes := m.culprit(r); crashes {
+				m.starts = append(m.starts, m.now)
+			} else {
 				r.endsAt = m.now.Add(m.between(modelTick, 3*time.Second))
+				if len(r.parts) > 0 {
+					r.beginsAt = m.now.Add(modelTick)
+				}
 			}
 			u.running = append(u.running, r)
 			return true
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,13 +1,17 @@
-// Package quarantine detects and quarantines requests that crash the upstreams on
-// which they run.
+// Package quarantine detects and quarantines requests, and parts of prompts, that
+// crash the upstreams on which they run.
 //
-// The requests in flight on an upstream when it crashes become suspects. Every
-// entry reports its own requests that were in flight there. The reports can be
-// merged in any order, and a suspect waits until all entries have all reports. It
-// then runs in isolation: only the owner of an upstream, which is a single entry,
-// runs suspects there, one at a time. If a request is the only suspect common to
-// two crashes during isolated runs, it alone explains both and is quarantined. A
-// request that completes is cleared.
+// The requests in flight on an upstream when it crashes become suspects, and with
+// them the parts of their prompts that other requests may share. Every entry
+// reports its own requests that were in flight there. The reports can be merged in
+// any order, and a suspect waits until all entries have all reports. It then runs
+// in isolation: only the owner of an upstream, which is a single entry, runs
+// suspects there, one at a time. If a request or part is the only suspect common
+// to two crashes during isolated runs, it alone explains both and is quarantined.
+// A request that completes is cleared together with its parts.
+//
+// A Digest identifies a request or a part; both are reported, cleared and
+// quarantined alike. A request is a suspect if it or one of its parts is.
 //
 // Callers pass the current time; the package starts no goroutines and opens no
 // connections. A Tracker is safe for concurrent use.
@@ -22,9 +26,22 @@
 )
 
 // Digest identifies a request by account, service and body, so that a retry with
-// another request id has the same digest.
+// another request id has the same digest, or a part of a prompt.
 type Digest [16]byte
 
+// partPrefix begins the digests of parts. The digest of a request begins with it
+// by a chance of one in 2^32.
+var partPrefix = [4]byte{0xff, 0xff, 0xff, 0xff}
+
+// PartDigest returns the digest of a part of the prompts that a service receives.
+func PartDigest(service, part string) Digest {
+	d := DigestOf("", service, []byte(part))
+	copy(d[:], partPrefix[:])
+	return d
+}
+
+func (d Digest) isPart() bool { return [4]byte(d[:4]) == partPrefix }
+
 // DigestOf returns the digest of a request of an account. The resource is what
 // the request addresses: a service, or a method and URI.
 func DigestOf(account, resource string, body []byte) Digest {
@@ -96,6 +113,10 @@
 // quarantine.
 const MaxReport = 4096
 
+// ProgressTime is the time after the first event of an answer from which Progressed
+// applies to its run. It covers a few passes of an engine.
+const ProgressTime = 100 * time.Millisecond
+
 // DefaultConfig returns the default configuration.
 func DefaultConfig() Config {
 	return Config{
@@ -180,10 +201,14 @@
 	Isolated
 )
 
-// ReportedRequest is a request that an entry reports as in flight at a crash.
+// ReportedRequest is a request, or a part of one, that an entry reports as in
+// flight at a crash.
 type ReportedRequest struct {
 	Digest   Digest
 	Presence Presence
+	// Depth is the position of a part in its prompt, from 1, and 0 for a request.
+	// Prompts share their beginnings, so that fewer requests have a deeper part.
+	Depth uint8
 }
 
 // Placement is a suspect that runs on an upstream.
@@ -241,6 +266,7 @@
 	verdicts       map[Digest]time.Time
 	resendUntil    map[Digest]time.Time // own verdicts to resend, with the end of resending
 	verdictsSentAt time.Time            // last time own verdicts were sent
+	progressed     map[Digest]time.Time // when a crash interrupted requests that had progressed
 	runs           map[uint64]*run
 	runsByDigest   map[Digest][]*run
 	runsByUpstream map[string][]*run // including runs that ended recently
@@ -253,10 +279,12 @@
 type run struct {
 	id     uint64
 	digest Digest
+	parts  []Digest
 	target Target
-	// isolated is set if the request was started as a suspect.
-	isolated bool
-	endedAt  time.Time // zero while in flight
+	// isolated is set if the request was started as a suspect; progressed is set
+	// by Progressed.
+	isolated, progressed bool
+	endedAt              time.Time // zero while in flight
 }
 
 // report holds the requests that one entry had in flight at a crash.
@@ -281,6 +309,7 @@
 	replyRequested   bool // another entry set Open in its evidence
 	reports          map[string]*report
 	cleared          map[Digest]bool
+	depths           map[Digest]uint8      // of parts, the highest that was reported
 	peerSums         map[string]uint64     // latest sum of each other entry
 	peerPlacements   map[string]placements // by entry
 	sentPlacements   bool                  // the last message contained placements
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -76,6 +76,61 @@
 	})
 }
 
+// Requests with a part that crashes upstreams, no two alike, must stop soon after
+// the fifth crash, and the requests that share their other parts must be neither
+// refused nor blocked forever.
+func TestCulpritPartsAreBounded(t *testing.T) {
+	const (
+		entries, upstreams, subjects = 7, 24, 6
+		// A verdict needs two isolated crashes after the first ones, and each time
+		// a report and its reply.
+		contact       = 4 * MaxOneWayDelay
+		crashes, late = 5, 3
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.Uint64().Draw(t, "seed"), entries, upstreams)
+		share := rapid.Float64Range(0.02, 0.3).Draw(t, "share of culprits")
+		rate := rapid.IntRange(1, 4).Draw(t, "requests per step")
+		system, culprit := PartDigest(modelService, "system"), PartDigest(modelService, "culprit")
+		m.culprits[culprit] = true
+		for n := 0; n < int(20*time.Second/modelTick); n++ {
+			for i := range rate {
+				d := digest(fmt.Sprint(n, " ", i))
+				parts := []Digest{system, PartDigest(modelService, fmt.Sprint(m.random.IntN(subjects)))}
+				if m.random.Float64() < share {
+					parts = append(parts, culprit)
+				}
+				if m.waiting < 40 {
+					m.send(m.random.IntN(entries), d, m.random.IntN(8) == 0, parts...)
+				}
+			}
+			m.step()
+		}
+		for range int(60 * time.Second / modelTick) {
+			if m.step(); m.idle() {
+				break
+			}
+		}
+		if len(m.crashes) >= crashes {
+			limit, after := m.crashes[crashes-1].at.Add(contact), 0
+			for _, at := range m.starts {
+				if at.After(limit) {
+					after++
+				}
+			}
+			if after > late {
+				t.Fatalf("%d requests with the part ran later than %s after the fifth of %d crashes", after, contact, len(m.crashes))
+			}
+		}
+		if len(m.soundRefused) > 0 {
+			t.Fatal("a request without the part was refused")
+		}
+		if m.waiting > 0 {
+			t.Fatalf("%d requests are still waiting", m.waiting)
+		}
+	})
+}
+
 // Merging must be commutative and idempotent: the order and repetition of messages
 // must not change the result.
 func TestMergeCommutes(t *testing.T) {
@@ -86,7 +141,7 @@
 			e := Evidence{Target: Target{fmt.Sprint("u", rapid.IntRange(0, 2).Draw(t, "upstream")), 1}, Sum: uint64(i)}
 			for range rapid.IntRange(0, 3).Draw(t, "digests") {
 				p := Presence(rapid.IntRange(1, 3).Draw(t, "presence"))
-				e.Requests = append(e.Requests, ReportedRequest{digest(fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "digest"))), p})
+				e.Requests = append(e.Requests, ReportedRequest{Digest: digest(fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "digest"))), Presence: p})
 			}
 			if rapid.Bool().Draw(t, "cleared") {
 				e.Cleared = []Digest{digest(fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "digest")))}
@@ -165,7 +220,7 @@
 	}
 	require.NotEqual(t, Refuse, tracker.Admit(now, x).Action)
 	for _, u := range []string{"u1", "u2"} {
-		tracker.Merge(now, Message{From: "e1", Evidence: []Evidence{{Target: Target{u, 1}, Requests: []ReportedRequest{{y, InFlight}}}}})
+		tracker.Merge(now, Message{From: "e1", Evidence: []Evidence{{Target: Target{u, 1}, Requests: []ReportedRequest{{Digest: y, Presence: InFlight}}}}})
 	}
 	require.NotEqual(t, Refuse, tracker.Admit(now, x).Action, "x and y have both crashes in common")
 	tracker.Merge(now, Message{From: "e1", Evidence: []Evidence{{Target: Target{"u1", 1}, Cleared: []Digest{y}}}})
@@ -370,3 +425,58 @@
 	require.Empty(t, tracker.Crashed(now, target))
 	require.True(t, tracker.KnownCrash(target))
 }
+
+// Of parts that ran together at each crash, only the narrowest must be
+// quarantined, and only when no common request explains the crashes: requests
+// with the same first part are sound.
+func TestNarrowestPartIsQuarantined(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := New(Config{Self: "e0"})
+	var upstreams []string
+	for i := range 6 {
+		upstreams = append(upstreams, fmt.Sprint("u", i))
+	}
+	tracker.SetUpstreams("s", upstreams)
+	system, culprit := PartDigest("s", "system"), PartDigest("s", "culprit")
+	crash := func(i int, request string) {
+		target := Target{upstreams[i], 1}
+		_, ok := tracker.Start(now, "s", uint64(i), digest(request), target, system, culprit)
+		require.True(t, ok, "%d", i)
+		tracker.Crashed(now, target)
+	}
+	crash(0, "a")
+	crash(1, "a")
+	crash(2, "a")
+	require.Equal(t, Refuse, tracker.Admit(now, digest("a"), system, culprit).Action)
+	require.Equal(t, Isolate, tracker.Admit(now, digest("b"), system, culprit).Action, "the request explains the crashes")
+	crash(3, "b")
+	require.Equal(t, Refuse, tracker.Admit(now, digest("c"), system, culprit).Action)
+	require.Equal(t, Isolate, tracker.Admit(now, digest("d"), system).Action, "the first part is not refused")
+	require.Equal(t, Isolate, tracker.Admit(now, digest("d"), system, PartDigest("s", "other")).Action)
+
+	// A request without the culprit clears the first part as soon as it has
+	// progressed.
+	_, ok := tracker.Start(now, "s", 10, digest("d"), Target{"u4", 1}, system)
+	require.True(t, ok)
+	require.Equal(t, Wait, tracker.Admit(now, digest("e"), system).Action, "one request with a suspect part at a time")
+	tracker.Progressed(now, 10)
+	require.Equal(t, Run, tracker.Admit(now, digest("e"), system).Action)
+}
+
+// A stream that has progressed when its upstream ends must not wait as a suspect,
+// unless that happens to it again: a request may crash upstreams late in its run.
+func TestProgressedRequestIsASuspectTheSecondTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := New(Config{Self: "e0"})
+	tracker.SetUpstreams("s", []string{"u1", "u2", "u3", "u4"})
+	x, part := digest("x"), PartDigest("s", "part")
+	for i, want := range []Action{Run, Isolate, Isolate, Refuse} {
+		target := Target{fmt.Sprint("u", i+1), 1}
+		_, ok := tracker.Start(now, "s", uint64(i), x, target, part)
+		require.True(t, ok)
+		tracker.Progressed(now, uint64(i))
+		tracker.Crashed(now, target)
+		require.Equal(t, want, tracker.Admit(now, x, part).Action, "after %d crashes", i+1)
+		require.Equal(t, Run, tracker.Admit(now, digest("y"), part).Action)
+	}
+}
--- a/quarantine/quarantinepb/convert.go
+++ b/quarantine/quarantinepb/convert.go
@@ -17,10 +17,10 @@
 func Encode(m quarantine.Message) ([]byte, error) {
 	out := &Message{From: m.From}
 	for _, e := range m.Evidence {
-		digests, presences := joinRequests(e.Requests)
+		digests, presences, depths := joinRequests(e.Requests)
 		out.Evidence = append(out.Evidence, &Evidence{
 			Upstream: e.Target.Upstream, Incarnation: e.Target.Incarnation,
-			Digests: digests, Presences: presences, Truncated: e.Truncated, Cleared: joinDigests(e.Cleared),
+			Digests: digests, Presences: presences, Depths: depths, Truncated: e.Truncated, Cleared: joinDigests(e.Cleared),
 			Sum: e.Sum, Open: e.Open,
 		})
 		encoded := out.Evidence[len(out.Evidence)-1]
@@ -42,7 +42,7 @@
 	}
 	m := quarantine.Message{From: in.From}
 	for _, e := range in.Evidence {
-		requests, err := splitRequests(e.Digests, e.Presences)
+		requests, err := splitRequests(e.Digests, e.Presences, e.Depths)
 		if err != nil {
 			return quarantine.Message{}, err
 		}
@@ -96,15 +96,16 @@
 	return out, nil
 }
 
-func joinRequests(requests []quarantine.ReportedRequest) (digests, presences []byte) {
+func joinRequests(requests []quarantine.ReportedRequest) (digests, presences, depths []byte) {
 	for _, r := range requests {
 		digests = append(digests, r.Digest[:]...)
 		presences = append(presences, byte(r.Presence))
+		depths = append(depths, r.Depth)
 	}
-	return digests, presences
+	return digests, presences, depths
 }
 
-func splitRequests(data, presences []byte) ([]quarantine.ReportedRequest, error) {
+func splitRequests(data, presences, depths []byte) ([]quarantine.ReportedRequest, error) {
 	digests, err := splitDigests(data)
 	if err != nil {
 		return nil, err
@@ -112,13 +113,19 @@
 	if len(digests) != len(presences) {
 		return nil, fmt.Errorf("quarantine message: %d digests but %d presences", len(digests), len(presences))
 	}
+	if len(depths) == 0 {
+		depths = make([]byte, len(digests))
+	}
+	if len(digests) != len(depths) {
+		return nil, fmt.Errorf("quarantine message: %d digests but %d depths", len(digests), len(depths))
+	}
 	var out []quarantine.ReportedRequest
 	for i, d := range digests {
 		p := quarantine.Presence(presences[i])
 		if p < quarantine.RecentlyEnded || p > quarantine.Isolated {
 			return nil, fmt.Errorf("quarantine message: unknown presence %d", p)
 		}
-		out = append(out, quarantine.ReportedRequest{Digest: d, Presence: p})
+		out = append(out, quarantine.ReportedRequest{Digest: d, Presence: p, Depth: depths[i]})
 	}
 	return out, nil
 }
--- a/quarantine/queries.go
+++ b/quarantine/queries.go
@@ -11,45 +11,85 @@
 )
 
 // Admit decides how a request may run. Call it before an upstream is picked.
-func (t *Tracker) Admit(now time.Time, d Digest) Decision {
+func (t *Tracker) Admit(now time.Time, d Digest, parts ...Digest) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.decideAdmission(now, d)
+	return t.decideAdmission(now, d, parts)
 }
 
-func (t *Tracker) decideAdmission(now time.Time, d Digest) Decision {
-	if until, ok := t.verdicts[d]; ok && now.Before(until) {
+// keysOf lists the digests of a request and of its parts.
+func keysOf(d Digest, parts []Digest) []Digest { return append([]Digest{d}, parts...) }
+
+func (t *Tracker) decideAdmission(now time.Time, d Digest, parts []Digest) Decision {
+	decision := Decision{Action: Run}
+	for _, key := range keysOf(d, parts) {
+		switch of := t.decideOn(now, d, key); of.Action {
+		case Refuse:
+			return of
+		case Wait:
+			decision = of
+		case Isolate:
+			if decision.Action == Run {
+				decision = of
+			}
+		case Run:
+		}
+	}
+	if decision.Action == Wait {
+		return decision
+	}
+	if at, ok := t.completed[d]; ok && now.Sub(at) < t.cfg.CompletedRetention {
+		return decision
+	}
+	if placed := t.runsByDigest[d]; len(placed) > 0 {
+		decision.Pin = placed[0].target.Upstream
+	}
+	return decision
+}
+
+// decideOn returns the decision on a request as far as it depends on one key: the
+// request's own digest or that of a part.
+func (t *Tracker) decideOn(now time.Time, d, key Digest) Decision {
+	if until, ok := t.verdicts[key]; ok && now.Before(until) {
 		return Decision{Action: Refuse, Until: until}
 	}
 	decision := Decision{Action: Run}
-	for _, c := range t.suspects[d] {
+	for _, c := range t.suspects[key] {
 		decision.Action = Isolate
 		if until := c.knownSince.Add(t.cfg.ReportTimeout); now.Before(until) && !t.converged(c) {
 			return Decision{Action: Wait, Until: until}
 		}
-		// The run at another entry will show whether the request causes crashes.
-		// The wait is bounded because that run may take long.
+		// The run at another entry will show whether the key causes crashes. The
+		// wait is bounded because that run may take long.
 		until := c.knownSince.Add(2 * t.cfg.ReportTimeout)
-		if now.Before(until) && t.runsOnPeer(now, c, func(p Placement) bool { return p.Digest == d }) {
+		if now.Before(until) && t.runsOnPeer(now, c, func(p Placement) bool { return p.Digest == key }) {
 			return Decision{Action: Wait, Until: until}
 		}
 	}
-	if at, ok := t.completed[d]; ok && now.Sub(at) < t.cfg.CompletedRetention {
-		return decision
-	}
-	if placed := t.runsByDigest[d]; len(placed) > 0 {
-		decision.Pin = placed[0].target.Upstream
+	if decision.Action == Isolate && key.isPart() && t.runsHere(d, key) {
+		return Decision{Action: Wait, Until: now.Add(t.cfg.ReportTimeout)}
 	}
 	return decision
 }
 
+// runsHere reports whether this entry runs another request with a part that has
+// not progressed. That run will show whether the part causes crashes.
+func (t *Tracker) runsHere(d, part Digest) bool {
+	for _, r := range t.runs {
+		if r.digest != d && !r.progressed && slices.Contains(r.parts, part) {
+			return true
+		}
+	}
+	return false
+}
+
 // Isolation returns a function that reports whether a suspect may now run on an
 // upstream of a service. It is meant for the routing filter; Start checks again.
-func (t *Tracker) Isolation(now time.Time, service string, d Digest) func(upstream string) bool {
+func (t *Tracker) Isolation(now time.Time, service string, d Digest, parts ...Digest) func(upstream string) bool {
 	return func(upstream string) bool {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		return t.canIsolate(now, service, d, upstream)
+		return t.canIsolate(now, service, d, parts, upstream)
 	}
 }
 
@@ -59,25 +99,34 @@
 // the service may use any of them, since a suspect must run somewhere. Another
 // entry's suspect may then run on the same upstream, so a crash there is not
 // conclusive.
-func (t *Tracker) canIsolate(now time.Time, service string, d Digest, upstream string) bool {
+func (t *Tracker) canIsolate(now time.Time, service string, d Digest, parts []Digest, upstream string) bool {
 	owned := t.owned[service]
 	if _, isOwned := slices.BinarySearch(owned, upstream); !isOwned && len(owned) > 0 {
 		return false
 	}
 	for _, r := range t.runsByUpstream[upstream] {
 		expired := !r.endedAt.IsZero() && now.Sub(r.endedAt) >= t.cfg.EndedRetention
-		if r.digest != d && !expired && len(t.suspects[r.digest]) > 0 {
+		if r.digest != d && !expired && !r.progressed && t.isSuspect(r) {
 			return false
 		}
 	}
-	for _, c := range t.suspects[d] {
-		if t.runsOnPeer(now, c, func(p Placement) bool { return p.Upstream == upstream && p.Digest != d }) {
-			return false
+	keys := keysOf(d, parts)
+	for _, key := range keys {
+		for _, c := range t.suspects[key] {
+			if t.runsOnPeer(now, c, func(p Placement) bool { return p.Upstream == upstream && !slices.Contains(keys, p.Digest) }) {
+				return false
+			}
 		}
 	}
 	return true
 }
 
+// isSuspect reports whether the request of a run or one of its parts is a
+// suspect.
+func (t *Tracker) isSuspect(r *run) bool {
+	return slices.ContainsFunc(keysOf(r.digest, r.parts), func(key Digest) bool { return len(t.suspects[key]) > 0 })
+}
+
 // runsOnPeer reports whether another entry runs a suspect of a crash whose
 // placement matches.
 func (t *Tracker) runsOnPeer(now time.Time, c *crash, matches func(Placement) bool) bool {
@@ -243,12 +292,19 @@
 	}
 }
 
-// isOnlyCommonSuspect reports whether the crashes have no common suspect other
-// than d.
-func isOnlyCommonSuspect(a, b *crash, d Digest) bool {
+// explainsBoth reports whether d, which ran in isolation at both crashes, is the
+// only suspect that they have in common, apart from wider ones that ran with it
+// each time. The request is narrower than its parts, and a deeper part narrower
+// than the ones before it. If the narrower one is not the cause, requests without
+// it go on to crash upstreams and show the wider one.
+func explainsBoth(a, b *crash, d Digest) bool {
 	for _, r := range a.reports {
 		for other := range r.digests {
-			if other != d && !a.cleared[other] && b.hasSuspect(other) {
+			if other == d || a.cleared[other] || !b.hasSuspect(other) {
+				continue
+			}
+			ranTogether := other.isPart() && a.presence(other) == Isolated && b.presence(other) == Isolated
+			if !ranTogether || d.isPart() && a.depths[other] > a.depths[d] {
 				return false
 			}
 		}
@@ -262,8 +318,13 @@
 	var all []Placement
 	for id, rs := range t.runsByUpstream {
 		for _, r := range rs {
-			if r.target != c.target && c.hasSuspect(r.digest) {
-				all = append(all, Placement{id, r.digest})
+			if r.target == c.target || r.progressed {
+				continue
+			}
+			for _, key := range keysOf(r.digest, r.parts) {
+				if c.hasSuspect(key) {
+					all = append(all, Placement{id, key})
+				}
 			}
 		}
 	}
