control, entry: store verdicts of quarantine in the deployment's log

Cause: verdicts were soft state of the entries. An entry that starts learns them from another one, and there is none when all restart together.

Change: an entry asks the leader to store each verdict that the updates do not list as stored, and repeats that with its subscription. The state machine merges verdicts, removes ended ones by the time in the command, and keeps 4,096. Entries get them with their first catalog, before they serve, and later with updates when they change. An entry that becomes reachable is told what is known at once, where that could take a second.

--- a/deploymentstate/deploymentstate.go
+++ b/deploymentstate/deploymentstate.go
@@ -1,20 +1,32 @@
 // Package deploymentstate is the state machine of the deployment log. Its state
-// is the current catalog, stored as the document that the operator sent, and
-// the latest leader generation.
+// is the current catalog, stored as the document that the operator sent, the
+// latest leader generation, and the verdicts on requests that crash upstreams.
 package deploymentstate
 
 import (
+	"bytes"
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 )
 
+// maxVerdicts limits the stored verdicts. At the limit, those that end first are
+// removed.
+const maxVerdicts = 4096
+
 // Machine is the replicated state machine. Apply, Snapshot and Restore must be
-// called from a single goroutine; Catalog is safe for concurrent use.
+// called from a single goroutine; Catalog and Verdicts are safe for concurrent
+// use.
 type Machine struct {
 	mu    sync.RWMutex
 	state *State
+	// verdictChanges counts the changes of the verdicts.
+	verdictChanges uint64
 }
 
 // New returns a state machine without a catalog, at version 0.
@@ -34,7 +46,9 @@
 	case *Command_PutCatalog:
 		result.Replaced = m.putCatalog(body.PutCatalog)
 	case *Command_StartGeneration:
-		m.state = &State{Version: m.state.Version, Document: m.state.Document, Generation: m.state.Generation + 1}
+		m.state = &State{Version: m.state.Version, Document: m.state.Document, Generation: m.state.Generation + 1, Verdicts: m.state.Verdicts}
+	case *Command_AddVerdicts:
+		m.addVerdicts(body.AddVerdicts)
 	}
 	result.Version, result.Generation = m.state.Version, m.state.Generation
 	encoded, err := proto.Marshal(result)
@@ -50,10 +64,29 @@
 	if c.Version <= m.state.Version {
 		return false
 	}
-	m.state = &State{Version: c.Version, Document: c.Document, Generation: m.state.Generation}
+	m.state = &State{Version: c.Version, Document: c.Document, Generation: m.state.Generation, Verdicts: m.state.Verdicts}
 	return true
 }
 
+// addVerdicts merges verdicts with the stored ones. Of two verdicts on one digest,
+// the one that ends later applies. The time comes from the command, so that all
+// replicas remove the same verdicts.
+func (m *Machine) addVerdicts(c *AddVerdicts) {
+	merged := map[string]*Verdict{}
+	for _, v := range slices.Concat(m.state.Verdicts, c.Verdicts) {
+		if known := merged[string(v.Digest)]; v.UntilUnixMillis > c.NowUnixMillis && (known == nil || known.UntilUnixMillis < v.UntilUnixMillis) {
+			merged[string(v.Digest)] = v
+		}
+	}
+	all := slices.SortedFunc(maps.Values(merged), func(a, b *Verdict) int {
+		return cmp.Or(cmp.Compare(b.UntilUnixMillis, a.UntilUnixMillis), bytes.Compare(a.Digest, b.Digest))
+	})
+	all = all[:min(len(all), maxVerdicts)]
+	slices.SortFunc(all, func(a, b *Verdict) int { return bytes.Compare(a.Digest, b.Digest) })
+	m.state = &State{Version: m.state.Version, Document: m.state.Document, Generation: m.state.Generation, Verdicts: all}
+	m.verdictChanges++
+}
+
 // Snapshot implements replica.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
@@ -70,6 +103,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = &s
+	m.verdictChanges++
 	return nil
 }
 
@@ -81,6 +115,19 @@
 	return m.state.Version, m.state.Document
 }
 
+// Verdicts returns the stored verdicts and the number of changes that they have
+// had in this process. They must not be modified.
+func (m *Machine) Verdicts() (changes uint64, verdicts []*Verdict) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.verdictChanges, m.state.Verdicts
+}
+
+// EncodeAddVerdicts returns the command that adds verdicts at the given time.
+func EncodeAddVerdicts(now time.Time, verdicts []*Verdict) ([]byte, error) {
+	return proto.Marshal(&Command{Body: &Command_AddVerdicts{AddVerdicts: &AddVerdicts{Verdicts: verdicts, NowUnixMillis: now.UnixMilli()}}})
+}
+
 // EncodePut returns the command that replaces the catalog.
 func EncodePut(version uint64, document []byte) ([]byte, error) {
 	return proto.Marshal(&Command{Body: &Command_PutCatalog{PutCatalog: &PutCatalog{Version: version, Document: document}}})
--- a/deploymentstate/deploymentstate_test.go
+++ b/deploymentstate/deploymentstate_test.go
@@ -1,7 +1,9 @@
 package deploymentstate
 
 import (
+	"encoding/binary"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -52,9 +54,15 @@
 		one, two := New(), New()
 		for range rapid.IntRange(1, 20).Draw(t, "commands") {
 			var command []byte
-			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
 			case 0:
 				command, _ = EncodeStartGeneration()
+			case 4:
+				var verdicts []*Verdict
+				for range rapid.IntRange(0, 3).Draw(t, "verdicts") {
+					verdicts = append(verdicts, &Verdict{Digest: []byte{rapid.Byte().Draw(t, "digest")}, UntilUnixMillis: rapid.Int64Range(0, 9).Draw(t, "until")})
+				}
+				command, _ = EncodeAddVerdicts(time.UnixMilli(rapid.Int64Range(0, 9).Draw(t, "now")), verdicts)
 			case 1:
 				command = rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(t, "bytes")
 			default:
@@ -75,3 +83,45 @@
 		require.Equal(t, first, second)
 	})
 }
+
+// Guards against verdicts that are lost with a change of the catalog or a new
+// generation, that end early, and that are kept for ever.
+func TestVerdictsAreKeptUntilTheyEnd(t *testing.T) {
+	m := New()
+	add := func(now int64, verdicts ...*Verdict) {
+		command, err := EncodeAddVerdicts(time.UnixMilli(now), verdicts)
+		require.NoError(t, err)
+		m.Apply(1, command)
+	}
+	ends := func() map[string]int64 {
+		_, verdicts := m.Verdicts()
+		all := map[string]int64{}
+		for _, v := range verdicts {
+			all[string(v.Digest)] = v.UntilUnixMillis
+		}
+		return all
+	}
+	add(0, &Verdict{Digest: []byte("b"), UntilUnixMillis: 50}, &Verdict{Digest: []byte("a"), UntilUnixMillis: 100})
+	before, _ := m.Verdicts()
+	put(t, m, 1, "one")
+	generation, err := EncodeStartGeneration()
+	require.NoError(t, err)
+	m.Apply(1, generation)
+	after, _ := m.Verdicts()
+	require.Equal(t, before, after, "no change")
+	require.Equal(t, map[string]int64{"a": 100, "b": 50}, ends())
+	add(20, &Verdict{Digest: []byte("b"), UntilUnixMillis: 40}, &Verdict{Digest: []byte("a"), UntilUnixMillis: 120})
+	require.Equal(t, map[string]int64{"a": 120, "b": 50}, ends())
+	add(60)
+	require.Equal(t, map[string]int64{"a": 120}, ends())
+	changed, _ := m.Verdicts()
+	require.Greater(t, changed, after)
+
+	var many []*Verdict
+	for i := range maxVerdicts + 1 {
+		many = append(many, &Verdict{Digest: binary.BigEndian.AppendUint32(nil, uint32(i)), UntilUnixMillis: int64(1000 + i)})
+	}
+	add(60, many...)
+	require.Len(t, ends(), maxVerdicts)
+	require.NotContains(t, ends(), "a", "the verdict that ends first gives way")
+}
--- a/internal/control/catalog.go
+++ b/internal/control/catalog.go
@@ -78,7 +78,8 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, fault.Location{Step: mesh.ChannelCatalog}, fault.NotRun)
 	}
-	return proto.Marshal(&mesh.CatalogReply{Version: version, Document: compressed})
+	_, verdicts := c.verdictList()
+	return proto.Marshal(&mesh.CatalogReply{Version: version, Document: compressed, Verdicts: verdicts})
 }
 
 // compressedCatalog caches the compressed document of one version, because all
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -109,6 +109,9 @@
 	// subscribers.
 	flushRequested chan struct{}
 
+	// storingVerdicts is set while verdicts are being stored.
+	storingVerdicts atomic.Bool
+
 	controller *actor.PID
 	// tickQueued is set while a tick is in the controller's mailbox.
 	tickQueued atomic.Bool
@@ -139,6 +142,7 @@
 	o.Network.Handle(mesh.ChannelCatalog, c.serveCatalog)
 	o.Network.Handle(mesh.ChannelStall, c.serveStall)
 	o.Network.Handle(mesh.ChannelLoads, c.serveLoads)
+	o.Network.Handle(mesh.ChannelVerdicts, c.serveVerdicts)
 	c.wg.Go(c.runPublisher)
 	c.wg.Go(c.runTicks)
 	c.wg.Go(c.runVoterChanges)
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -58,6 +58,8 @@
 	// reachableVersion is the version of the reachable entries that was last
 	// sent.
 	reachableVersion uint64
+	// verdictChanges is the number of changes of the verdicts that was last sent.
+	verdictChanges uint64
 }
 
 // modelDemand is the offered load that an entry last reported for a model of a
@@ -127,6 +129,9 @@
 	if !s.control && (complete || s.reachableVersion != c.reachableVersion) {
 		update.Reachable, s.reachableVersion = &mesh.InstanceList{Instances: c.reachable}, c.reachableVersion
 	}
+	if changes, _ := c.machine.Verdicts(); !s.control && (complete || s.verdictChanges != changes) {
+		s.verdictChanges, update.Verdicts = c.verdictList()
+	}
 	s.lastNumber++
 	update.Number = s.lastNumber
 	s.pending, s.lastSent = nil, time.Now()
@@ -174,6 +179,7 @@
 		case <-ticker.C:
 		case <-applied:
 			c.announceVersion()
+			c.announceVerdicts()
 			continue
 		case <-c.flushRequested:
 			if flush == nil {
@@ -213,8 +219,10 @@
 func (c *Control) sendPending() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	verdictChanges, _ := c.machine.Verdicts()
 	for id, s := range c.subscribers {
-		if len(s.pending) > 0 || !s.control && (s.withdrawnVersion != c.withdrawnVersion || s.reachableVersion != c.reachableVersion) {
+		outdated := s.withdrawnVersion != c.withdrawnVersion || s.reachableVersion != c.reachableVersion || s.verdictChanges != verdictChanges
+		if len(s.pending) > 0 || !s.control && outdated {
 			c.sendUpdate(id, s, false)
 		}
 	}
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -144,3 +144,27 @@
 		return len(reachable) == 1 && version > before
 	}, 2*reachableTimeout, 10*time.Millisecond, "one entry is silent")
 }
+
+// Guards against verdicts that are not stored or not passed on to entries, and
+// against a log entry for each entry that has reached the same verdict.
+func TestVerdictsAreStoredOnce(t *testing.T) {
+	c := startControl(t, "127.0.0.1")
+	subscribe(t, c, "10.0.1.1")
+	until := time.Now().Add(10 * time.Minute).UnixMilli()
+	offer := func(until int64) {
+		payload, err := proto.Marshal(&mesh.VerdictList{Verdicts: []*mesh.Verdict{{Digest: []byte("0123456789abcdef"), UntilUnixMillis: until}}})
+		require.NoError(t, err)
+		_, err = c.serveVerdicts(t.Context(), "10.0.1.1", payload)
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool {
+		offer(until)
+		changes, list := c.verdictList()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(list.Verdicts) == 1 && c.subscribers["10.0.1.1"].verdictChanges == changes
+	}, 5*time.Second, 10*time.Millisecond)
+	before, _ := c.machine.Verdicts()
+	offer(until + 100)
+	require.Never(t, func() bool { after, _ := c.machine.Verdicts(); return after != before }, 200*time.Millisecond, 20*time.Millisecond)
+}
--- a/internal/crashreport/crashreport.go
+++ b/internal/crashreport/crashreport.go
@@ -118,6 +118,10 @@
 	}
 }
 
+// EntriesChanged causes an entry that has become reachable to get what is known
+// without delay.
+func (r *Reporter) EntriesChanged() { r.wakeUp() }
+
 // wakeUp ends the pause between two ticks, because messages may be due soon.
 func (r *Reporter) wakeUp() {
 	select {
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -5,8 +5,11 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/bluebellfield/bluebellfield/internal/control"
 	"github.com/bluebellfield/bluebellfield/internal/crashreport"
+	"github.com/bluebellfield/bluebellfield/internal/mesh"
 	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
@@ -197,3 +200,43 @@
 	t.probedAt = time.Now()
 	return !listening
 }
+
+// applyVerdicts merges the verdicts that a control instance has stored. The caller
+// holds mu.
+func (e *Entry) applyVerdicts(now time.Time, from string, list *mesh.VerdictList) {
+	m := quarantine.Message{From: from}
+	e.storedVerdicts = make(map[quarantine.Digest]time.Time, len(list.GetVerdicts()))
+	for _, v := range list.GetVerdicts() {
+		if len(v.Digest) != len(quarantine.Digest{}) {
+			e.opts.Logger.Warn("verdict ignored: its digest has a wrong length", zap.String("peer", from), zap.Int("bytes", len(v.Digest)))
+			continue
+		}
+		verdict := quarantine.Verdict{Digest: quarantine.Digest(v.Digest), Until: time.UnixMilli(v.UntilUnixMillis)}
+		e.storedVerdicts[verdict.Digest] = verdict.Until
+		m.Verdicts = append(m.Verdicts, verdict)
+	}
+	e.crashes.Tracker().Merge(now, m)
+}
+
+// storeVerdicts asks the leader to store the verdicts that it lacks.
+func (e *Entry) storeVerdicts(now time.Time) {
+	verdicts := e.crashes.Tracker().Verdicts(now)
+	e.mu.Lock()
+	leader := e.leader
+	list := &mesh.VerdictList{}
+	for _, v := range verdicts {
+		if v.Until.Sub(e.storedVerdicts[v.Digest]) > control.VerdictTolerance {
+			list.Verdicts = append(list.Verdicts, &mesh.Verdict{Digest: v.Digest[:], UntilUnixMillis: v.Until.UnixMilli()})
+		}
+	}
+	e.mu.Unlock()
+	if len(list.Verdicts) == 0 || leader == "" {
+		return
+	}
+	payload, err := proto.Marshal(list)
+	if err != nil {
+		e.opts.Logger.Error("failed to encode verdicts", zap.Error(err))
+		return
+	}
+	e.opts.Network.Send(leader, mesh.ChannelVerdicts, payload)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/mesh"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
 // Options configures an entry instance.
@@ -73,9 +74,12 @@
 	reportedLoads   map[string]int
 	loadsReportedAt time.Time
 	// withdrawn holds the groups that the leader has given up, as of withdrawnAt.
-	withdrawn     map[string]bool
-	withdrawnAt   time.Time
-	retryLimiters map[string]*retryLimiter
+	withdrawn   map[string]bool
+	withdrawnAt time.Time
+	// storedVerdicts holds the verdicts that the control instances have stored,
+	// with their ends.
+	storedVerdicts map[quarantine.Digest]time.Time
+	retryLimiters  map[string]*retryLimiter
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/entry/subscription.go
+++ b/internal/entry/subscription.go
@@ -89,6 +89,7 @@
 // subscribe renews the subscriptions and reports the offered load.
 func (e *Entry) subscribe(now time.Time, interval time.Duration) {
 	demands := e.demand.take()
+	e.storeVerdicts(now)
 	e.mu.Lock()
 	e.expireWithdrawn(now)
 	alive := e.aliveGroups(now.Add(-interval))
@@ -189,12 +190,16 @@
 	}
 	if update.Reachable != nil {
 		s.reachable = update.Reachable.Instances
+		e.crashes.EntriesChanged()
 	}
 	e.controls, e.entries = update.Controls, int(update.Entries)
 	if update.Leader != "" {
 		e.leader = update.Leader
 	}
 	changed := e.applyUpstreams(now, from, &update)
+	if update.Verdicts != nil {
+		e.applyVerdicts(now, from, update.Verdicts)
+	}
 	if update.Withdrawn != nil {
 		changed = e.applyWithdrawn(now, update.Withdrawn.Groups) || changed
 	}
@@ -316,6 +321,9 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, fault.Location{Step: mesh.ChannelCatalog, Peer: id}, fault.NotRun)
 	}
+	e.mu.Lock()
+	e.applyVerdicts(time.Now(), id, reply.Verdicts)
+	e.mu.Unlock()
 	return e.installCatalog(id, reply.Version, document)
 }
 
--- a/internal/instance/crash_test.go
+++ b/internal/instance/crash_test.go
@@ -113,6 +113,12 @@
 	*times = append(*times, time.Now())
 }
 
+func (s *crashingService) arrivalCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.arrivals)
+}
+
 // arrivalsAfterLimit counts the arrivals of the crashing request later than
 // contact after its last allowed crash.
 func (s *crashingService) arrivalsAfterLimit() (late, crashes int) {
@@ -166,3 +172,46 @@
 	require.LessOrEqual(t, late, crashLimit, "a request under which %d upstreams had ended was sent to upstreams again", crashLimit)
 	require.Greater(t, served, sound/2*9/10, "sound requests of the same caller are served")
 }
+
+// Guards against a request that is quarantined and crashes upstreams again after
+// all instances have restarted at once, because no entry is left to tell the
+// others.
+func TestQuarantineSurvivesRestartOfAllInstances(t *testing.T) {
+	c := newCluster(t, 6)
+	var controls []string
+	for n, seed := range c.seeds {
+		controls = append(controls, seedHost(seed))
+		c.start(controls[n], true, false, fmt.Sprint("n-", n))
+	}
+	entries := []string{hostID(6, 4), hostID(6, 5)}
+	for _, id := range entries {
+		c.start(id, true, true, "")
+	}
+	c.eventually("acknowledged", func() bool { return c.putConfiguration(controls[0], 1, "/") })
+	s := startCrashingService(t, controls, []string{hostID(6, 7), hostID(6, 8), hostID(6, 9)})
+	for _, id := range entries {
+		c.eventually("refused", func() bool {
+			status, body := request(id, "/the/crash")
+			return status == http.StatusServiceUnavailable && strings.Contains(body, "crashes upstreams")
+		})
+	}
+	time.Sleep(time.Second)
+	for id := range c.running {
+		c.stop(id)
+	}
+	for n, id := range controls {
+		c.start(id, false, false, fmt.Sprint("n-", n))
+	}
+	for _, id := range entries {
+		c.start(id, false, true, "")
+	}
+	before := s.arrivalCount()
+	for _, id := range entries {
+		c.eventually("served", func() bool { status, _ := request(id, "/sound"); return status == 200 })
+		for range 5 {
+			status, _ := request(id, "/the/crash")
+			require.Equal(t, http.StatusServiceUnavailable, status)
+		}
+	}
+	require.Equal(t, before, s.arrivalCount())
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -18,6 +18,7 @@
 	ChannelCatalog   = "catalog.get"
 	ChannelStall     = "group.stall"
 	ChannelLoads     = "fleet.loads"
+	ChannelVerdicts  = "quarantine.verdicts"
 	ChannelLog       = "log.deployment"
 	ChannelForward   = "forward.deployment"
 )
