quarantine: require three isolated crashes for a verdict on a prompt part

Cause: two isolated crashes were enough for a part. When a request with the part caused one of them and the crashing request the other, their only common suspect was the first part, which all requests share and which none had completed yet.

Change: a part is quarantined for three isolated crashes, each two of which have it as the narrowest in common. A request still needs two.

--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -172,27 +172,39 @@
 }
 
 // quarantineCulprits quarantines the requests and parts that ran in isolation at
-// this crash and at another one, and are the only suspects common to both. One isolated run
-// is not enough, because a request that crashes upstreams but is not a suspect yet
-// may have run on the same upstream. Both crashes need the reports of all entries,
-// since a missing report could name another common suspect.
+// this crash and at others, and are the only suspects that these have in common.
+// One isolated run is not enough, because a request that crashes upstreams but is
+// not a suspect yet may have run on the same upstream. The crashes need the reports
+// of all entries, since a missing report could name another common suspect.
 func (t *Tracker) quarantineCulprits(now time.Time, c *crash) {
 	if !t.allReported(c) {
 		return
 	}
 	for _, d := range c.uncleared() {
-		if _, quarantined := t.verdicts[d]; quarantined || c.presence(d) != Isolated {
+		if _, quarantined := t.verdicts[d]; quarantined || c.presence(d) != Isolated || !t.isCulprit(c, d) {
 			continue
 		}
-		for _, other := range t.suspects[d] {
-			if other != c && other.presence(d) == Isolated && t.allReported(other) && explainsBoth(c, other, d) {
-				until := now.Add(t.cfg.Quarantine)
-				t.mergeVerdict(now, Verdict{d, until})
-				t.resendUntil[d] = now.Add(t.cfg.ReportTimeout)
-				break
-			}
+		t.mergeVerdict(now, Verdict{d, now.Add(t.cfg.Quarantine)})
+		t.resendUntil[d] = now.Add(t.cfg.ReportTimeout)
+	}
+}
+
+// isCulprit reports whether a request or part explains this crash together with
+// another one, or with two others for a part: each of two culprits at the same
+// time may crash an upstream, and a part that both have in common is then all that
+// the two crashes have in common.
+func (t *Tracker) isCulprit(c *crash, d Digest) bool {
+	var others []*crash
+	for _, o := range t.suspects[d] {
+		if o == c || o.presence(d) != Isolated || !t.allReported(o) || !explainsBoth(c, o, d) {
+			continue
+		}
+		if !d.isPart() || slices.ContainsFunc(others, func(third *crash) bool { return explainsBoth(o, third, d) }) {
+			return true
 		}
+		others = append(others, o)
 	}
+	return false
 }
 
 // mergeVerdict records a verdict. Of two verdicts on a request, the one that ends
