entry: a stream that ends with its connection before any event is broken

Seen in a test: an upstream that sends the header of a stream without length and chunks and then ends leaves the caller with status 200, an empty body and no sign of an error; quarantine took it for a completed request and cleared its parts.

Cause: the end of the connection is the only end that such a stream has, and the relay took it for a complete answer.

A stream that resumes an earlier one may have no event left.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -326,3 +326,31 @@
 	x.route.Kind = catalog.Idempotent
 	require.Equal(t, 7500*time.Millisecond, x.remaining(now.Add(500*time.Millisecond)))
 }
+
+// Guards against a stream without length and chunks that is cut off before its
+// first event, and reaches the caller as a complete success. A resumed stream may
+// have no event left.
+func TestUnframedStreamWithoutEvents(t *testing.T) {
+	bare := func(u *fakeUpstream, _ int, w http.ResponseWriter, r *http.Request) {
+		u.runs.Add(1)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nId: %s\r\n\r\n", r.Header.Get("Id"))
+	}
+	bad := newUpstream(t, "bad", bare)
+	_, server := newEntry(t, bad.record("model", "m"))
+	require.Equal(t, http.StatusBadGateway, sendRequest(t, server, "/chat/x").status, "no other upstream")
+	resumed := sendRequest(t, server, "/chat/x", func(r *http.Request) { r.Header.Set("Resume-After", "3") })
+	require.Equal(t, http.StatusOK, resumed.status)
+
+	good := newUpstream(t, "good", stream(3, nil))
+	_, server = newEntry(t, bad.record("model", "m"), good.record("model", "m"))
+	for range 8 {
+		got := sendRequest(t, server, "/chat/x")
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, events(3), got.body)
+	}
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -31,6 +31,9 @@
 
 func (testProtocol) ParseRequest(r *http.Request) (Request, error) {
 	q := Request{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Model: r.Header.Get("Model"), PromptTokens: 100, AnswerTokens: 60, ResumePosition: -1}
+	if position, err := strconv.ParseInt(r.Header.Get("Resume-After"), 10, 64); err == nil {
+		q.ResumePosition = position
+	}
 	if parts := r.Header.Get("Parts"); parts != "" {
 		q.PromptParts = strings.Split(parts, ",")
 	}
