--- a/internal/cluster/crash_test.go
+++ b/internal/cluster/crash_test.go
@@ -17,21 +17,38 @@
 	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
-// Guards against a request that crashes each engine that runs it and is resent
-// until no engine is left, and against losing other streams on these engines.
-func TestCrashCausingRequest(t *testing.T) {
-	t.Parallel()
-	c := startCluster(t, 1)
-	limit := quarantine.MaxUpstreamsLost(len(c.IDs()))
+// addCrashingEngines starts engines that end when a prompt contains "poison", and
+// waits until all entries serve.
+func (c *testCluster) addCrashingEngines(prefix string, count int) []*fake.Engine {
 	var engines []*fake.Engine
-	for i := range limit + 3 {
-		e := c.addEngine(fmt.Sprintf("e%02d", i), []string{"a", "b", "c"}[i%3])
+	for i := range count {
+		e := c.addEngine(fmt.Sprintf("%s%02d", prefix, i), []string{"a", "b", "c"}[i%3])
 		e.SetFaults(fake.Faults{CrashOn: "poison"})
 		engines = append(engines, e)
 	}
 	for _, id := range c.IDs() {
 		c.waitServed(id)
 	}
+	return engines
+}
+
+func countKilled(engines []*fake.Engine) int {
+	killed := 0
+	for _, e := range engines {
+		if e.Killed() {
+			killed++
+		}
+	}
+	return killed
+}
+
+// Guards against a request that crashes each engine that runs it and is resent
+// until no engine is left, and against losing other streams on these engines.
+func TestCrashCausingRequest(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 1)
+	limit := quarantine.MaxUpstreamsLost(len(c.IDs()))
+	engines := c.addCrashingEngines("e", limit+3)
 	const otherTokens = 400
 	var otherStreams sync.WaitGroup
 	responses := make([]Response, 14)
@@ -65,12 +82,7 @@
 		require.Contains(t, last.Body, fmt.Sprintf("%q", fault.Quarantined))
 		require.Equal(t, fault.NotRun, last.Outcome)
 	}
-	lost := 0
-	for _, e := range engines {
-		if e.Killed() {
-			lost++
-		}
-	}
+	lost := countKilled(engines)
 	t.Logf("%d of %d engines lost, at most %d allowed", lost, len(engines), limit)
 	require.LessOrEqual(t, lost, limit)
 	require.Positive(t, lost)
@@ -87,15 +99,7 @@
 	t.Parallel()
 	c := startCluster(t, 1)
 	limit := quarantine.MaxUpstreamsLost(len(c.IDs()))
-	var engines []*fake.Engine
-	for i := range limit + 3 {
-		e := c.addEngine(fmt.Sprintf("p%02d", i), []string{"a", "b", "c"}[i%3])
-		e.SetFaults(fake.Faults{CrashOn: "poison"})
-		engines = append(engines, e)
-	}
-	for _, id := range c.IDs() {
-		c.waitServed(id)
-	}
+	engines := c.addCrashingEngines("p", limit+3)
 	sent := 0
 	stream := func(id, document string) Response {
 		sent++
@@ -110,12 +114,7 @@
 			return strings.Contains(r.Body, fmt.Sprintf("%q", fault.Quarantined)) && r.Outcome == fault.NotRun
 		})
 	}
-	lost := 0
-	for _, e := range engines {
-		if e.Killed() {
-			lost++
-		}
-	}
+	lost := countKilled(engines)
 	t.Logf("%d of %d engines lost, at most %d allowed", lost, len(engines), limit)
 	require.LessOrEqual(t, lost, limit)
 	require.Positive(t, lost)
