peer: take no link's lock under the network's

Seen in a test: a daemon whose operator asks for the status of its peers while a channel sends its first message stops exchanging messages for good.

Cause: the status took the lock of each link under the lock of the network; the first message of a channel starts a goroutine, which takes them in the other order.

Change: the status copies the list of links first.

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -7,7 +7,9 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -185,15 +187,21 @@
 
 // Peers returns the status of the connection to each known peer.
 func (n *Network) Peers() []Status {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	all := make([]Status, 0, len(n.links))
-	for _, l := range n.links {
+	var all []Status
+	for _, l := range n.allLinks() {
 		all = append(all, l.status())
 	}
 	return all
 }
 
+// allLinks returns the links, so that their locks are not taken under mu: a link
+// that starts a goroutine takes mu under its own lock.
+func (n *Network) allLinks() []*link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Collect(maps.Values(n.links))
+}
+
 // Close closes all connections and waits for the goroutines of the network.
 func (n *Network) Close() error {
 	n.mu.Lock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -277,3 +277,33 @@
 		}
 	}
 }
+
+// Guards against a deadlock between the status of all peers and the first message
+// of a channel, which takes the locks of the link and of the network.
+func TestStatusDuringFirstMessages(t *testing.T) {
+	n := newTestNet(t, "a", "b")
+	const channels = 300
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var both sync.WaitGroup
+		both.Go(func() {
+			for i := range channels {
+				n.networks["a"].Send("b", fmt.Sprint("channel-", i), nil)
+			}
+		})
+		both.Go(func() {
+			for range 100 * channels {
+				n.networks["a"].Peers()
+			}
+		})
+		both.Wait()
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		// Closing the network would wait for the same locks.
+		n.networks = nil
+		t.Fatal("deadlock")
+	}
+}
