peer, instance: close connections between entries that carry no messages

With quarantine each entry opens a connection to each other one at the first crash. Each has a keep-alive a second; at the planned 400 daemons that is 144 KB/s (360 bytes each, see KeepAliveInterval), where 21 KB/s may be spent.

Change: Options.IdleTimeout closes a link whose sessions have carried no message for that time, 10 s on the users' platform; the daemon keeps its links open. A link in use keeps its older sessions as a fallback. A sender notices a closed session before it writes, so that the next message is not lost.

The traffic is computed, not measured.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -46,6 +46,9 @@
 	// peerDialTimeout limits a connection attempt to an unresponsive host. A short
 	// timeout leads to an early retry after the host has returned.
 	peerDialTimeout = 400 * time.Millisecond
+	// peerIdleTimeout closes the connections between entries, which carry messages
+	// only after a crash. Those with control instances carry several a second.
+	peerIdleTimeout = 10 * time.Second
 	// upstreamDialTimeout limits a connection attempt to an upstream. Within a
 	// region, connecting takes a few milliseconds.
 	upstreamDialTimeout = 150 * time.Millisecond
@@ -111,7 +114,7 @@
 	}
 	i.network = peer.Listen(listener, peer.Options{ID: s.ID, Logger: i.logger, Registry: i.registry,
 		Resolve:           func(id string) (string, bool) { return control.PeerAddress(id, s.PeerPort) },
-		KeepAliveInterval: peerKeepAlive, WriteTimeout: peerWriteTimeout, DialTimeout: peerDialTimeout})
+		KeepAliveInterval: peerKeepAlive, WriteTimeout: peerWriteTimeout, DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout})
 	if s.Listen.Control != "" {
 		if err := i.startControl(); err != nil {
 			return err
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -48,6 +48,14 @@
 	return s
 }
 
+// openSessions returns the open sessions.
+func (l *link) openSessions() []*yamux.Session {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.newestSessionLocked()
+	return slices.Clone(l.sessions)
+}
+
 // newestSessionLocked returns the newest open session, or nil. The caller holds
 // mu.
 func (l *link) newestSessionLocked() *yamux.Session {
@@ -151,6 +159,10 @@
 		case <-l.network.ctx.Done():
 			return
 		case payload := <-q:
+			if stream != nil && stream.Session().IsClosed() {
+				_ = stream.Close()
+				stream = nil
+			}
 			if stream == nil {
 				stream = l.openStream(channel)
 			}
@@ -158,6 +170,7 @@
 				l.network.dropped.Inc(1)
 				continue
 			}
+			l.network.recordMessage(stream.Session())
 			_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if err := writeMessage(stream, &Frame{Payload: payload}); err != nil {
 				l.network.opts.Logger.Debug("peer stream failed", zap.String("peer", l.id), zap.String("channel", channel), zap.Error(err))
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -63,6 +63,10 @@
 	KeepAliveInterval, WriteTimeout time.Duration
 	// DialTimeout bounds a connection attempt; zero means the default.
 	DialTimeout time.Duration
+	// IdleTimeout closes a connection that has carried no message for this time,
+	// which saves its keep-alives; zero keeps connections open. The next message
+	// opens one again.
+	IdleTimeout time.Duration
 	// TLS, when set, is used for both directions; the certificate's common
 	// name must be the daemon's id.
 	TLS *tls.Config
@@ -85,8 +89,8 @@
 
 	mu    sync.Mutex
 	links map[string]*link
-	// sessions holds every open session, for Close.
-	sessions map[*yamux.Session]struct{}
+	// sessions holds every open session with the time of its last message.
+	sessions map[*yamux.Session]time.Time
 
 	sentBytes     metrics.Counter
 	receivedBytes metrics.Counter
@@ -128,15 +132,72 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Network{
 		opts: o, listener: listener, ctx: ctx, cancel: cancel,
-		handlers: map[string]Handler{}, links: map[string]*link{}, sessions: map[*yamux.Session]struct{}{},
+		handlers: map[string]Handler{}, links: map[string]*link{}, sessions: map[*yamux.Session]time.Time{},
 		sentBytes:     metrics.GetOrRegisterCounter("peer.sent_bytes", o.Registry),
 		receivedBytes: metrics.GetOrRegisterCounter("peer.received_bytes", o.Registry),
 		dropped:       metrics.GetOrRegisterCounter("peer.dropped_messages", o.Registry),
 	}
 	n.spawn(n.acceptLoop)
+	if o.IdleTimeout > 0 {
+		n.spawn(n.closeIdleSessions)
+	}
 	return n
 }
 
+// closeIdleSessions closes sessions without messages until the network closes.
+func (n *Network) closeIdleSessions() {
+	ticker := time.NewTicker(n.opts.IdleTimeout / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, s := range n.idleSessions(now) {
+				_ = s.Close()
+			}
+		}
+	}
+}
+
+// idleSessions lists the sessions of links without messages. Older sessions of a
+// link in use stay open as a fallback.
+func (n *Network) idleSessions(now time.Time) []*yamux.Session {
+	var idle []*yamux.Session
+	for _, l := range n.allLinks() {
+		sessions := l.openSessions()
+		if now.Sub(n.lastMessage(sessions)) >= n.opts.IdleTimeout {
+			idle = append(idle, sessions...)
+		}
+	}
+	return idle
+}
+
+// lastMessage returns the time of the last message on any of the sessions.
+func (n *Network) lastMessage(sessions []*yamux.Session) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var last time.Time
+	for _, s := range sessions {
+		if at := n.sessions[s]; at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// recordMessage records that a session carries a message.
+func (n *Network) recordMessage(s *yamux.Session) {
+	if n.opts.IdleTimeout == 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, open := n.sessions[s]; open {
+		n.sessions[s] = time.Now()
+	}
+}
+
 // Handle sets the handler of a channel.
 func (n *Network) Handle(channel string, h Handler) {
 	n.handlersMu.Lock()
@@ -347,7 +408,7 @@
 		_ = s.Close()
 		return false
 	}
-	n.sessions[s] = struct{}{}
+	n.sessions[s] = time.Now()
 	return true
 }
 
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -62,6 +62,7 @@
 		if unmarshal.UnmarshalFrom(in, &frame) != nil {
 			return
 		}
+		n.recordMessage(stream.Session())
 		h := n.handler(header.Channel)
 		if header.Call {
 			_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -92,6 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.recordMessage(session)
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	defer stream.Close()
