--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -50,8 +50,8 @@
 		Network: o.Network, LiveEntries: live, Logger: o.Logger})
 }
 
-// requestDigest identifies the request by its account, method, URI and body, so
-// that a copy has the same digest whichever entry and service it is sent to.
+// requestDigest identifies the request by its account, method, host, URI and body.
+// A copy has the same digest whichever entry and service it is sent to.
 func (x *exchange) requestDigest() quarantine.Digest {
 	account := ""
 	if x.account != nil {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -475,7 +474,7 @@
 	}
 	if x.held > 0 || x.reason == reasonQuarantined || slices.ContainsFunc(x.attempts, func(r attemptRecord) bool { return r.broken }) {
 		// Copies of one request have the same digest.
-		fields = append(fields, zap.String("digest", hex.EncodeToString(x.digest[:])), zap.Strings("parts", x.request.PromptParts))
+		fields = append(fields, zap.Stringer("digest", x.digest), zap.Strings("parts", x.request.PromptParts))
 	}
 	if len(x.attempts) > 0 {
 		fields = append(fields, zap.Array("sends", attemptRecords(x.attempts)))
--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -25,7 +25,7 @@
 		crashes: map[Target]*crash{}, suspects: map[Digest][]*crash{},
 		verdicts: map[Digest]time.Time{}, resendUntil: map[Digest]time.Time{},
 		runs: map[uint64]*run{}, runsByDigest: map[Digest][]*run{}, runsByUpstream: map[string][]*run{},
-		progressed: map[Digest]time.Time{}, completed: map[Digest]time.Time{},
+		interrupted: map[Digest]time.Time{}, completed: map[Digest]time.Time{},
 	}
 }
 
@@ -273,9 +273,9 @@
 			delete(t.resendUntil, d)
 		}
 	}
-	for d, at := range t.progressed {
+	for d, at := range t.interrupted {
 		if now.Sub(at) >= t.cfg.CompletedRetention {
-			delete(t.progressed, d)
+			delete(t.interrupted, d)
 		}
 	}
 	for _, rs := range t.runsByUpstream {
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -48,11 +48,10 @@
 		}
 		keys := keysOf(r.digest, r.parts)
 		if r.progressed {
-			keys = keys[:1]
-			_, interrupted := t.progressed[r.digest]
-			if t.progressed[r.digest] = now; !interrupted && len(t.suspects[r.digest]) == 0 {
+			if !t.recordInterruption(now, r.digest) {
 				continue
 			}
+			keys = keys[:1]
 		}
 		for depth, key := range keys {
 			t.addRequest(now, c, t.cfg.Self, ReportedRequest{key, r.presence(), uint8(min(depth, math.MaxUint8))})
@@ -60,6 +59,14 @@
 	}
 }
 
+// recordInterruption records that a crash has interrupted a request that had
+// progressed. It reports whether an earlier crash has interrupted the request too.
+func (t *Tracker) recordInterruption(now time.Time, d Digest) bool {
+	_, interrupted := t.interrupted[d]
+	t.interrupted[d] = now
+	return interrupted || len(t.suspects[d]) > 0
+}
+
 // ensureReport records that an entry has reported on a crash.
 func (t *Tracker) ensureReport(c *crash, from string, truncated bool) {
 	r := c.reports[from]
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -266,7 +266,7 @@
 	verdicts       map[Digest]time.Time
 	resendUntil    map[Digest]time.Time // own verdicts to resend, with the end of resending
 	verdictsSentAt time.Time            // last time own verdicts were sent
-	progressed     map[Digest]time.Time // when a crash interrupted requests that had progressed
+	interrupted    map[Digest]time.Time // last interruption of requests that had progressed
 	runs           map[uint64]*run
 	runsByDigest   map[Digest][]*run
 	runsByUpstream map[string][]*run // including runs that ended recently
