entry: a cut that refuses connections is no crash

Cause: a refused connection after a broken one counted as the end of the upstream. A cut may refuse connections as well.

Change: the entry also probes up to three other upstreams of the same failure domain; it is a crash only if one accepts. If none is left to ask, the domain must be the entry's own, with a control instance in touch.

Why it works: a crash leaves the others of the domain in reach, a cut does not. A request is not blamed for upstreams that are out of reach.

--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/bluebellfield/bluebellfield/fleet"
 	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
@@ -75,3 +76,45 @@
 		require.True(t, e.crashes.Tracker().KnownCrash(quarantine.Target{Upstream: ending.id, Incarnation: 1}))
 	}
 }
+
+// Guards against taking a cut for crashes: when the connections to a failure
+// domain are reset and refused, requests that were in flight there are not to
+// blame.
+func TestCutDomainIsNoCrash(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// cut upstreams end together.
+		cut  int
+		want bool
+	}{
+		{"one upstream ends", 1, true},
+		{"all upstreams of the domain are out of reach", 3, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e, server := newEntry(t)
+			script := func(_ *fakeUpstream, _ int, w http.ResponseWriter, r *http.Request) { hang(w, r) }
+			near := newUpstream(t, "near", answer("ok"))
+			var far []*fakeUpstream
+			var records []fleet.Upstream
+			for n := range 3 {
+				u := newUpstream(t, fmt.Sprint("far-", n), script)
+				record := u.record("app", "")
+				record.FailureDomain = "far"
+				far, records = append(far, u), append(records, record)
+			}
+			records[1].Service, records[2].Service = "other", "other"
+			setUpstreams(t, e, records...)
+			time.AfterFunc(50*time.Millisecond, func() {
+				setUpstreams(t, e, append(records, near.record("app", ""))...)
+				for _, u := range far[:test.cut] {
+					_ = u.server.Listener.Close()
+				}
+				for _, u := range far[:test.cut] {
+					u.server.CloseClientConnections()
+				}
+			})
+			require.Equal(t, http.StatusOK, sendRequest(t, server, "/read/x").status)
+			require.Equal(t, test.want, e.crashes.Tracker().KnownCrash(quarantine.Target{Upstream: "far-0", Incarnation: 1}))
+		})
+	}
+}
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bluebellfield/bluebellfield/fleet"
 	"github.com/bluebellfield/bluebellfield/internal/control"
 	"github.com/bluebellfield/bluebellfield/internal/crashreport"
 	"github.com/bluebellfield/bluebellfield/internal/mesh"
@@ -34,6 +36,9 @@
 	// probeValidity is how long the result of that check applies to other
 	// connections that broke at the same time.
 	probeValidity = 100 * time.Millisecond
+	// maxWitnesses is the number of other upstreams that are probed to tell a crash
+	// from a cut. Some of them may be down as well.
+	maxWitnesses = 3
 	// maxSharedParts bounds the parts of a prompt that quarantine tracks. Prompts
 	// have a few; a caller may list any number.
 	maxSharedParts = 16
@@ -181,7 +186,8 @@
 	}
 }
 
-// hasCrashed reports whether an upstream that broke a connection has ended.
+// hasCrashed reports whether an upstream that broke a connection has ended: it
+// refuses a new one while its failure domain is in reach.
 func (e *Entry) hasCrashed(t *target) bool {
 	t.probe.Lock()
 	defer t.probe.Unlock()
@@ -191,16 +197,75 @@
 	if time.Since(t.probedAt) < probeValidity {
 		return false
 	}
+	defer func() { t.probedAt = time.Now() }()
+	return e.refuses(&t.upstream) && e.inReach(&t.upstream)
+}
+
+// refuses reports whether an upstream refuses connections.
+func (e *Entry) refuses(u *fleet.Upstream) bool {
 	ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
 	defer cancel()
-	listening, err := e.opts.Client.Listening(ctx, t.upstream.Address)
+	listening, err := e.opts.Client.Listening(ctx, u.Address)
 	if err != nil {
-		e.opts.Logger.Debug("upstream not probed", zap.String("upstream", t.upstream.ID), zap.Error(err))
+		e.opts.Logger.Debug("upstream not probed", zap.String("upstream", u.ID), zap.Error(err))
 	}
-	t.probedAt = time.Now()
 	return !listening
 }
 
+// inReach reports whether the failure domain of an upstream is in reach, since a
+// cut may refuse connections too: another upstream there must accept one. If none
+// is left, a domain is in reach if it is this entry's own and control instances
+// are in touch.
+func (e *Entry) inReach(u *fleet.Upstream) bool {
+	witnesses := e.witnesses(u)
+	if len(witnesses) == 0 {
+		return u.FailureDomain == e.opts.FailureDomain && e.inTouch(time.Now())
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
+	defer cancel()
+	accepted := make(chan bool, len(witnesses))
+	for _, address := range witnesses {
+		go func() {
+			listening, err := e.opts.Client.Listening(ctx, address)
+			accepted <- listening && err == nil
+		}()
+	}
+	for range witnesses {
+		if <-accepted {
+			return true
+		}
+	}
+	return false
+}
+
+// witnesses returns the addresses of some other upstreams in the failure domain of
+// an upstream.
+func (e *Entry) witnesses(u *fleet.Upstream) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var addresses []string
+	for _, other := range e.table.All() {
+		crashed := e.crashes.Tracker().KnownCrash(quarantine.Target{Upstream: other.ID, Incarnation: uint64(other.StartMillis)})
+		if other.FailureDomain == u.FailureDomain && other.ID != u.ID && other.Phase == fleet.Ready && !crashed {
+			addresses = append(addresses, other.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), maxWitnesses)]
+}
+
+// inTouch reports whether a control instance sends updates.
+func (e *Entry) inTouch(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.sources {
+		if now.Sub(s.lastUpdate) < resyncTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // applyVerdicts merges the verdicts that a control instance has stored. The caller
 // holds mu.
 func (e *Entry) applyVerdicts(now time.Time, from string, list *mesh.VerdictList) {
