quarantine: send evidence less often once nobody waits for it

An entry that is listed as reachable but does not answer, because it is frozen or cut off, kept all others sending their evidence of each crash to all others four times a second, for up to five minutes.

Change: after twice the time that suspects wait for reports, the interval is eight times as long.

--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -237,7 +237,7 @@
 	t.expire(now)
 	var due []*crash
 	for _, c := range t.crashOrder {
-		resend := (c.replyRequested || c.sentPlacements || !t.converged(c)) && now.Sub(c.sentAt) >= t.cfg.Resend && now.Sub(c.knownSince) < t.cfg.Quarantine/2
+		resend := (c.replyRequested || c.sentPlacements || !t.converged(c)) && now.Sub(c.sentAt) >= t.resendInterval(now, c) && now.Sub(c.knownSince) < t.cfg.Quarantine/2
 		if resend || c.placementChanged || c.sum != c.sentSum {
 			due = append(due, c)
 		}
@@ -246,6 +246,20 @@
 	return append(messages, t.resendVerdicts(now)...)
 }
 
+// lateResendFactor multiplies the interval of resending once suspects no longer
+// wait for reports. An entry that is listed as reachable but does not answer would
+// otherwise cost a message to each entry from each other one at every interval.
+const lateResendFactor = 8
+
+// resendInterval returns the interval at which the evidence of a crash is sent
+// again.
+func (t *Tracker) resendInterval(now time.Time, c *crash) time.Duration {
+	if now.Sub(c.knownSince) < 2*t.cfg.ReportTimeout {
+		return t.cfg.Resend
+	}
+	return lateResendFactor * t.cfg.Resend
+}
+
 func (t *Tracker) resendVerdicts(now time.Time) []Message {
 	if len(t.resendUntil) == 0 || now.Sub(t.verdictsSentAt) < t.cfg.Resend {
 		return nil
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -526,3 +526,25 @@
 	require.Equal(t, Refuse, tracker.Admit(now, digest("new"), system, culprit).Action)
 	require.Equal(t, Refuse, tracker.Admit(now, digest("culprit"), system).Action)
 }
+
+// Guards against evidence that is sent at the same rate for minutes to an entry
+// that does not answer, by all entries to all others.
+func TestUnansweredEvidenceIsSentLessOften(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := New(Config{Self: "a"})
+	tracker.SetEntries(now, []string{"silent"})
+	tracker.Crashed(now, Target{"u", 1})
+	const tick = 50 * time.Millisecond
+	count := func(d time.Duration) (messages int) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(tick)
+			messages += len(tracker.Tick(now))
+		}
+		return messages
+	}
+	early := count(2 * tracker.cfg.ReportTimeout)
+	require.InDelta(t, int(2*tracker.cfg.ReportTimeout/tracker.cfg.Resend), early, 1)
+	late := count(2 * tracker.cfg.ReportTimeout)
+	require.Positive(t, late)
+	require.LessOrEqual(t, late, early/lateResendFactor)
+}
