quarantine: the bound of a new test from the interval, not from a count

TestUnansweredEvidenceIsSentLessOften was committed failing: it divided the messages counted in the first period, 31 as one of 32 falls on its end, by eight. The bound is now the period divided by the late interval, four messages.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -546,5 +546,5 @@
 	require.InDelta(t, int(2*tracker.cfg.ReportTimeout/tracker.cfg.Resend), early, 1)
 	late := count(2 * tracker.cfg.ReportTimeout)
 	require.Positive(t, late)
-	require.LessOrEqual(t, late, early/lateResendFactor)
+	require.LessOrEqual(t, late, int(2*tracker.cfg.ReportTimeout/(lateResendFactor*tracker.cfg.Resend)))
 }
