entry, quarantine: failing tests of an entry that exchanges no messages with the others

Here an entry renews its subscription at the control instances, so that all others list it as reachable, but exchanges no messages with them. A verdict needs its reports, which never come.

--- a/internal/entry/crash_cluster_test.go
+++ b/internal/entry/crash_cluster_test.go
@@ -47,6 +47,9 @@
 	t         *testing.T
 	ids       []string
 	addresses map[string]string
+	// severed are entries that cannot exchange messages with any other entry,
+	// only with the control instances.
+	severed map[string]bool
 	// control answers subscriptions, stores verdicts and hands out the catalog.
 	control *peer.Network
 
@@ -68,9 +71,12 @@
 
 const controlID = "control"
 
-func newEntryCluster(t *testing.T, size int) *entryCluster {
-	c := &entryCluster{t: t, addresses: map[string]string{}, members: make([]*entryMember, size), upstreams: map[string]fleet.Upstream{},
+func newEntryCluster(t *testing.T, size int, severed ...string) *entryCluster {
+	c := &entryCluster{t: t, addresses: map[string]string{}, severed: map[string]bool{}, members: make([]*entryMember, size), upstreams: map[string]fleet.Upstream{},
 		renewed: map[string]time.Time{}, verdicts: map[string]*mesh.Verdict{}}
+	for _, id := range severed {
+		c.severed[id] = true
+	}
 	listen := func(id string) net.Listener {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
@@ -158,10 +164,22 @@
 	}
 }
 
+// reachableFrom returns the addresses that an instance can connect to.
+func (c *entryCluster) reachableFrom(id string) map[string]string {
+	const refusing = "127.0.0.1:1"
+	addresses := maps.Clone(c.addresses)
+	for other := range addresses {
+		if other != id && other != controlID && (c.severed[id] || c.severed[other]) {
+			addresses[other] = refusing
+		}
+	}
+	return addresses
+}
+
 // start starts an entry without any state and waits until it has a catalog.
 func (c *entryCluster) start(n int, listener net.Listener) {
 	content := testCatalog(c.t)
-	network := peer.Listen(listener, peer.Options{ID: c.ids[n], Addresses: c.addresses, Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
+	network := peer.Listen(listener, peer.Options{ID: c.ids[n], Addresses: c.reachableFrom(c.ids[n]), Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
 	e := Start(Options{ID: c.ids[n], FailureDomain: "z", Seeds: []string{controlID}, Network: network, Protocol: testProtocol{}, Client: upstream.NewClient(nil),
 		Decode: func([]byte) (*catalog.Catalog, error) { return content, nil }, Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
 		RetryBudget: RetryBudget{Ratio: 0.2, Allowance: 500, Window: 10 * time.Second}})
@@ -451,3 +469,18 @@
 	require.LessOrEqual(t, late, lateLimit, "requests with a part under which %d engines had ended were sent to engines again", partCrashLimit)
 	require.Greater(t, served, sent*9/10, "sound requests of the same caller and parts are served")
 }
+
+// Guards against an entry that the control instances report as reachable, but
+// that exchanges no messages with the others: its reports are missing on each
+// crash, and no entry may wait for them for good.
+func TestUnreachableEntryDoesNotStopQuarantine(t *testing.T) {
+	const entries, heads = 3, 12
+	c := newEntryCluster(t, entries, "entry-2")
+	g := startCrashingEngines(t, c, heads, "poison")
+	sent, served := crashTraffic(c, "poison", 2*time.Second+2*contact)
+	late, crashes := g.late(byPart)
+	t.Logf("%d heads ended; requests with the part came %d times after the limit; %d of %d sound requests were served in the second half", crashes, late, served, sent)
+	require.Positive(t, crashes)
+	require.LessOrEqual(t, late, lateLimit, "requests with a part under which %d engines had ended were sent to engines again", partCrashLimit)
+	require.Greater(t, served, sent*9/10, "sound requests of the same caller and parts are served")
+}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -548,3 +548,49 @@
 	require.Positive(t, late)
 	require.LessOrEqual(t, late, int(2*tracker.cfg.ReportTimeout/(lateResendFactor*tracker.cfg.Resend)))
 }
+
+// Guards against an entry that is listed as reachable and does not answer: a
+// request that goes on to crash upstreams must be quarantined without its reports,
+// one crash later than with them.
+func TestSilentEntryDelaysVerdictByOneCrash(t *testing.T) {
+	part := PartDigest("s", "culprit")
+	for _, test := range []struct {
+		name    string
+		entries []string
+		parts   []Digest
+		want    int // isolated crashes
+	}{
+		{"request, alone", nil, nil, 2},
+		{"request, a silent entry", []string{"silent"}, nil, 3},
+		{"part, alone", nil, []Digest{part}, 3},
+		{"part, a silent entry", []string{"silent"}, []Digest{part}, 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			tracker := New(Config{Self: "a"})
+			tracker.SetEntries(now, test.entries)
+			isolated := 0
+			for n := uint64(1); n < 10; n++ {
+				request := digest("culprit")
+				if len(test.parts) > 0 {
+					request = digest(fmt.Sprint("request ", n))
+				}
+				decision := tracker.Admit(now, request, test.parts...)
+				if decision.Action == Refuse {
+					break
+				}
+				require.NotEqual(t, Wait, decision.Action)
+				if decision.Action == Isolate {
+					isolated++
+				}
+				target := Target{"u", n}
+				_, ok := tracker.Start(now, "s", n, request, target, test.parts...)
+				require.True(t, ok)
+				tracker.Crashed(now, target)
+				now = now.Add(tracker.cfg.ReportTimeout)
+				tracker.Tick(now)
+			}
+			require.Equal(t, test.want, isolated)
+		})
+	}
+}
