daemon, routing: admission counts only upstreams that routing can pick

Callers saw: a request that was sent while its first upstream appeared had its attempts used up by picks that found none, each after a pause, and could be refused although admission had released it for that upstream.

Cause: admission counts the slots of an upstream as soon as the view has a report on it. Routing goes by its table, which is rebuilt each 100 ms (1 s with 2,100 upstreams) and may lack that report.

Change: capacity leaves out upstreams whose report or group confirmation in the table is too old for Pick.

Measured: TestCapacityNeedsRoutableUpstream fails without the change (8 slots and no upstream to pick) and passes here.

--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -438,7 +438,9 @@
 			continue
 		}
 		v := view.Get(u.ID)
-		if v == nil || !view.Dispatchable(v, now) {
+		if v == nil || !view.Dispatchable(v, now) || !p.router.Fresh(now, u, grouped) {
+			// A request that admission releases must find an upstream. The view
+			// may have a first report that the table lacks.
 			continue
 		}
 		if v.Kind != membership.ModelEngine {
--- a/internal/daemon/pick_test.go
+++ b/internal/daemon/pick_test.go
@@ -298,6 +298,31 @@
 	})
 }
 
+// Guards against requests that admission releases for an upstream of which the
+// routing table has no report yet: they use up their attempts on picks.
+func TestCapacityNeedsRoutableUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPickerTest(t)
+		time.Sleep(time.Minute) // the registry is not new
+		now := time.Now()
+		announced := membership.Announcement{
+			ID: "u1", Incarnation: 1, Address: "u1:1", FailureDomain: "a", Kind: membership.PlainService, Services: []string{"wash"},
+			MaxConcurrent: 8, State: membership.Ready, Sequence: 1, Features: membership.Features{Echo: true},
+		}
+		p.members.registry.Announce(now, announced)
+		p.publishView()
+		p.publish(now)
+		p.members.registry.RecordProbe(now, now, announced, membership.Heartbeat{ID: "u1", Incarnation: 1, Sequence: 2, State: membership.Ready})
+		p.publishView()
+		_, err := p.Pick(t.Context(), pickRequest("wash", 1), 1, nil)
+		require.Equal(t, fault.NoUpstream, fault.CodeOf(err))
+		require.Zero(t, p.slotCount("wash"))
+		p.publish(time.Now())
+		require.Equal(t, 8, p.slotCount("wash"))
+		require.Equal(t, "u1", p.pickedID(t, pickRequest("wash", 2)))
+	})
+}
+
 // tickFor ticks quarantine for a duration while upstream u1 keeps its lease.
 func (p *pickerTest) tickFor(d time.Duration) {
 	for end := time.Now().Add(d); ; time.Sleep(crashreport.BusyInterval) {
--- a/routing/filter_freshness.go
+++ b/routing/filter_freshness.go
@@ -9,5 +9,5 @@
 
 // Admit implements Filter.
 func (freshnessFilter) Admit(q *Query, u *Upstream) bool {
-	return q.now-u.reportedAt < int64(q.cfg.MaxAge)
+	return u.reportFresh(q.now, q.cfg.MaxAge)
 }
--- a/routing/filter_group.go
+++ b/routing/filter_group.go
@@ -14,6 +14,5 @@
 	if !q.NeedsGroup {
 		return true
 	}
-	return u.Group.ID != "" && u.Group.Rank == 0 && u.Group.Complete &&
-		q.now-u.groupConfirmedAt < int64(q.cfg.MaxAge)
+	return u.Group.ID != "" && u.Group.Rank == 0 && u.Group.Complete && u.groupFresh(q.now, q.cfg.MaxAge)
 }
--- a/routing/queries.go
+++ b/routing/queries.go
@@ -46,6 +46,13 @@
 	return r.pick(now, random, req, nil)
 }
 
+// Fresh reports whether the information on an upstream of the table, and on its
+// group if the service needs one, is recent enough for Pick.
+func (r *Router) Fresh(now time.Time, u *Upstream, needsGroup bool) bool {
+	at := now.UnixNano()
+	return u.reportFresh(at, r.cfg.MaxAge) && (!needsGroup || u.groupFresh(at, r.cfg.MaxAge))
+}
+
 // Explain is like Pick but also records how the choice was made. It examines
 // every upstream of the service and is meant for diagnosis.
 func (r *Router) Explain(now time.Time, random rand.Source, req *Request) (Choice, Explanation, error) {
--- a/routing/table.go
+++ b/routing/table.go
@@ -23,6 +23,17 @@
 	distance         distance
 }
 
+// reportFresh reports whether the load report is younger than maxAge. The time is
+// in Unix nanoseconds.
+func (u *Upstream) reportFresh(now int64, maxAge time.Duration) bool {
+	return now-u.reportedAt < int64(maxAge)
+}
+
+// groupFresh reports whether the group's confirmation is younger than maxAge.
+func (u *Upstream) groupFresh(now int64, maxAge time.Duration) bool {
+	return now-u.groupConfirmedAt < int64(maxAge)
+}
+
 // EstimatedLoad returns the estimated number of requests at the upstream: the
 // reported number plus the weighted change in this entry's own requests since the
 // report, and at least the number of its own requests. The weight, the square root
