--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
@@ -151,6 +152,7 @@
 	defer span.End()
 	choice, err := x.Picker.Pick(ctx, &x.info, x.attempts, x.tried)
 	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
 		return nil, fault.Wrap(err, fault.CodeOf(err), fault.Location{Step: StepPick}, fault.NotRun)
 	}
 	if span.IsRecording() {
