daemon, crashreport: a cut is no crash on the daemons' path either

Cause: a daemon took each failed probe after a broken connection for a crash, also one without an answer, and each lease that ended.

Change: the check moves from internal/entry to crashreport.Detector, which both paths use: an address that refuses connections is a crash only if another process of its failure domain accepts one. On the daemons' path these are upstreams and other daemons; lost leases need one too, checked off the membership actor.

Why it works: a crash leaves the others of the domain in reach, a cut does not.

--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -24,12 +24,16 @@
 	tracker  *quarantine.Tracker
 	reporter *crashreport.Reporter
 	client   *upstream.Client
+	detector *crashreport.Detector
+	members  *members
 	tree     func() *settings.Tree
+	logger   *zap.Logger
 }
 
-func newCrashTracker(self string, network messenger, client *upstream.Client, live func() []string, tree func() *settings.Tree, logger *zap.Logger) *crashTracker {
-	reporter := crashreport.New(crashreport.Options{Tracker: quarantine.Config{Self: self}, Network: network, LiveEntries: live, Logger: logger})
-	return &crashTracker{tracker: reporter.Tracker(), reporter: reporter, client: client, tree: tree}
+func newCrashTracker(network messenger, client *upstream.Client, members *members, tree func() *settings.Tree, logger *zap.Logger) *crashTracker {
+	reporter := crashreport.New(crashreport.Options{Tracker: quarantine.Config{Self: members.cfg.ID}, Network: network, LiveEntries: members.Live, Logger: logger})
+	return &crashTracker{tracker: reporter.Tracker(), reporter: reporter, client: client, members: members, tree: tree, logger: logger,
+		detector: &crashreport.Detector{Prober: client, Logger: logger}}
 }
 
 func requestDigest(info *caller.RequestInfo) quarantine.Digest {
@@ -87,23 +91,76 @@
 // handleBrokenConnection determines whether a broken connection was caused by
 // a crash of the upstream. It is called before the request is retried.
 func (c *crashTracker) handleBrokenConnection(ch *choice) {
+	if c.tracker.KnownCrash(ch.target) || c.hasCrashed(ch) {
+		c.reporter.Crashed(ch.target)
+		return
+	}
+	c.finish(ch, quarantine.Failed)
+}
+
+// hasCrashed reports whether an upstream has restarted, or refuses connections
+// while its failure domain is in reach.
+func (c *crashTracker) hasCrashed(ch *choice) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
 	reply, err := c.client.State(ctx, upstream.Target{ID: ch.upstream.ID, Address: ch.upstream.Address})
-	if err == nil && reply.Announcement.Incarnation == ch.target.Incarnation {
-		c.finish(ch, quarantine.Failed)
-		return
+	if err == nil {
+		return reply.Announcement.Incarnation != ch.target.Incarnation
+	}
+	return c.detector.Refuses(ctx, ch.upstream.Address) && c.inReach(ctx, ch.upstream.FailureDomain, map[string]bool{ch.upstream.ID: true})
+}
+
+// inReach reports whether another upstream or a daemon of a failure domain
+// accepts connections. A domain without any other process is in reach if it is
+// the daemon's own.
+func (c *crashTracker) inReach(ctx context.Context, failureDomain string, lost map[string]bool) bool {
+	cfg := c.members.cfg
+	var witnesses []string
+	for _, u := range c.members.View().All() {
+		target := quarantine.Target{Upstream: u.ID, Incarnation: u.Incarnation}
+		if u.FailureDomain == failureDomain && !lost[u.ID] && !c.tracker.KnownCrash(target) {
+			witnesses = append(witnesses, u.Address)
+		}
+	}
+	for _, p := range cfg.Peers {
+		if p.FailureDomain == failureDomain && p.ID != cfg.ID && p.UpstreamAddress != "" {
+			witnesses = append(witnesses, p.UpstreamAddress)
+		}
+	}
+	if len(witnesses) == 0 {
+		return failureDomain == cfg.FailureDomain
 	}
-	c.reporter.Crashed(ch.target)
+	return c.detector.AnyAccepts(ctx, witnesses)
 }
 
 // onEvents reports lost upstreams as crashed, which makes the requests in
-// flight on them suspects.
+// flight on them suspects, unless their whole failure domain is out of reach.
+// It does not wait for the check.
 func (c *crashTracker) onEvents(events []membership.Event) {
+	view := c.members.View()
+	lost, byDomain := map[string]bool{}, map[string][]quarantine.Target{}
 	for _, e := range events {
-		if e.Kind == membership.Lost {
-			c.reporter.Crashed(quarantine.Target{Upstream: e.ID, Incarnation: e.Incarnation})
+		u := view.Get(e.ID)
+		if e.Kind != membership.Lost || u == nil {
+			continue
 		}
+		lost[e.ID] = true
+		byDomain[u.FailureDomain] = append(byDomain[u.FailureDomain], quarantine.Target{Upstream: e.ID, Incarnation: e.Incarnation})
+	}
+	for domain, targets := range byDomain {
+		go c.reportLost(domain, targets, lost)
+	}
+}
+
+func (c *crashTracker) reportLost(failureDomain string, targets []quarantine.Target, lost map[string]bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+	defer cancel()
+	if !c.inReach(ctx, failureDomain, lost) {
+		c.logger.Info("upstreams lost with their failure domain", zap.String("failureDomain", failureDomain), zap.Int("upstreams", len(targets)))
+		return
+	}
+	for _, t := range targets {
+		c.reporter.Crashed(t)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -150,7 +150,7 @@
 	d.shared = newSharedState(d.cfg, d.network, d.logs, d.logger, func(t *settings.Tree) {
 		d.logger.Info("settings in force", zap.Uint64("revision", t.Revision()))
 	})
-	d.crashes = newCrashTracker(d.cfg.ID, d.network, d.client, d.members.Live, d.shared.Tree, d.logger)
+	d.crashes = newCrashTracker(d.network, d.client, d.members, d.shared.Tree, d.logger)
 	d.picker = newPicker(d.cfg, incarnation, d.shared, d.members, d.client, d.crashes, d.logger)
 	d.members.onEvents = d.crashes.onEvents
 	d.members.onCacheEvents = d.picker.applyCacheEvents
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -44,7 +44,7 @@
 	cfg := &config.Daemon{ID: "e1", FailureDomain: "a", Roles: []config.Role{config.RoleEntry}}
 	cfg.Logs.Global = []string{"vc", "va", "vb"}
 	for id, domain := range map[string]string{"e1": "a", "va": "a", "vb": "b", "vc": "c"} {
-		cfg.Peers = append(cfg.Peers, config.Peer{ID: id, FailureDomain: domain})
+		cfg.Peers = append(cfg.Peers, config.Peer{ID: id, FailureDomain: domain, UpstreamAddress: id + ":1"})
 	}
 	return cfg
 }
--- a/internal/daemon/pick_test.go
+++ b/internal/daemon/pick_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,25 +27,59 @@
 	tree      *settings.Tree
 	groups    map[string]*group.State
 	sequences map[string]uint64
+	// addresses tells how the network answers a connection; addresses that are
+	// not listed refuse it.
+	addresses map[string]dialResult
+}
+
+// connectTimeout is when a connection attempt to a silent address ends.
+const connectTimeout = 3 * time.Second
+
+// dialResult is what becomes of a connection attempt.
+type dialResult int
+
+const (
+	refusing dialResult = iota
+	accepting
+	silent
+)
+
+func (p *pickerTest) dial(ctx context.Context, address string) (net.Conn, error) {
+	switch p.addresses[address] {
+	case accepting:
+		near, far := net.Pipe()
+		return near, far.Close()
+	case silent:
+		// The transport goes on to connect after the request has ended.
+		wait(ctx, nil, connectTimeout)
+		return nil, syscall.ETIMEDOUT
+	case refusing:
+	}
+	return nil, syscall.ECONNREFUSED
 }
 
 func (p *pickerTest) Tree() *settings.Tree            { return p.tree }
 func (p *pickerTest) Groups() map[string]*group.State { return p.groups }
 
 func newPickerTest(t *testing.T, ops ...settings.Op) *pickerTest {
-	p := &pickerTest{tree: testTree(t, ops...), groups: map[string]*group.State{}, sequences: map[string]uint64{}}
+	p := &pickerTest{tree: testTree(t, ops...), groups: map[string]*group.State{}, sequences: map[string]uint64{}, addresses: map[string]dialResult{}}
 	cfg := testConfig()
-	client := upstream.NewClient(func(context.Context, string) (net.Conn, error) { return nil, errors.New("refused") })
+	client := upstream.NewClient(p.dial)
 	network := &fakeNetwork{}
-	none := func() []string { return nil }
-	crashes := newCrashTracker(cfg.ID, network, client, none, p.Tree, zap.NewNop())
+	members := newMembers(cfg, 1, network, client, zap.NewNop())
+	crashes := newCrashTracker(network, client, members, p.Tree, zap.NewNop())
 	crashes.tracker.SetEntries(time.Now(), nil)
-	p.picker = newPicker(cfg, 1, p, newMembers(cfg, 1, network, client, zap.NewNop()), client, crashes, zap.NewNop())
+	p.picker = newPicker(cfg, 1, p, members, client, crashes, zap.NewNop())
 	return p
 }
 
 // report announces an upstream of wash and rug-model and sends a heartbeat.
 func (p *pickerTest) report(id string, incarnation uint64, state membership.State, g membership.GroupRef) {
+	p.reportFrom("a", id, incarnation, state, g)
+}
+
+// reportFrom is report for an upstream of a failure domain.
+func (p *pickerTest) reportFrom(domain, id string, incarnation uint64, state membership.State, g membership.GroupRef) {
 	now := time.Now()
 	p.sequences[id] += 2
 	services, kind := []string{"wash"}, membership.PlainService
@@ -52,7 +87,7 @@
 		services, kind = []string{"rug-model"}, membership.ModelEngine
 	}
 	p.members.registry.Announce(now, membership.Announcement{
-		ID: id, Incarnation: incarnation, Address: id + ":1", FailureDomain: "a", Kind: kind, Services: services,
+		ID: id, Incarnation: incarnation, Address: id + ":1", FailureDomain: domain, Kind: kind, Services: services,
 		Models: []membership.Model{{Name: "rug/7b"}}, MaxConcurrent: 8, State: state, Sequence: p.sequences[id] - 1,
 	})
 	p.members.registry.Heartbeat(now, membership.Heartbeat{
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,15 +29,9 @@
 	// holdRetryAfter is the Retry-After of a request that was refused after
 	// maxHold.
 	holdRetryAfter = crashReportTimeout
-	// probeTimeout limits the check whether an upstream that broke a connection
-	// still runs. Connections within a region open within a few milliseconds.
-	probeTimeout = 150 * time.Millisecond
 	// probeValidity is how long the result of that check applies to other
 	// connections that broke at the same time.
 	probeValidity = 100 * time.Millisecond
-	// maxWitnesses is the number of other upstreams that are probed to tell a crash
-	// from a cut. Some of them may be down as well.
-	maxWitnesses = 3
 	// maxSharedParts bounds the parts of a prompt that quarantine tracks. Prompts
 	// have a few; a caller may list any number.
 	maxSharedParts = 16
@@ -198,47 +191,25 @@
 		return false
 	}
 	defer func() { t.probedAt = time.Now() }()
-	return e.refuses(&t.upstream) && e.inReach(&t.upstream)
+	return e.detector().Refuses(e.ctx, t.upstream.Address) && e.inReach(&t.upstream)
 }
 
-// refuses reports whether an upstream refuses connections.
-func (e *Entry) refuses(u *fleet.Upstream) bool {
-	ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
-	defer cancel()
-	listening, err := e.opts.Client.Listening(ctx, u.Address)
-	if err != nil {
-		e.opts.Logger.Debug("upstream not probed", zap.String("upstream", u.ID), zap.Error(err))
-	}
-	return !listening
+func (e *Entry) detector() *crashreport.Detector {
+	return &crashreport.Detector{Prober: e.opts.Client, Logger: e.opts.Logger}
 }
 
-// inReach reports whether the failure domain of an upstream is in reach, since a
-// cut may refuse connections too: another upstream there must accept one. If none
-// is left, a domain is in reach if it is this entry's own and control instances
-// are in touch.
+// inReach reports whether the failure domain of an upstream is in reach. If no
+// other upstream is left there, it is if it is this entry's own and control
+// instances are in touch.
 func (e *Entry) inReach(u *fleet.Upstream) bool {
 	witnesses := e.witnesses(u)
 	if len(witnesses) == 0 {
 		return u.FailureDomain == e.opts.FailureDomain && e.inTouch(time.Now())
 	}
-	ctx, cancel := context.WithTimeout(e.ctx, probeTimeout)
-	defer cancel()
-	accepted := make(chan bool, len(witnesses))
-	for _, address := range witnesses {
-		go func() {
-			listening, err := e.opts.Client.Listening(ctx, address)
-			accepted <- listening && err == nil
-		}()
-	}
-	for range witnesses {
-		if <-accepted {
-			return true
-		}
-	}
-	return false
+	return e.detector().AnyAccepts(e.ctx, witnesses)
 }
 
-// witnesses returns the addresses of some other upstreams in the failure domain of
+// witnesses returns the addresses of the other upstreams in the failure domain of
 // an upstream.
 func (e *Entry) witnesses(u *fleet.Upstream) []string {
 	e.mu.Lock()
@@ -250,8 +221,7 @@
 			addresses = append(addresses, other.Address)
 		}
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(len(addresses), maxWitnesses)]
+	return addresses
 }
 
 // inTouch reports whether a control instance sends updates.
