--- a/internal/cluster/crash_test.go
+++ b/internal/cluster/crash_test.go
@@ -123,6 +123,36 @@
 	}
 }
 
+// Guards against a request that is quarantined and crashes engines again after all
+// daemons have stopped at once, because no daemon is left to tell the others.
+func TestQuarantineSurvivesRestartOfAllDaemons(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 1)
+	engines := c.addCrashingEngines("r", quarantine.MaxUpstreamsLost(len(c.IDs()))+3)
+	send := func(id string) Response {
+		return c.paying.Stream(context.Background(), c.CallerURL(id), "rug-model", "poison pill", 5)
+	}
+	for _, id := range c.IDs() {
+		c.eventually("the rejection through "+id, func() bool { return strings.Contains(send(id).Body, fmt.Sprintf("%q", fault.Quarantined)) })
+	}
+	const timeToStore = 2 * time.Second
+	time.Sleep(timeToStore)
+	lost := countKilled(engines)
+	for _, id := range c.IDs() {
+		require.NoError(t, c.KillDaemon(id))
+	}
+	for _, id := range c.IDs() {
+		require.NoError(t, c.StartDaemon(id))
+	}
+	for _, id := range c.IDs() {
+		c.waitServed(id)
+		r := send(id)
+		require.Contains(t, r.Body, fmt.Sprintf("%q", fault.Quarantined), "through %s", id)
+		require.Equal(t, fault.NotRun, r.Outcome)
+	}
+	require.Equal(t, lost, countKilled(engines))
+}
+
 // Guards against paying streams that wait for free ones when those occupy all
 // batch slots, and against free streams that are lost when they are preempted.
 func TestPayingBeforeFree(t *testing.T) {
