daemon, domainstate: store verdicts of quarantine in the log of the failure domain

Callers saw (in a test): after all daemons had stopped at once, a request that was quarantined ran and crashed engines again until it was found anew.

Cause: daemons kept verdicts in memory only.

Change: a daemon sends the verdicts that its domain's log lacks to a voter, which proposes those that are new. The feed carries the stored set to followers that ask for it.

Why it works: a daemon that starts can admit no request before it has settings, and the stored verdicts are applied before the settings of the same reply. A failure domain that is cut off has its own log.

Old daemons do not ask for verdicts and get none, so that they do not poll without a pause; an old replica rejects the command and goes on.

--- a/deploymentstate/deploymentstate.go
+++ b/deploymentstate/deploymentstate.go
@@ -4,20 +4,14 @@
 package deploymentstate
 
 import (
-	"bytes"
-	"cmp"
 	"fmt"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
-)
 
-// maxVerdicts limits the stored verdicts. At the limit, those that end first are
-// removed.
-const maxVerdicts = 4096
+	"github.com/bluebellfield/bluebellfield/quarantine"
+)
 
 // Machine is the replicated state machine. Apply, Snapshot and Restore must be
 // called from a single goroutine; Catalog and Verdicts are safe for concurrent
@@ -68,21 +62,11 @@
 	return true
 }
 
-// addVerdicts merges verdicts with the stored ones. Of two verdicts on one digest,
-// the one that ends later applies. The time comes from the command, so that all
-// replicas remove the same verdicts.
+// addVerdicts merges verdicts with the stored ones. The time comes from the
+// command, so that all replicas remove the same verdicts.
 func (m *Machine) addVerdicts(c *AddVerdicts) {
-	merged := map[string]*Verdict{}
-	for _, v := range slices.Concat(m.state.Verdicts, c.Verdicts) {
-		if known := merged[string(v.Digest)]; v.UntilUnixMillis > c.NowUnixMillis && (known == nil || known.UntilUnixMillis < v.UntilUnixMillis) {
-			merged[string(v.Digest)] = v
-		}
-	}
-	all := slices.SortedFunc(maps.Values(merged), func(a, b *Verdict) int {
-		return cmp.Or(cmp.Compare(b.UntilUnixMillis, a.UntilUnixMillis), bytes.Compare(a.Digest, b.Digest))
-	})
-	all = all[:min(len(all), maxVerdicts)]
-	slices.SortFunc(all, func(a, b *Verdict) int { return bytes.Compare(a.Digest, b.Digest) })
+	key := func(v *Verdict) (string, int64) { return string(v.Digest), v.UntilUnixMillis }
+	all := quarantine.MergeStored(c.NowUnixMillis, m.state.Verdicts, c.Verdicts, key)
 	m.state = &State{Version: m.state.Version, Document: m.state.Document, Generation: m.state.Generation, Verdicts: all}
 	m.verdictChanges++
 }
--- a/deploymentstate/deploymentstate_test.go
+++ b/deploymentstate/deploymentstate_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
 func put(t require.TestingT, m *Machine, version uint64, document string) *Result {
@@ -118,10 +120,10 @@
 	require.Greater(t, changed, after)
 
 	var many []*Verdict
-	for i := range maxVerdicts + 1 {
+	for i := range quarantine.MaxStored + 1 {
 		many = append(many, &Verdict{Digest: binary.BigEndian.AppendUint32(nil, uint32(i)), UntilUnixMillis: int64(1000 + i)})
 	}
 	add(60, many...)
-	require.Len(t, ends(), maxVerdicts)
+	require.Len(t, ends(), quarantine.MaxStored)
 	require.NotContains(t, ends(), "a", "the verdict that ends first gives way")
 }
--- a/domainstate/domainstate.go
+++ b/domainstate/domainstate.go
@@ -1,6 +1,6 @@
 // Package domainstate implements the state machine of a domain log. It holds the
-// replica groups of a failure domain, and the copy of the settings that the
-// daemons in that failure domain use.
+// replica groups of a failure domain, the copy of the settings that the daemons in
+// that failure domain use, and the verdicts on requests that crash upstreams.
 package domainstate
 
 import (
@@ -10,8 +10,10 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/bluebellfield/bluebellfield/group"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
@@ -25,6 +27,7 @@
 	kindRecords kind = iota + 1
 	kindTree
 	kindGroup
+	kindVerdicts
 )
 
 // ErrUnknownCommand is returned for a command with an unknown version or kind,
@@ -39,6 +42,7 @@
 	// published is an immutable copy of groups for queries.
 	published atomic.Pointer[group.State]
 	tree      atomic.Pointer[settings.Tree]
+	verdicts  atomic.Pointer[quarantine.Stored]
 	// records holds the latest settings changes, so that followers that are
 	// slightly behind need no full tree. It is not part of the snapshot.
 	records []settings.Record
@@ -52,6 +56,7 @@
 	m := &Machine{groups: group.NewState()}
 	m.published.Store(group.NewState())
 	m.tree.Store(settings.Empty())
+	m.verdicts.Store(&quarantine.Stored{})
 	return m
 }
 
@@ -74,6 +79,9 @@
 // Groups returns the replica groups. The caller must not modify the result.
 func (m *Machine) Groups() *group.State { return m.published.Load() }
 
+// Verdicts returns the stored verdicts. The caller must not modify the result.
+func (m *Machine) Verdicts() *quarantine.Stored { return m.verdicts.Load() }
+
 // EncodeRecords encodes the command that applies settings records.
 func EncodeRecords(records []settings.Record) ([]byte, error) { return encode(kindRecords, records) }
 
@@ -83,6 +91,19 @@
 // EncodeGroup encodes a command that changes a replica group.
 func EncodeGroup(c group.Command) ([]byte, error) { return encode(kindGroup, c) }
 
+// verdictsCommand adds verdicts. The time is that of the proposer, so that all
+// replicas remove the same verdicts.
+type verdictsCommand struct {
+	Now      time.Time            `json:"now"`
+	Verdicts []quarantine.Verdict `json:"verdicts"`
+}
+
+// EncodeVerdicts encodes the command that adds verdicts and removes those that
+// have ended.
+func EncodeVerdicts(now time.Time, verdicts []quarantine.Verdict) ([]byte, error) {
+	return encode(kindVerdicts, verdictsCommand{Now: now, Verdicts: verdicts})
+}
+
 func encode(k kind, payload any) ([]byte, error) {
 	data, err := json.Marshal(payload)
 	if err != nil {
@@ -137,6 +158,8 @@
 		return result{}, m.replaceTree(payload)
 	case kindGroup:
 		return m.applyGroupCommand(payload)
+	case kindVerdicts:
+		return result{}, m.addVerdicts(payload)
 	}
 	return result{}, ErrUnknownCommand
 }
@@ -171,6 +194,16 @@
 	return nil
 }
 
+func (m *Machine) addVerdicts(payload []byte) error {
+	var c verdictsCommand
+	if err := json.Unmarshal(payload, &c); err != nil {
+		return err
+	}
+	merged := m.verdicts.Load().Merge(c.Now, c.Verdicts)
+	m.verdicts.Store(&merged)
+	return nil
+}
+
 func (m *Machine) applyGroupCommand(payload []byte) (result, error) {
 	c, err := group.DecodeCommand(payload)
 	if err != nil {
@@ -188,6 +221,8 @@
 	Version int             `json:"version"`
 	Groups  json.RawMessage `json:"groups"`
 	Tree    json.RawMessage `json:"settings"`
+	// Verdicts is absent in snapshots of daemons that stored none.
+	Verdicts quarantine.Stored `json:"verdicts"`
 }
 
 // Snapshot encodes the state.
@@ -202,7 +237,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(snapshot{Version: version, Groups: groups, Tree: tree})
+	return json.Marshal(snapshot{Version: version, Groups: groups, Tree: tree, Verdicts: *m.verdicts.Load()})
 }
 
 // Restore replaces the state with a snapshot. On error the state is unchanged.
@@ -227,5 +262,6 @@
 	m.groups, m.records = groups, nil
 	m.published.Store(groups.Clone())
 	m.tree.Store(tree)
+	m.verdicts.Store(&s.Verdicts)
 	return nil
 }
--- a/domainstate/domainstate_test.go
+++ b/domainstate/domainstate_test.go
@@ -1,6 +1,7 @@
 package domainstate
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
@@ -59,11 +61,45 @@
 	})
 }
 
+// Guards against verdicts that are lost with a snapshot, that are kept after their
+// end, or whose change followers do not notice.
+func TestVerdictsAreStored(t *testing.T) {
+	m := New()
+	at := time.Unix(1000, 0).UTC()
+	a, b := quarantine.DigestOf("account", "service", []byte("a")), quarantine.PartDigest("service", "b")
+	add := func(now time.Time, verdicts ...quarantine.Verdict) {
+		command, err := EncodeVerdicts(now, verdicts)
+		require.NoError(t, err)
+		_, err = DecodeResult(m.Apply(1, command))
+		require.NoError(t, err)
+	}
+	add(at, quarantine.Verdict{Digest: a, Until: at.Add(time.Minute)}, quarantine.Verdict{Digest: b, Until: at.Add(time.Hour)})
+	add(at, quarantine.Verdict{Digest: a, Until: at.Add(time.Second)})
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+	m = New()
+	require.NoError(t, m.Restore(data))
+	require.Equal(t, map[quarantine.Digest]time.Time{a: at.Add(time.Minute), b: at.Add(time.Hour)}, m.Verdicts().Ends())
+	before := m.Verdicts().Revision
+	add(at.Add(time.Minute))
+	require.Equal(t, map[quarantine.Digest]time.Time{b: at.Add(time.Hour)}, m.Verdicts().Ends())
+	require.Greater(t, m.Verdicts().Revision, before)
+
+	// Snapshots of daemons that stored no verdicts lack them.
+	var fields map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal(data, &fields))
+	delete(fields, "verdicts")
+	data, err = json.Marshal(fields)
+	require.NoError(t, err)
+	require.NoError(t, m.Restore(data))
+	require.Empty(t, m.Verdicts().Verdicts)
+}
+
 // Guards against a malformed or newer command or snapshot being accepted or
 // causing a panic.
 func TestUnknownCommands(t *testing.T) {
 	m := New()
-	for _, command := range [][]byte{nil, {1}, {9, 1}, {1, 9}, {1, 1, '{'}, {1, 2, '['}, {1, 3, '['}} {
+	for _, command := range [][]byte{nil, {1}, {9, 1}, {1, 9}, {1, 1, '{'}, {1, 2, '['}, {1, 3, '['}, {1, 4, '['}, {1, 5, '{'}} {
 		_, err := DecodeResult(m.Apply(1, command))
 		require.Error(t, err)
 	}
--- a/internal/control/verdicts.go
+++ b/internal/control/verdicts.go
@@ -10,12 +10,9 @@
 	"github.com/bluebellfield/bluebellfield/deploymentstate"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
 	"github.com/bluebellfield/bluebellfield/internal/mesh"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
-// VerdictTolerance is the difference between two ends of a verdict that is not
-// worth a log entry. Entries that reach the same verdict have different clocks.
-const VerdictTolerance = time.Minute
-
 // serveVerdicts stores verdicts that an entry has reached, so that they survive a
 // restart of all entries. The entry repeats those that are not stored.
 func (c *Control) serveVerdicts(_ context.Context, from string, payload []byte) ([]byte, error) {
@@ -45,7 +42,7 @@
 	}
 	var missing []*deploymentstate.Verdict
 	for _, v := range verdicts {
-		if end, ok := ends[string(v.Digest)]; !ok || v.UntilUnixMillis-end > VerdictTolerance.Milliseconds() {
+		if end, ok := ends[string(v.Digest)]; !ok || v.UntilUnixMillis-end > quarantine.VerdictTolerance.Milliseconds() {
 			missing = append(missing, &deploymentstate.Verdict{Digest: v.Digest, UntilUnixMillis: v.UntilUnixMillis})
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/peer"
 	"github.com/bluebellfield/bluebellfield/internal/tlsfiles"
 	"github.com/bluebellfield/bluebellfield/internal/tracing"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
@@ -59,6 +60,7 @@
 	admitter *admitter
 	picker   *picker
 	crashes  *crashTracker
+	verdicts *verdictStore
 	claimer  *claimer
 	groups   []*groupManager
 	callers  *caller.Handler
@@ -149,8 +151,9 @@
 	d.members = newMembers(d.cfg, incarnation, d.network, d.client, d.logger)
 	d.shared = newSharedState(d.cfg, d.network, d.logs, d.logger, func(t *settings.Tree) {
 		d.logger.Info("settings in force", zap.Uint64("revision", t.Revision()))
-	})
+	}, func(stored *quarantine.Stored) { d.verdicts.setStored(stored) })
 	d.crashes = newCrashTracker(d.network, d.client, d.members, d.shared.Tree, d.logger)
+	d.verdicts = newVerdictStore(d.cfg, d.network, d.logs, d.crashes.tracker, d.logger)
 	d.picker = newPicker(d.cfg, incarnation, d.shared, d.members, d.client, d.crashes, d.logger)
 	d.members.onEvents = d.crashes.onEvents
 	d.members.onCacheEvents = d.picker.applyCacheEvents
@@ -233,6 +236,7 @@
 	d.spawn(d.picker.run)
 	d.spawn(d.admitter.run)
 	d.spawn(d.crashes.run)
+	d.spawn(d.verdicts.run)
 	d.spawn(d.claimer.abandonPreviousClaims)
 	d.spawn(d.setReadyWhenCurrent)
 	for _, g := range d.groups {
--- a/internal/daemon/logs.go
+++ b/internal/daemon/logs.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/peer"
 	"github.com/bluebellfield/bluebellfield/internal/replica"
 	"github.com/bluebellfield/bluebellfield/internal/storage"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
@@ -28,6 +29,9 @@
 	channelForwardPrefix = "forward."
 	channelPropose       = "propose.global"
 	channelClaim         = "claim.lookup"
+	// channelVerdicts, with the failure domain, carries verdicts to the voters of
+	// its log.
+	channelVerdicts = "verdicts."
 )
 
 // hostedLogs holds the log replicas that this daemon hosts.
@@ -256,6 +260,9 @@
 // Groups implements feed.State.
 func (g globalFeed) Groups() map[string]*group.State { return nil }
 
+// Verdicts implements feed.State.
+func (g globalFeed) Verdicts() *quarantine.Stored { return nil }
+
 // Changed implements feed.State.
 func (g globalFeed) Changed() <-chan struct{} { return g.Watch() }
 
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -21,6 +21,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/feed"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
 	"github.com/bluebellfield/bluebellfield/internal/settingsfile"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
@@ -57,7 +58,7 @@
 	onTree    func(*settings.Tree)
 }
 
-func newSharedState(cfg *config.Daemon, network *peer.Network, l *hostedLogs, logger *zap.Logger, onTree func(*settings.Tree)) *sharedState {
+func newSharedState(cfg *config.Daemon, network *peer.Network, l *hostedLogs, logger *zap.Logger, onTree func(*settings.Tree), onVerdicts func(*quarantine.Stored)) *sharedState {
 	s := &sharedState{
 		cfg: cfg, network: network, logs: l, logger: logger, sources: map[string]*feed.Source{},
 		groups: map[string]*group.State{}, changed: newSignal(), onTree: onTree,
@@ -66,7 +67,7 @@
 	s.published.Store(&map[string]*group.State{})
 	s.client = feed.NewClient(feed.Options{
 		Sources: sortByProximity(cfg, cfg.Logs.Domains[cfg.FailureDomain]),
-		Send:    s.requestFunc(feed.DomainChannel + "." + cfg.FailureDomain), OnTree: onTree, OnGroups: s.setGroups, Logger: logger,
+		Send:    s.requestFunc(feed.DomainChannel + "." + cfg.FailureDomain), OnTree: onTree, OnGroups: s.setGroups, OnVerdicts: onVerdicts, Logger: logger,
 	})
 	for name, d := range l.domains {
 		served := &domainFeed{domainReplica: d, shared: s, signal: newSignal()}
@@ -211,6 +212,9 @@
 	return all
 }
 
+// Verdicts implements feed.State.
+func (d *domainFeed) Verdicts() *quarantine.Stored { return d.machine.Verdicts() }
+
 // Changed implements feed.State.
 func (d *domainFeed) Changed() <-chan struct{} { return d.signal.watch() }
 
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -8,7 +8,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellfield/bluebellfield/fleet"
-	"github.com/bluebellfield/bluebellfield/internal/control"
 	"github.com/bluebellfield/bluebellfield/internal/crashreport"
 	"github.com/bluebellfield/bluebellfield/internal/mesh"
 	"github.com/bluebellfield/bluebellfield/quarantine"
@@ -259,10 +258,8 @@
 	e.mu.Lock()
 	leader := e.leader
 	list := &mesh.VerdictList{}
-	for _, v := range verdicts {
-		if v.Until.Sub(e.storedVerdicts[v.Digest]) > control.VerdictTolerance {
-			list.Verdicts = append(list.Verdicts, &mesh.Verdict{Digest: v.Digest[:], UntilUnixMillis: v.Until.UnixMilli()})
-		}
+	for _, v := range quarantine.Missing(e.storedVerdicts, verdicts) {
+		list.Verdicts = append(list.Verdicts, &mesh.Verdict{Digest: v.Digest[:], UntilUnixMillis: v.Until.UnixMilli()})
 	}
 	e.mu.Unlock()
 	if len(list.Verdicts) == 0 || leader == "" {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -17,6 +17,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/bluebellfield/bluebellfield/group"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
@@ -50,6 +51,7 @@
 	kept      uint64
 	hasLeader bool
 	groups    map[string]*group.State
+	verdicts  *quarantine.Stored
 	changed   chan struct{}
 }
 
@@ -90,6 +92,12 @@
 	return all
 }
 
+func (s *fakeState) Verdicts() *quarantine.Stored {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.verdicts
+}
+
 func (s *fakeState) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -493,3 +501,33 @@
 	require.Equal(t, map[string]uint64{"a": 7}, got.Groups)
 	require.True(t, got.Barrier)
 }
+
+// Guards against a daemon that serves its first request before it knows the stored
+// verdicts, and against polls without a pause by followers that want none.
+func TestVerdictsComeBeforeSettings(t *testing.T) {
+	h := newHistory(t, 3)
+	f := newTestFeed(h, 1)
+	f.newest.Store(3)
+	until := time.Unix(2000, 0).UTC()
+	digest := quarantine.DigestOf("account", "service", []byte("body"))
+	f.states[0].change(func() {
+		f.states[0].revision = 3
+		f.states[0].verdicts = &quarantine.Stored{Revision: 1, Verdicts: []quarantine.Verdict{{Digest: digest, Until: until}}}
+	})
+	var order []string
+	var stored *quarantine.Stored
+	client := NewClient(Options{Sources: []string{"0"}, Send: f.send, Logger: zap.NewNop(),
+		OnTree:     func(*settings.Tree) { order = append(order, "settings") },
+		OnVerdicts: func(s *quarantine.Stored) { order, stored = append(order, "verdicts"), s },
+	})
+	require.NoError(t, client.poll(t.Context(), "0"))
+	require.Equal(t, []string{"verdicts", "settings"}, order)
+	require.Equal(t, map[quarantine.Digest]time.Time{digest: until}, stored.Ends())
+	require.Equal(t, uint64(1), client.request(false).GetVerdicts())
+
+	without := NewClient(Options{Sources: []string{"0"}, Send: f.send, Logger: zap.NewNop()})
+	require.NoError(t, without.poll(t.Context(), "0"))
+	reply, err := f.sources[0].buildReply(without.request(false))
+	require.NoError(t, err)
+	require.Nil(t, reply, "nothing is newer")
+}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellfield/bluebellfield/group"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
@@ -39,7 +40,10 @@
 	// failure domain.
 	OnTree   func(*settings.Tree)
 	OnGroups func(failureDomain string, state *group.State)
-	Logger   *zap.Logger
+	// OnVerdicts, if set, is called with each newer set of stored verdicts, before
+	// OnTree for settings of the same reply.
+	OnVerdicts func(*quarantine.Stored)
+	Logger     *zap.Logger
 }
 
 // Client polls one source at a time and fails over to the next one on errors.
@@ -50,10 +54,12 @@
 	current     chan struct{}
 	currentOnce sync.Once
 
-	mu      sync.Mutex
-	groups  map[string]uint64
-	source  string
-	lastErr error
+	mu     sync.Mutex
+	groups map[string]uint64
+	// verdicts is the revision of the stored verdicts.
+	verdicts uint64
+	source   string
+	lastErr  error
 }
 
 // NewClient returns a client with empty settings and no groups.
@@ -148,10 +154,17 @@
 	for domain, revision := range c.groups {
 		groups[domain] = revision
 	}
-	return &Request{Revision: c.Tree().Revision(), Groups: groups, Barrier: barrier, GroupsOnly: c.opts.GroupsOnly}
+	request := &Request{Revision: c.Tree().Revision(), Groups: groups, Barrier: barrier, GroupsOnly: c.opts.GroupsOnly}
+	if c.opts.OnVerdicts != nil {
+		request.Verdicts = proto.Uint64(c.verdicts)
+	}
+	return request
 }
 
 func (c *Client) applyReply(reply *Reply) error {
+	if err := c.applyVerdicts(reply); err != nil {
+		return err
+	}
 	if err := c.applySettings(reply); err != nil {
 		return err
 	}
@@ -199,6 +212,24 @@
 	return nil
 }
 
+func (c *Client) applyVerdicts(reply *Reply) error {
+	if len(reply.Verdicts) == 0 || c.opts.OnVerdicts == nil {
+		return nil
+	}
+	var stored quarantine.Stored
+	if err := json.Unmarshal(reply.Verdicts, &stored); err != nil {
+		return fmt.Errorf("decode verdicts: %w", err)
+	}
+	c.mu.Lock()
+	newer := stored.Revision > c.verdicts
+	c.verdicts = max(c.verdicts, stored.Revision)
+	c.mu.Unlock()
+	if newer {
+		c.opts.OnVerdicts(&stored)
+	}
+	return nil
+}
+
 func (c *Client) applyGroups(domain string, state *group.State) {
 	c.mu.Lock()
 	known, ok := c.groups[domain]
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -15,6 +15,7 @@
 
 	"github.com/bluebellfield/bluebellfield/group"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/settings"
 )
 
@@ -50,6 +51,8 @@
 	Since(revision uint64) ([]settings.Record, bool)
 	// Groups returns the replica groups of each known failure domain.
 	Groups() map[string]*group.State
+	// Verdicts returns the stored verdicts, nil if the log stores none.
+	Verdicts() *quarantine.Stored
 	// Changed returns a channel that is closed on the next change.
 	Changed() <-chan struct{}
 	// HasLeader reports whether the replica currently knows a leader.
@@ -160,6 +163,13 @@
 		}
 		found = true
 	}
+	if stored := s.state.Verdicts(); req.Verdicts != nil && stored != nil && stored.Revision > req.GetVerdicts() {
+		var err error
+		if reply.Verdicts, err = json.Marshal(stored); err != nil {
+			return nil, err
+		}
+		found = true
+	}
 	for domain, state := range s.state.Groups() {
 		if known, ok := req.Groups[domain]; ok && known >= state.Revision {
 			continue
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -239,8 +239,8 @@
 
 // Verdict states that a request is quarantined.
 type Verdict struct {
-	Digest Digest
-	Until  time.Time
+	Digest Digest    `json:"digest"`
+	Until  time.Time `json:"until"`
 }
 
 // Message carries evidence and verdicts from one entry to all others. Messages may
