entry: the soak cuts entries off from each other

The soak restarted entries and ended heads, but all entries could reach each other. Now one after the other is cut off from the others, or what it and the others write on their open connections is lost for good, while the control instances list it as reachable. TestUnreachableEntryDoesNotStopQuarantine uses the same cut.

--- a/internal/entry/crash_cluster_test.go
+++ b/internal/entry/crash_cluster_test.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -47,9 +49,6 @@
 	t         *testing.T
 	ids       []string
 	addresses map[string]string
-	// severed are entries that cannot exchange messages with any other entry,
-	// only with the control instances.
-	severed map[string]bool
 	// control answers subscriptions, stores verdicts and hands out the catalog.
 	control *peer.Network
 
@@ -59,6 +58,26 @@
 	renewed   map[string]time.Time
 	verdicts  map[string]*mesh.Verdict
 	updates   uint64
+	// severed are entries that cannot exchange messages with any other entry,
+	// only with the control instances.
+	severed map[string]bool
+	// links are the connections between entries.
+	links []*entryLink
+}
+
+// entryLink is a connection from one entry to another.
+type entryLink struct {
+	net.Conn
+	from, to string
+	// silent is set when what is written is lost.
+	silent atomic.Bool
+}
+
+func (l *entryLink) Write(b []byte) (int, error) {
+	if l.silent.Load() {
+		return len(b), nil
+	}
+	return l.Conn.Write(b)
 }
 
 // entryMember is one run of an entry. Its client keeps connections open.
@@ -75,7 +94,7 @@
 	c := &entryCluster{t: t, addresses: map[string]string{}, severed: map[string]bool{}, members: make([]*entryMember, size), upstreams: map[string]fleet.Upstream{},
 		renewed: map[string]time.Time{}, verdicts: map[string]*mesh.Verdict{}}
 	for _, id := range severed {
-		c.severed[id] = true
+		c.sever(id)
 	}
 	listen := func(id string) net.Listener {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -164,22 +183,70 @@
 	}
 }
 
-// reachableFrom returns the addresses that an instance can connect to.
-func (c *entryCluster) reachableFrom(id string) map[string]string {
-	const refusing = "127.0.0.1:1"
-	addresses := maps.Clone(c.addresses)
-	for other := range addresses {
-		if other != id && other != controlID && (c.severed[id] || c.severed[other]) {
-			addresses[other] = refusing
+// dialFrom returns the function that connects an entry to other instances.
+func (c *entryCluster) dialFrom(from string) upstream.DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		to := ""
+		for id, a := range c.addresses {
+			if a == address && id != controlID {
+				to = id
+			}
+		}
+		c.mu.Lock()
+		cut := to != "" && (c.severed[from] || c.severed[to])
+		c.mu.Unlock()
+		if cut {
+			return nil, syscall.ECONNREFUSED
+		}
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		if err != nil || to == "" {
+			return conn, err
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		link := &entryLink{Conn: conn, from: from, to: to}
+		c.links = append(c.links, link)
+		return link, nil
+	}
+}
+
+// sever cuts an entry from all others until mend is called.
+func (c *entryCluster) sever(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.severed[id] = true
+	c.links = slices.DeleteFunc(c.links, func(l *entryLink) bool {
+		if l.from != id && l.to != id {
+			return false
+		}
+		_ = l.Close()
+		return true
+	})
+}
+
+// silence makes the open connections of an entry to others lose what is written,
+// for good. New connections work.
+func (c *entryCluster) silence(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.links {
+		if l.from == id || l.to == id {
+			l.silent.Store(true)
 		}
 	}
-	return addresses
+}
+
+// mend ends the cut of an entry.
+func (c *entryCluster) mend(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.severed, id)
 }
 
 // start starts an entry without any state and waits until it has a catalog.
 func (c *entryCluster) start(n int, listener net.Listener) {
 	content := testCatalog(c.t)
-	network := peer.Listen(listener, peer.Options{ID: c.ids[n], Addresses: c.reachableFrom(c.ids[n]), Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
+	network := peer.Listen(listener, peer.Options{ID: c.ids[n], Addresses: c.addresses, Dial: c.dialFrom(c.ids[n]), Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
 	e := Start(Options{ID: c.ids[n], FailureDomain: "z", Seeds: []string{controlID}, Network: network, Protocol: testProtocol{}, Client: upstream.NewClient(nil),
 		Decode: func([]byte) (*catalog.Catalog, error) { return content, nil }, Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
 		RetryBudget: RetryBudget{Ratio: 0.2, Allowance: 500, Window: 10 * time.Second}})
--- a/internal/entry/crash_soak_test.go
+++ b/internal/entry/crash_soak_test.go
@@ -30,8 +30,9 @@
 
 // Guards against quarantine that holds only while nothing else goes wrong. A
 // request and a prompt part that crash engines come through all entries, while
-// entries restart in overlapping series and other heads end by themselves. Clients
-// of sound requests use open connections until the entry is gone.
+// entries restart in overlapping series, entries are cut off from each other, and
+// other heads end by themselves. Clients of sound requests use open connections
+// until the entry is gone.
 func TestCrashSoak(t *testing.T) {
 	seeds := ciSeeds
 	if text := os.Getenv(soakSeeds); text != "" {
@@ -69,6 +70,8 @@
 			g.endOne()
 		}
 	})
+	cuts := rand.New(rand.NewPCG(seed, 101))
+	faults.Go(func() { s.cutEntries(cuts, ended) })
 	s.sendRequests(random, ended)
 	faults.Wait()
 	s.requests.Wait()
@@ -111,6 +114,25 @@
 	}
 }
 
+// cutEntries cuts one entry after the other from the others, or silences its
+// connections, while the control instances go on to list it as reachable.
+func (s *crashSoak) cutEntries(plan *rand.Rand, ended time.Time) {
+	for {
+		time.Sleep(between(plan, 500*time.Millisecond, 4*time.Second))
+		if !time.Now().Before(ended) {
+			return
+		}
+		id := s.cluster.ids[plan.IntN(len(s.cluster.ids))]
+		if plan.IntN(3) == 0 {
+			s.cluster.silence(id)
+			continue
+		}
+		s.cluster.sever(id)
+		time.Sleep(between(plan, 100*time.Millisecond, 4*time.Second))
+		s.cluster.mend(id)
+	}
+}
+
 // sendRequests sends sound requests, and crashing ones in a random share of the
 // time.
 func (s *crashSoak) sendRequests(random *rand.Rand, ended time.Time) {
