entry: an answer that ends with its upstream's process is not complete

Callers saw (in a test): an answer without length and chunks whose upstream ended halfway arrived as a complete 200, a stream also after some events.

Cause: such an answer ends with its connection, and the connections of a process that ends are closed like those of one that has sent everything.

The parts with a length or chunks were sound.

Change: at the end of such an answer the entry probes the upstream. If it has ended while its failure domain is in reach, the answer is broken: a stream is resumed elsewhere, a buffered answer retried or failed with 502. The result of the probe is kept for as long as its time, so that the crash is reported too.

The probe costs one connection for each answer without length.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -241,6 +241,9 @@
 		return attemptResult{ran: true, reason: fmt.Sprintf("upstream answered %d to a resumed stream", resp.StatusCode)}
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if err == nil && len(body) <= maxBufferedBytes {
+		err = x.checkEnd(t, resp)
+	}
 	if err != nil {
 		t.recordFailure(time.Now())
 		if ctx.Err() != nil {
@@ -251,7 +254,7 @@
 	if len(body) > maxBufferedBytes {
 		t.recordSuccess()
 		x.writeHeader(resp.StatusCode, resp.Header, resp.ContentLength)
-		return x.relayLarge(body, resp.Body)
+		return x.relayLarge(t, body, resp)
 	}
 	response := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
@@ -266,10 +269,32 @@
 	return attemptResult{done: true}
 }
 
+// errBodyCutOff is returned for a body that ends with its connection because the
+// upstream has ended.
+var errBodyCutOff = errors.New("the upstream ended with the connection")
+
+// framed reports whether a response states its end, by a length or by chunks.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// checkEnd returns an error if a response that ended with its connection is not
+// complete. The connections of a process that ends are closed like those of one
+// that has sent everything.
+func (x *exchange) checkEnd(t *target, resp *http.Response) error {
+	if !framed(resp) && x.e.hasCrashed(t) {
+		return errBodyCutOff
+	}
+	return nil
+}
+
 // relayLarge relays a response that exceeds the buffer. Its header has been
 // written, so that a truncated response also aborts the caller's connection.
-func (x *exchange) relayLarge(start []byte, rest io.Reader) attemptResult {
-	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(start), rest))
+func (x *exchange) relayLarge(t *target, start []byte, resp *http.Response) attemptResult {
+	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(start), resp.Body))
+	if err == nil {
+		err = x.checkEnd(t, resp)
+	}
 	if err != nil {
 		x.outcome, x.reason = outcomeFailed, "answer cut off: "+err.Error()
 		panic(http.ErrAbortHandler)
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -187,10 +187,11 @@
 		return true
 	}
 	if time.Since(t.probedAt) < probeValidity {
-		return false
+		return t.probedEnd
 	}
-	defer func() { t.probedAt = time.Now() }()
-	return e.detector().Refuses(e.ctx, t.upstream.Address) && e.inReach(&t.upstream)
+	t.probedEnd = e.detector().Refuses(e.ctx, t.upstream.Address) && e.inReach(&t.upstream)
+	t.probedAt = time.Now()
+	return t.probedEnd
 }
 
 func (e *Entry) detector() *crashreport.Detector {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -25,16 +25,18 @@
 // without an event.
 var errIdleBytes = errors.New("too many bytes without an event")
 
-// errNoEvents is returned for a stream that ends with its connection before the
-// first event.
-var errNoEvents = errors.New("the connection ended before the first event")
+// errCutOff is returned for a stream that ends with its connection although it is
+// not complete.
+var errCutOff = errors.New("the connection ended before the stream")
 
-// endsWithoutAnswer reports whether a stream that has ended was cut off. Without
-// length and chunks only the end of the connection shows the end of a stream, so
-// that one without events is no answer unless it resumes an earlier one.
-func (x *exchange) endsWithoutAnswer(a *upstreamAttempt, resp *http.Response) bool {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return !framed && a.firstEvent.IsZero() && x.position < 0 && x.request.ResumePosition < 0
+// streamCutOff reports whether a stream that has ended was cut off. Without length
+// and chunks only the end of the connection shows the end of a stream, so that one
+// without events is no answer unless it resumes an earlier one.
+func (x *exchange) streamCutOff(a *upstreamAttempt, resp *http.Response) bool {
+	if framed(resp) {
+		return false
+	}
+	return a.firstEvent.IsZero() && x.position < 0 && x.request.ResumePosition < 0 || x.e.hasCrashed(a.target)
 }
 
 // relayStream relays events as they arrive. Only complete events are relayed,
@@ -46,8 +48,8 @@
 	idleBytes := 0
 	for {
 		block, position, err := events.Read()
-		if errors.Is(err, io.EOF) && x.endsWithoutAnswer(a, resp) {
-			err = errNoEvents
+		if errors.Is(err, io.EOF) && x.streamCutOff(a, resp) {
+			err = errCutOff
 		}
 		if errors.Is(err, io.EOF) {
 			return x.endStream(t, resp)
--- a/internal/entry/target.go
+++ b/internal/entry/target.go
@@ -54,9 +54,10 @@
 	failureRate  float64
 
 	// probe is held while the upstream is probed; probedAt is the time of the
-	// last probe.
-	probe    sync.Mutex
-	probedAt time.Time
+	// last probe, and probedEnd whether it found that the upstream has ended.
+	probe     sync.Mutex
+	probedAt  time.Time
+	probedEnd bool
 }
 
 // incarnation identifies the process of the upstream for quarantine.
