entry: report crashes that cut off a body over the buffer

Callers saw (in a test): a request that crashes upstreams while they send a body over 256 KiB was no suspect, and its copies went on to crash upstreams.

Cause: the entry aborts the caller's connection by a panic, after which the run was recorded as cancelled by its caller.

Evidence: the cases 'over the buffer' of TestCutAnswerIsNoSuccess, which expect a known crash, fail on the parent.

Change: before it aborts, the entry reports the crash if the upstream has ended.

Measured: the test passes.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -296,6 +296,9 @@
 		err = x.checkEnd(t, resp)
 	}
 	if err != nil {
+		if x.r.Context().Err() == nil && x.e.hasCrashed(t) {
+			x.e.crashes.Crashed(t.incarnation())
+		}
 		x.outcome, x.reason = outcomeFailed, "answer cut off: "+err.Error()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -112,9 +112,7 @@
 				got := sendRequest(t, server, test.path)
 				require.False(t, got.status == http.StatusOK && got.whole, "%d %q", got.status, got.body)
 				require.NotEqual(t, http.StatusServiceUnavailable, got.status, "it may have run")
-				if len(test.answer) < maxBufferedBytes {
-					require.Equal(t, how == crashes, e.crashes.Tracker().KnownCrash(quarantine.Target{Upstream: "cut", Incarnation: 1}))
-				}
+				require.Equal(t, how == crashes, e.crashes.Tracker().KnownCrash(quarantine.Target{Upstream: "cut", Incarnation: 1}))
 			})
 		}
 	}
