caller: an unframed answer that ends with its upstream's process is not complete

Callers saw (in a test): on the daemons' path too, an answer without length and chunks whose upstream ended halfway was a complete 200. For a request with an idempotency key it was stored and given to each resend.

Streams were sound, since they end with a marker.

--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -520,6 +520,12 @@
 // that was certainly in flight.
 func (c *choice) OutlivesCaller() bool { return c.isolated }
 
+// Ended implements caller.Choice.
+func (c *choice) Ended() bool {
+	crashes := c.picker.crashes
+	return crashes.tracker.KnownCrash(c.target) || crashes.hasCrashed(c)
+}
+
 // FirstByte implements caller.Choice.
 func (c *choice) FirstByte() { c.firstByte = time.Since(c.startedAt) }
 
--- a/internal/edge/caller/atmostonce.go
+++ b/internal/edge/caller/atmostonce.go
@@ -152,6 +152,9 @@
 	if err == nil && int64(len(body)) > limit {
 		return callResult{err: a.fail(x.tooLargeError(a))}
 	}
+	if err == nil {
+		err = a.checkEnd()
+	}
 	if err != nil {
 		return callResult{err: a.fail(x.truncatedError(a, err))}
 	}
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -128,6 +128,21 @@
 	return err
 }
 
+// errCutOff is the error of a response that ended with its connection because the
+// upstream has ended.
+var errCutOff = errors.New("the upstream ended with the connection")
+
+// checkEnd returns an error if a response that ended with its connection is not
+// complete. The connections of a process that ends are closed like those of one
+// that has sent everything.
+func (a *attempt) checkEnd() error {
+	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+	if !framed && a.choice.Ended() {
+		return errCutOff
+	}
+	return nil
+}
+
 // isBroken reports whether err means that the connection broke, which may be due
 // to a crash of the upstream. A timeout does not count.
 func isBroken(err error) bool {
--- a/internal/edge/caller/deps.go
+++ b/internal/edge/caller/deps.go
@@ -135,6 +135,8 @@
 	OutlivesCaller() bool
 	// FirstByte records the time to the first byte of the response.
 	FirstByte()
+	// Ended checks whether the upstream has ended since the attempt began.
+	Ended() bool
 	// Progressed records that a stream has come past the start of its answer.
 	Progressed()
 	// Finish records the result of the attempt.
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -49,6 +49,8 @@
 	usages   []Usage
 	// outlives is returned by Choice.OutlivesCaller.
 	outlives bool
+	// ended is returned by Choice.Ended.
+	ended bool
 	// results holds the results of all attempts.
 	results []Result
 }
@@ -138,6 +140,7 @@
 	target    upstream.Target
 	canResume bool
 	outlives  bool
+	ended     bool
 	onFinish  func(Result)
 }
 
@@ -147,6 +150,7 @@
 func (c harnessChoice) CanResume() bool         { return c.canResume }
 func (c harnessChoice) FirstByte()              {}
 func (c harnessChoice) Progressed()             {}
+func (c harnessChoice) Ended() bool             { return c.ended }
 func (c harnessChoice) OutlivesCaller() bool    { return c.outlives }
 func (c harnessChoice) Finish(r Result)         { c.onFinish(r) }
 
@@ -164,7 +168,7 @@
 		}
 	}
 	for _, c := range all {
-		c.outlives, c.onFinish = h.outlives, h.recordResult
+		c.outlives, c.ended, c.onFinish = h.outlives, h.ended, h.recordResult
 		if !slices.Contains(tried, c.target.ID) {
 			return c, nil
 		}
@@ -173,7 +177,7 @@
 		return nil, fault.New(fault.NoUpstream, fault.Location{}, fault.NotRun, "none")
 	}
 	last := all[len(all)-1]
-	last.outlives, last.onFinish = h.outlives, h.recordResult
+	last.outlives, last.ended, last.onFinish = h.outlives, h.ended, h.recordResult
 	return last, nil
 }
 
--- a/internal/edge/caller/unary.go
+++ b/internal/edge/caller/unary.go
@@ -70,6 +70,9 @@
 	if err == nil && len(prefix) == responseBufferBytes {
 		return x.relayLarge(a, prefix)
 	}
+	if err == nil {
+		err = a.checkEnd()
+	}
 	if err != nil {
 		err = x.truncatedError(a, err)
 		if preemption := a.preemptionError(err); preemption != nil {
@@ -118,6 +121,9 @@
 	if out.writeErr != nil && !out.discardOnError {
 		return a.fail(callerDisconnected(out.writeErr))
 	}
+	if err == nil && n <= limit {
+		err = a.checkEnd()
+	}
 	if err != nil {
 		return a.fail(x.truncatedError(a, err))
 	}
