entry, daemon: a planned exit is no crash

Callers saw (in a test): requests that were broken off when an upstream left became suspects, and waited for reports and an isolated run.

Cause: an upstream that refuses connections counted as crashed, whether or not it had announced that it leaves.

Evidence: TestLeavingUpstreamIsNoCrash fails for a draining and a deregistered upstream on the parent; so does the new case of TestCutIsNoCrash.

Change: an upstream whose newest record says that it drains or has left has not crashed. One whose address another process has taken announced nothing.

Measured: both tests pass; all tests of both packages pass with the race detector.

--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -99,7 +99,8 @@
 }
 
 // hasCrashed reports whether an upstream has restarted, or refuses connections
-// while its failure domain is in reach.
+// while its failure domain is in reach and has not announced that it leaves. It may
+// stop listening before it has finished its requests.
 func (c *crashTracker) hasCrashed(ch *choice) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
@@ -107,6 +108,9 @@
 	if err == nil {
 		return reply.Announcement.Incarnation != ch.target.Incarnation
 	}
+	if u := c.members.View().Get(ch.upstream.ID); u != nil && u.Incarnation == ch.target.Incarnation && (u.State == membership.Draining || u.State == membership.Leaving) {
+		return false
+	}
 	return c.detector.Refuses(ctx, ch.upstream.Address) && c.inReach(ctx, ch.upstream.FailureDomain, map[string]bool{ch.upstream.ID: true})
 }
 
--- a/internal/daemon/crashes_test.go
+++ b/internal/daemon/crashes_test.go
@@ -13,14 +13,18 @@
 	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
-// Guards against taking a cut for crashes: the requests that were in flight behind
-// it, or that were when leases ended, are not to blame. Each of them would have to
-// run in isolation.
+// Guards against taking a cut or a planned exit for crashes: the requests that were
+// in flight behind a cut, or that were when leases ended, are not to blame. Each of
+// them would have to run in isolation.
 func TestCutIsNoCrash(t *testing.T) {
 	const daemonOfB = "vb:1"
 	broken := func(p *pickerTest, c *choice) {
 		c.Finish(caller.Result{Broken: true, Err: errors.New("reset")})
 	}
+	brokenWhenDraining := func(p *pickerTest, c *choice) {
+		p.reportFrom("b", "u1", 1, membership.Draining, membership.GroupRef{})
+		broken(p, c)
+	}
 	leaseLost := func(p *pickerTest, c *choice) {
 		p.crashes.onEvents([]membership.Event{{Kind: membership.Lost, ID: c.target.Upstream, Incarnation: c.target.Incarnation}})
 	}
@@ -35,6 +39,7 @@
 		{"broken, the whole domain refuses", broken, nil, false},
 		{"broken, the whole domain is silent", broken, map[string]dialResult{"u1:1": silent, "u2:1": silent, daemonOfB: silent}, false},
 		{"broken, the upstream is silent, another accepts", broken, map[string]dialResult{"u1:1": silent, "u2:1": accepting}, false},
+		{"broken by an upstream that leaves, another accepts", brokenWhenDraining, map[string]dialResult{"u2:1": accepting}, false},
 		{"lease lost, another accepts", leaseLost, map[string]dialResult{"u1:1": silent, "u2:1": accepting}, true},
 		{"lease lost, the whole domain is silent", leaseLost, map[string]dialResult{"u1:1": silent, "u2:1": silent, daemonOfB: silent}, false},
 	}
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -118,3 +120,52 @@
 		})
 	}
 }
+
+// Guards against taking the planned exit of an upstream for a crash: requests that
+// it breaks off are not to blame, and one that stops to listen while it finishes its
+// answers has not cut them off.
+func TestLeavingUpstreamIsNoCrash(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		phase   fleet.Phase
+		crashed bool
+	}{
+		{"ready", fleet.Ready, true},
+		{"draining", fleet.Draining, false},
+		{"deregistered", fleet.Gone, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var e *Entry
+			witness := newUpstream(t, "witness", answer("ok"))
+			// Sends a whole stream that ends with its connection, or breaks one off.
+			leave := func(u *fakeUpstream, _ int, w http.ResponseWriter, r *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				left := u.record("model", "m")
+				left.Phase, left.Sequence = test.phase, 2
+				setUpstreams(t, e, left, witness.record("other", ""))
+				_ = u.server.Listener.Close()
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nId: %s\r\n\r\n%s", r.Header.Get("Id"), events(3))
+				if r.Header.Get("Break") != "" {
+					_, _ = io.WriteString(conn, "id: 4\nda")
+				}
+			}
+			for _, breaks := range []bool{false, true} {
+				u := newUpstream(t, "leaving", leave)
+				var server *httptest.Server
+				e, server = newEntry(t, u.record("model", "m"), witness.record("other", ""))
+				got := sendRequest(t, server, "/once/x", func(r *http.Request) {
+					if breaks {
+						r.Header.Set("Break", "1")
+					}
+				})
+				require.Equal(t, !test.crashed && !breaks, got.whole)
+				require.Equal(t, events(3), got.body)
+				require.Equal(t, test.crashed, e.crashes.Tracker().KnownCrash(quarantine.Target{Upstream: "leaving", Incarnation: 1}))
+			}
+		})
+	}
+}
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -178,8 +178,9 @@
 	}
 }
 
-// hasCrashed reports whether an upstream that broke a connection has ended: it
-// refuses a new one while its failure domain is in reach.
+// hasCrashed reports whether an upstream that broke a connection has ended for no
+// known reason: it refuses a new one while its failure domain is in reach, and has
+// not announced that it leaves.
 func (e *Entry) hasCrashed(t *target) bool {
 	t.probe.Lock()
 	defer t.probe.Unlock()
@@ -189,11 +190,21 @@
 	if time.Since(t.probedAt) < probeValidity {
 		return t.probedEnd
 	}
-	t.probedEnd = e.detector().Refuses(e.ctx, t.upstream.Address) && e.inReach(&t.upstream)
+	t.probedEnd = e.detector().Refuses(e.ctx, t.upstream.Address) && e.inReach(&t.upstream) && !e.isLeaving(t)
 	t.probedAt = time.Now()
 	return t.probedEnd
 }
 
+// isLeaving reports whether an upstream has announced that it leaves. It may stop
+// listening before it has finished its requests. An upstream whose address another
+// process has taken has announced nothing.
+func (e *Entry) isLeaving(t *target) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	u, known := e.table.Get(t.upstream.ID)
+	return known && u.StartMillis == t.upstream.StartMillis && (u.Phase == fleet.Draining || u.Phase == fleet.Gone && !u.Replaced)
+}
+
 func (e *Entry) detector() *crashreport.Detector {
 	return &crashreport.Detector{Prober: e.opts.Client, Logger: e.opts.Logger}
 }
