quarantine: suspects wait for equal reports only, and sums are sent once all have reported

Cause: the entries compare one hash over all facts on a crash, and each sent its new hash to all others whenever a fact changed it, also before all had reported. Each completion that cleared a part cost a message from each entry to each other one, and made all suspects wait for another round.

Change: a second hash covers the reports alone. Suspects wait until that one is equal everywhere, and it is sent when all entries have reported. Facts that clear a suspect are sent by the entry that observes them and confirmed with the next repetition: an entry that lacks one is more careful only. A message asks for a reply only when it repeats what was sent. Entries of earlier versions agree by the hash over all facts.

--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -212,7 +212,7 @@
 		for _, d := range e.Cleared {
 			t.addCleared(c, d)
 		}
-		c.peerSums[m.From] = e.Sum
+		c.peerSums[m.From] = sums{all: e.Sum, reports: e.ReportSum}
 		c.replyRequested = c.replyRequested || e.Open
 		c.peerPlacements[m.From] = placements{e.Elsewhere, now}
 		if c.reports[t.cfg.Self] == nil {
@@ -239,7 +239,7 @@
 	var due []*crash
 	for _, c := range t.crashOrder {
 		resend := (c.replyRequested || c.sentPlacements || !t.converged(c)) && now.Sub(c.sentAt) >= t.resendInterval(now, c) && now.Sub(c.knownSince) < t.cfg.Quarantine/2
-		if resend || c.placementChanged || c.sum != c.sentSum {
+		if resend || t.hasNews(c) {
 			due = append(due, c)
 		}
 	}
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -19,7 +19,7 @@
 	}
 	c := &crash{
 		target: target, knownSince: now, reports: map[string]*report{}, cleared: map[Digest]bool{}, depths: map[Digest]uint8{},
-		peerSums: map[string]uint64{}, peerPlacements: map[string]placements{},
+		peerSums: map[string]sums{}, peerPlacements: map[string]placements{},
 	}
 	t.crashes[target] = c
 	t.crashOrder = append(t.crashOrder, c)
@@ -73,11 +73,11 @@
 	if r == nil {
 		r = &report{digests: map[Digest]Presence{}}
 		c.reports[from] = r
-		c.sum ^= factHash(from, "report", Digest{})
+		c.sums.addReport(factHash(from, "report", Digest{}))
 	}
 	if truncated && !r.truncated {
 		r.truncated = true
-		c.sum ^= factHash(from, "truncated", Digest{})
+		c.sums.addReport(factHash(from, "truncated", Digest{}))
 	}
 }
 
@@ -98,13 +98,14 @@
 		c.depths[d] = request.Depth
 	}
 	if request.Presence > previous {
-		c.sum ^= presenceHash(from, d, previous) ^ presenceHash(from, d, request.Presence)
+		c.sums.addReport(presenceHash(from, d, previous) ^ presenceHash(from, d, request.Presence))
 		r.digests[d] = request.Presence
 	}
 	switch at, completed := t.completed[d]; {
 	case c.cleared[d]:
 	case completed && now.Sub(at) < t.cfg.SoundRetention:
 		t.addCleared(c, d)
+		c.ownCleared = true
 	default:
 		t.addSuspect(d, c)
 	}
@@ -127,12 +128,12 @@
 		return
 	}
 	c.cleared[d] = true
-	c.sum ^= factHash("", "cleared", d)
+	c.sums.all ^= factHash("", "cleared", d)
 	t.removeSuspect(d, c)
 }
 
-// factHash returns the hash of one fact about a crash. The sum of a crash is the
-// XOR of these hashes, so it does not depend on the order of the facts.
+// factHash returns the hash of one fact about a crash. The sums of a crash are the
+// XOR of these hashes, so they do not depend on the order of the facts.
 func factHash(from, kind string, d Digest) uint64 {
 	buffer := make([]byte, 0, 64)
 	buffer = append(buffer, from...)
@@ -277,7 +278,7 @@
 	}
 	m := Message{From: t.cfg.Self}
 	for _, c := range crashes {
-		e := Evidence{Target: c.target, Sum: c.sum, Elsewhere: t.localPlacements(c), Open: !t.converged(c)}
+		e := Evidence{Target: c.target, Sum: c.sums.all, ReportSum: c.sums.reports, Elsewhere: t.localPlacements(c), Open: c.sums == c.sentSums && !t.converged(c)}
 		if own := c.reports[t.cfg.Self]; own != nil {
 			for _, d := range sortedDigests(own.digests) {
 				e.Requests = append(e.Requests, ReportedRequest{d, own.digests[d], c.depths[d]})
@@ -286,8 +287,8 @@
 		}
 		e.Cleared = sortedDigests(c.cleared)
 		m.Evidence = append(m.Evidence, e)
-		c.sentAt, c.sentSum, c.replyRequested = now, c.sum, false
-		c.sentPlacements, c.placementChanged = len(e.Elsewhere) > 0, false
+		c.sentAt, c.sentSums, c.replyRequested = now, c.sums, false
+		c.sentPlacements, c.placementChanged, c.ownCleared = len(e.Elsewhere) > 0, false, false
 	}
 	return []Message{m}
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -230,10 +230,10 @@
 	// targets, ordered by upstream and digest.
 	Elsewhere []Placement
 	// Sum is a hash over all reports and cleared requests of the crash known to
-	// the entry.
-	Sum uint64
-	// Open is set until the entry knows that all others have the same
-	// information. It requests a reply from them.
+	// the entry, ReportSum over the reports alone.
+	Sum, ReportSum uint64
+	// Open requests a reply. It is set when the information is repeated because
+	// the entry does not know that all others have the same.
 	Open bool
 }
 
@@ -305,15 +305,27 @@
 	target           Target
 	knownSince       time.Time
 	sentAt           time.Time
-	sentSum          uint64
+	sentSums         sums
 	replyRequested   bool // another entry set Open in its evidence
 	overdue          bool // reports were awaited for ReportTimeout
 	reports          map[string]*report
 	cleared          map[Digest]bool
 	depths           map[Digest]uint8      // of parts, the highest that was reported
-	peerSums         map[string]uint64     // latest sum of each other entry
+	peerSums         map[string]sums       // latest sums of each other entry
 	peerPlacements   map[string]placements // by entry
 	sentPlacements   bool                  // the last message contained placements
 	placementChanged bool                  // a suspect was placed since the last message
-	sum              uint64
+	ownCleared       bool                  // this entry cleared a request since the last message
+	sums             sums
+}
+
+// sums are hashes over what an entry knows of a crash: all facts, and the reports
+// alone.
+type sums struct {
+	all, reports uint64
+}
+
+func (s *sums) addReport(fact uint64) {
+	s.all ^= fact
+	s.reports ^= fact
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -203,7 +203,7 @@
 			out := ""
 			for i := range 3 {
 				if c := tracker.crashes[Target{fmt.Sprint("u", i), 1}]; c != nil {
-					out += fmt.Sprint(i, c.sum, c.uncleared(), ";")
+					out += fmt.Sprint(i, c.sums, c.uncleared(), ";")
 				}
 			}
 			return out
--- a/quarantine/quarantinepb/convert.go
+++ b/quarantine/quarantinepb/convert.go
@@ -21,7 +21,7 @@
 		out.Evidence = append(out.Evidence, &Evidence{
 			Upstream: e.Target.Upstream, Incarnation: e.Target.Incarnation,
 			Digests: digests, Presences: presences, Depths: depths, Truncated: e.Truncated, Cleared: joinDigests(e.Cleared),
-			Sum: e.Sum, Open: e.Open,
+			Sum: e.Sum, ReportSum: e.ReportSum, Open: e.Open,
 		})
 		encoded := out.Evidence[len(out.Evidence)-1]
 		for _, p := range e.Elsewhere {
@@ -59,7 +59,7 @@
 		}
 		m.Evidence = append(m.Evidence, quarantine.Evidence{
 			Target:   quarantine.Target{Upstream: e.Upstream, Incarnation: e.Incarnation},
-			Requests: requests, Truncated: e.Truncated, Cleared: cleared, Elsewhere: elsewhere, Sum: e.Sum, Open: e.Open,
+			Requests: requests, Truncated: e.Truncated, Cleared: cleared, Elsewhere: elsewhere, Sum: e.Sum, ReportSum: e.ReportSum, Open: e.Open,
 		})
 	}
 	for _, v := range in.Verdicts {
--- a/quarantine/quarantinepb/convert_test.go
+++ b/quarantine/quarantinepb/convert_test.go
@@ -18,7 +18,7 @@
 		Evidence: []quarantine.Evidence{{
 			Target:    quarantine.Target{Upstream: "u1", Incarnation: 3},
 			Requests:  []quarantine.ReportedRequest{{Digest: x, Presence: quarantine.RecentlyEnded}, {Digest: y, Presence: quarantine.Isolated, Depth: 2}},
-			Truncated: true, Cleared: []quarantine.Digest{y}, Elsewhere: []quarantine.Placement{{Upstream: "u2", Digest: x}}, Sum: 1 << 63, Open: true,
+			Truncated: true, Cleared: []quarantine.Digest{y}, Elsewhere: []quarantine.Placement{{Upstream: "u2", Digest: x}}, Sum: 1 << 63, ReportSum: 1, Open: true,
 		}},
 		Verdicts: []quarantine.Verdict{{Digest: x, Until: time.UnixMilli(1_700_000_000_123)}},
 	}
--- a/quarantine/queries.go
+++ b/quarantine/queries.go
@@ -56,7 +56,7 @@
 	decision := Decision{Action: Run}
 	for _, c := range t.suspects[key] {
 		decision.Action = Isolate
-		if until := c.knownSince.Add(t.cfg.ReportTimeout); now.Before(until) && !t.converged(c) {
+		if until := c.knownSince.Add(t.cfg.ReportTimeout); now.Before(until) && !t.reportsAgree(c) {
 			return Decision{Action: Wait, Until: until}
 		}
 		// The run at another entry will show whether the key causes crashes. The
@@ -144,7 +144,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range t.crashOrder {
-		if c.replyRequested || c.sentPlacements || c.placementChanged || c.sum != c.sentSum || !t.converged(c) {
+		if c.replyRequested || c.sentPlacements || t.hasNews(c) || !t.converged(c) {
 			return true
 		}
 	}
@@ -229,18 +229,32 @@
 	return true
 }
 
-// converged reports whether all reachable entries have the same information on a
-// crash as this one.
+// reportsAgree reports whether all reachable entries are known to have the same
+// reports on a crash as this one.
+func (t *Tracker) reportsAgree(c *crash) bool {
+	return t.allReported(c) && t.allPeers(func(e string) bool {
+		// Entries of earlier versions send a sum over all facts only.
+		return c.peerSums[e].reports == c.sums.reports || c.peerSums[e].all == c.sums.all
+	})
+}
+
+// converged reports whether all reachable entries are known to have the same
+// information on a crash as this one.
 func (t *Tracker) converged(c *crash) bool {
-	if !t.allReported(c) {
-		return false
-	}
-	for _, e := range t.entries {
-		if e != t.cfg.Self && c.peerSums[e] != c.sum {
-			return false
-		}
-	}
-	return true
+	return t.allReported(c) && t.allPeers(func(e string) bool { return c.peerSums[e].all == c.sums.all })
+}
+
+// allPeers reports whether a condition holds for all other reachable entries.
+func (t *Tracker) allPeers(holds func(entry string) bool) bool {
+	return !slices.ContainsFunc(t.entries, func(e string) bool { return e != t.cfg.Self && !holds(e) })
+}
+
+// hasNews reports whether the other entries need a message about a crash at once.
+// A sum over reports is of no use to them before it covers all entries. What they
+// cleared themselves is confirmed with the next message that is sent again, since
+// it makes no suspect wait.
+func (t *Tracker) hasNews(c *crash) bool {
+	return c.sentAt.IsZero() || c.placementChanged || c.ownCleared || c.sums.reports != c.sentSums.reports && t.allReported(c)
 }
 
 // truncated reports whether an entry's report of the crash is truncated.
