entry: the only upstream of a failure domain can crash

Callers saw (in a test): nothing yet on the users' deployments. Where a failure domain has one upstream, a request that crashed it through an entry of another domain was no suspect and could crash it again each time that it started.

Cause: an entry takes a refused connection for a crash only if another upstream of the failure domain accepts one, since a cut may refuse connections too. Daemons also ask the daemons of the domain.

Evidence: the case 'the only upstream of the domain ends' of TestCutDomainIsNoCrash fails without the change; 'the whole domain is out of reach' passes with and without.

Change: control instances tell the failure domains of the entries that they list as reachable, and the reachable entries of a domain are witnesses beside its upstreams, up to three of each. A peer connection that closes before it says who it is, as such a probe does, is logged for debugging only.

Measured: all tests of internal/entry and internal/instance pass with the race detector, those of internal/control, peer, daemon, crashreport and mesh without.

--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -127,7 +127,7 @@
 		update.Withdrawn, s.withdrawnVersion = c.withdrawn, c.withdrawnVersion
 	}
 	if !s.control && (complete || s.reachableVersion != c.reachableVersion) {
-		update.Reachable, s.reachableVersion = &mesh.InstanceList{Instances: c.reachable}, c.reachableVersion
+		update.Reachable, s.reachableVersion = c.reachableList(), c.reachableVersion
 	}
 	if changes, _ := c.machine.Verdicts(); !s.control && (complete || s.verdictChanges != changes) {
 		s.verdictChanges, update.Verdicts = c.verdictList()
@@ -263,6 +263,20 @@
 	c.requestFlush()
 }
 
+// reachableList returns the reachable entries with their failure domains. The
+// caller holds mu.
+func (c *Control) reachableList() *mesh.InstanceList {
+	list := &mesh.InstanceList{Instances: c.reachable}
+	for _, id := range c.reachable {
+		domain := ""
+		if s := c.subscribers[id]; s != nil {
+			domain = s.failureDomain
+		}
+		list.FailureDomains = append(list.FailureDomains, domain)
+	}
+	return list
+}
+
 // announceVersion sends an update to all subscribers after a new catalog
 // version has taken effect here.
 func (c *Control) announceVersion() {
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -134,6 +134,9 @@
 		_, second := sent("10.0.1.2")
 		return len(reachable) == 2 && first == second
 	}, time.Second, time.Millisecond)
+	c.mu.Lock()
+	require.Equal(t, []string{"z", "z"}, c.reachableList().FailureDomains)
+	c.mu.Unlock()
 	_, before := sent("10.0.1.1")
 	subscribe(t, c, "10.0.1.1")
 	_, after := sent("10.0.1.1")
--- a/internal/crashreport/detector.go
+++ b/internal/crashreport/detector.go
@@ -12,8 +12,8 @@
 	// probeTimeout limits the check whether a process accepts connections.
 	// Connections within a region open within a few milliseconds.
 	probeTimeout = 150 * time.Millisecond
-	// maxWitnesses is the number of other processes that are probed to tell a crash
-	// from a cut. Some of them may be down as well.
+	// maxWitnesses is the number of other processes of a kind that are probed to
+	// tell a crash from a cut. Some of them may be down as well.
 	maxWitnesses = 3
 )
 
@@ -43,11 +43,14 @@
 	return !listening
 }
 
-// AnyAccepts reports whether one of some witnesses accepts connections. It changes
-// the order of the list.
-func (d *Detector) AnyAccepts(ctx context.Context, witnesses []string) bool {
-	rand.Shuffle(len(witnesses), func(i, j int) { witnesses[i], witnesses[j] = witnesses[j], witnesses[i] })
-	witnesses = witnesses[:min(len(witnesses), maxWitnesses)]
+// AnyAccepts reports whether a witness accepts connections. Up to maxWitnesses of
+// each kind are probed at once. It changes the order of the lists.
+func (d *Detector) AnyAccepts(ctx context.Context, kinds ...[]string) bool {
+	var witnesses []string
+	for _, kind := range kinds {
+		rand.Shuffle(len(kind), func(i, j int) { kind[i], kind[j] = kind[j], kind[i] })
+		witnesses = append(witnesses, kind[:min(len(kind), maxWitnesses)]...)
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	accepted := make(chan bool, len(witnesses))
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -119,22 +119,22 @@
 // the daemon's own.
 func (c *crashTracker) inReach(ctx context.Context, failureDomain string, lost map[string]bool) bool {
 	cfg := c.members.cfg
-	var witnesses []string
+	var upstreams, daemons []string
 	for _, u := range c.members.View().All() {
 		target := quarantine.Target{Upstream: u.ID, Incarnation: u.Incarnation}
 		if u.FailureDomain == failureDomain && !lost[u.ID] && !c.tracker.KnownCrash(target) {
-			witnesses = append(witnesses, u.Address)
+			upstreams = append(upstreams, u.Address)
 		}
 	}
 	for _, p := range cfg.Peers {
 		if p.FailureDomain == failureDomain && p.ID != cfg.ID && p.UpstreamAddress != "" {
-			witnesses = append(witnesses, p.UpstreamAddress)
+			daemons = append(daemons, p.UpstreamAddress)
 		}
 	}
-	if len(witnesses) == 0 {
+	if len(upstreams)+len(daemons) == 0 {
 		return failureDomain == cfg.FailureDomain
 	}
-	return c.detector.AnyAccepts(ctx, witnesses)
+	return c.detector.AnyAccepts(ctx, upstreams, daemons)
 }
 
 // onEvents reports lost upstreams as crashed, which makes the requests in
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -81,30 +82,42 @@
 
 // Guards against taking a cut for crashes: when the connections to a failure
 // domain are reset and refused, requests that were in flight there are not to
-// blame.
+// blame. Guards also against missing the crash of the only upstream of a domain.
 func TestCutDomainIsNoCrash(t *testing.T) {
 	for _, test := range []struct {
 		name string
-		// cut upstreams end together.
-		cut  int
-		want bool
+		// upstreams are in the domain, and cut of them end together.
+		upstreams, cut int
+		// entry is set if another entry in the domain accepts connections.
+		entry, want bool
 	}{
-		{"one upstream ends", 1, true},
-		{"all upstreams of the domain are out of reach", 3, false},
+		{"one upstream ends", 3, 1, false, true},
+		{"all upstreams of the domain are out of reach", 3, 3, false, false},
+		{"the only upstream of the domain ends", 1, 1, true, true},
+		{"the whole domain is out of reach", 1, 1, false, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			other, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer other.Close()
 			e, server := newEntry(t)
+			if !test.entry {
+				require.NoError(t, other.Close())
+			}
+			listEntry(e, other.Addr().String(), "far")
 			script := func(_ *fakeUpstream, _ int, w http.ResponseWriter, r *http.Request) { hang(w, r) }
 			near := newUpstream(t, "near", answer("ok"))
 			var far []*fakeUpstream
 			var records []fleet.Upstream
-			for n := range 3 {
+			for n := range test.upstreams {
 				u := newUpstream(t, fmt.Sprint("far-", n), script)
 				record := u.record("app", "")
 				record.FailureDomain = "far"
+				if n > 0 {
+					record.Service = "other"
+				}
 				far, records = append(far, u), append(records, record)
 			}
-			records[1].Service, records[2].Service = "other", "other"
 			setUpstreams(t, e, records...)
 			time.AfterFunc(50*time.Millisecond, func() {
 				setUpstreams(t, e, append(records, near.record("app", ""))...)
@@ -121,6 +134,15 @@
 	}
 }
 
+// listEntry makes a control instance report another entry as reachable. The id of
+// an entry is its address here.
+func listEntry(e *Entry, address, failureDomain string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sources[controlID] = &updateSource{lastUpdate: time.Now(), reachable: []string{address},
+		reachableDomains: map[string]string{address: failureDomain}}
+}
+
 // Guards against taking the planned exit of an upstream for a crash: requests that
 // it breaks off are not to blame, and one that stops to listen while it finishes its
 // answers has not cut them off.
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -209,20 +209,20 @@
 	return &crashreport.Detector{Prober: e.opts.Client, Logger: e.opts.Logger}
 }
 
-// inReach reports whether the failure domain of an upstream is in reach. If no
-// other upstream is left there, it is if it is this entry's own and control
-// instances are in touch.
+// inReach reports whether the failure domain of an upstream is in reach. Without
+// any other process there, it is if it is this entry's own and control instances
+// are in touch.
 func (e *Entry) inReach(u *fleet.Upstream) bool {
-	witnesses := e.witnesses(u)
-	if len(witnesses) == 0 {
+	upstreams, entries := e.otherUpstreams(u), e.entriesOf(u.FailureDomain)
+	if len(upstreams)+len(entries) == 0 {
 		return u.FailureDomain == e.opts.FailureDomain && e.inTouch(time.Now())
 	}
-	return e.detector().AnyAccepts(e.ctx, witnesses)
+	return e.detector().AnyAccepts(e.ctx, upstreams, entries)
 }
 
-// witnesses returns the addresses of the other upstreams in the failure domain of
-// an upstream.
-func (e *Entry) witnesses(u *fleet.Upstream) []string {
+// otherUpstreams returns the addresses of the other upstreams in the failure
+// domain of an upstream.
+func (e *Entry) otherUpstreams(u *fleet.Upstream) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var addresses []string
@@ -235,6 +235,32 @@
 	return addresses
 }
 
+// entriesOf returns the peer addresses of the other reachable entries of a failure
+// domain.
+func (e *Entry) entriesOf(failureDomain string) []string {
+	var addresses []string
+	for _, id := range e.reachableEntries() {
+		address, known := e.opts.Network.Address(id)
+		if known && e.domainOf(id) == failureDomain {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// domainOf returns the failure domain of another entry, empty if no control
+// instance reports it.
+func (e *Entry) domainOf(id string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.sources {
+		if domain := s.reachableDomains[id]; domain != "" {
+			return domain
+		}
+	}
+	return ""
+}
+
 // inTouch reports whether a control instance sends updates.
 func (e *Entry) inTouch(now time.Time) bool {
 	e.mu.Lock()
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -217,7 +217,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	network := peer.Listen(listener, peer.Options{ID: "127.0.0.1", Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
-		Resolve: func(string) (string, bool) { return "", false }})
+		Resolve: func(id string) (string, bool) { return id, strings.Contains(id, ":") }})
 	t.Cleanup(func() { require.NoError(t, network.Close()) })
 	content := testCatalog(t)
 	e := Start(Options{ID: "127.0.0.1", FailureDomain: "z", Network: network, Protocol: testProtocol{}, Client: upstream.NewClient(nil),
--- a/internal/entry/subscription.go
+++ b/internal/entry/subscription.go
@@ -56,8 +56,9 @@
 	// answered.
 	triedSince time.Time
 	// reachable lists the entries that the control instance last reported as
-	// reachable.
-	reachable []string
+	// reachable, reachableDomains their failure domains.
+	reachable        []string
+	reachableDomains map[string]string
 }
 
 // runSubscriptions subscribes to control instances and renews the
@@ -184,12 +185,12 @@
 	if !update.Complete && (update.Source != s.id || update.Number != s.lastNumber+1) {
 		// An update was lost. The next subscription request asks for all
 		// records.
-		*s = updateSource{lastUpdate: now, reachable: s.reachable}
+		*s = updateSource{lastUpdate: now, reachable: s.reachable, reachableDomains: s.reachableDomains}
 	} else {
 		s.id, s.lastNumber, s.lastUpdate = update.Source, update.Number, now
 	}
 	if update.Reachable != nil {
-		s.reachable = update.Reachable.Instances
+		s.reachable, s.reachableDomains = update.Reachable.Instances, instanceDomains(update.Reachable)
 		e.crashes.EntriesChanged()
 	}
 	e.controls, e.entries = update.Controls, int(update.Entries)
@@ -215,6 +216,17 @@
 	return nil, nil
 }
 
+// instanceDomains returns the failure domains of instances by id.
+func instanceDomains(list *mesh.InstanceList) map[string]string {
+	domains := make(map[string]string, len(list.FailureDomains))
+	for i, id := range list.Instances {
+		if i < len(list.FailureDomains) {
+			domains[id] = list.FailureDomains[i]
+		}
+	}
+	return domains
+}
+
 // reachableEntries lists the other entries that a control instance with current
 // updates reports as reachable.
 func (e *Entry) reachableEntries() []string {
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"slices"
@@ -246,6 +247,9 @@
 	return reply.Payload, nil
 }
 
+// Address returns the address of a daemon, and false for an unknown one.
+func (n *Network) Address(id string) (address string, ok bool) { return n.opts.Resolve(id) }
+
 // Peers returns the status of the connection to each known peer.
 func (n *Network) Peers() []Status {
 	var all []Status
@@ -323,7 +327,12 @@
 	id, err := n.handshake(conn, "")
 	if err != nil {
 		_ = conn.Close()
-		n.opts.Logger.Warn("peer connection rejected", zap.Stringer("address", conn.RemoteAddr()), zap.Error(err))
+		level := zap.WarnLevel
+		if errors.Is(err, io.EOF) {
+			// Entries probe whether this process accepts connections.
+			level = zap.DebugLevel
+		}
+		n.opts.Logger.Log(level, "peer connection rejected", zap.Stringer("address", conn.RemoteAddr()), zap.Error(err))
 		return
 	}
 	session, err := yamux.Server(n.countBytes(conn), n.yamuxConfig())
