caller: a late copy of an answer reaches no other caller of a plain service

Callers saw (in a test): the answer to another caller's request, as a complete 200.

Cause: only answers of model engines were checked for the request's id. When a plain service sends a second copy of an answer and its connection has been taken for the next request meanwhile, the HTTP client takes the copy for the next answer.

Evidence: TestLateCopyOfAnswerReachesNoOtherCaller fails without the change, with a service that echoes Bluebell-Request-Id and with one that does not: the request for /orders?n=1 gets the answer '/orders?n=0'.

Change: a connection to a plain service is used again only if the service has echoed the id, and then each answer on it must have the request's own. Others get a new connection for each request, as requests that may run once did before. Answers to requests on new connections may come without an id.

Measured: the test passes; internal/edge, internal/daemon and internal/ctl pass with the race detector. The cost of the connections was not measured.

--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -52,6 +52,8 @@
 	// cancelDeadline releases the deadline of an attempt that outlives its
 	// caller.
 	cancelDeadline context.CancelFunc
+	// mayBeReused is set if the connection may have served an earlier request.
+	mayBeReused bool
 	// responded is set when the response headers have arrived.
 	responded bool
 	// firstEvent is the time of the first event of a stream; progressed is set
@@ -201,9 +203,10 @@
 	a.watchPreemption(preempted)
 	timer := time.AfterFunc(x.info.Route.FirstByteTimeout, func() { a.cancel(errFirstByteTimeout) })
 	defer timer.Stop()
+	a.mayBeReused = !once && x.mayReuse(target)
 	a.resp, err = x.Client.Do(a.ctx, upstream.Dispatch{
 		Target: target, Method: x.r.Method, URI: x.r.URL.RequestURI(), Header: x.upstreamHeader(), Body: x.body,
-		RequestID: x.info.RequestID, Attempt: x.attempts, Priority: string(x.info.Account.Class), Resume: resume, Once: once,
+		RequestID: x.info.RequestID, Attempt: x.attempts, Priority: string(x.info.Account.Class), Resume: resume, Once: !a.mayBeReused,
 	})
 	if err != nil {
 		if preemption := a.preemptionError(err); preemption != nil {
@@ -266,6 +269,11 @@
 func (x *exchange) checkResponse(a *attempt) error {
 	at := fault.Location{Step: upstream.StepDispatch, Peer: a.choice.Target().ID}
 	status := a.resp.StatusCode
+	if x.info.Route.Kind == membership.PlainService {
+		if err := x.checkEcho(a, at); err != nil {
+			return err
+		}
+	}
 	if x.info.Route.Kind == membership.ModelEngine && a.resp.Header.Get(upstream.HeaderNotStarted) == "true" {
 		return fault.New(fault.UpstreamUnreachable, at, fault.NotRun, "the upstream rejected the request before starting it")
 	}
@@ -283,6 +291,28 @@
 	return nil
 }
 
+// checkEcho verifies that a plain service echoed the request id, if it echoes ids
+// at all. On a connection that has served an earlier request, an answer without
+// the id may be a late copy of the earlier answer.
+func (x *exchange) checkEcho(a *attempt, at fault.Location) error {
+	id := a.resp.Header.Get(upstream.HeaderRequestID)
+	if id == x.info.RequestID {
+		x.echoing.add(a.choice.Target().ID)
+		return nil
+	}
+	if id == "" && !a.mayBeReused {
+		return nil
+	}
+	x.echoing.remove(a.choice.Target().ID)
+	return fault.New(fault.UpstreamProtocol, at, fault.Unknown, "the response belongs to another request")
+}
+
+// mayReuse reports whether a request may use a connection that has served others:
+// late copies of their answers must be recognizable.
+func (x *exchange) mayReuse(target upstream.Target) bool {
+	return x.info.Route.Kind == membership.ModelEngine || x.echoing.contains(target.ID)
+}
+
 // checkCorrelation verifies that the engine echoed the request id and the attempt
 // number.
 func (x *exchange) checkCorrelation(a *attempt, at fault.Location) error {
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -75,6 +75,8 @@
 	inFlight int
 	// drained is closed when Drain was called and no request is in flight.
 	drained chan struct{}
+	// echoing holds the plain services that echo request ids.
+	echoing upstreamSet
 }
 
 // NewHandler returns a Handler with defaults filled in.
@@ -86,6 +88,38 @@
 	return &Handler{Options: o}
 }
 
+// maxUpstreamSet limits the size of an upstreamSet. A deployment has fewer plain
+// services at a time.
+const maxUpstreamSet = 4096
+
+// upstreamSet is a bounded set of upstream ids. It is safe for concurrent use.
+type upstreamSet struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+// add adds an id. A full set is emptied first.
+func (s *upstreamSet) add(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ids == nil || len(s.ids) >= maxUpstreamSet {
+		s.ids = map[string]bool{}
+	}
+	s.ids[id] = true
+}
+
+func (s *upstreamSet) remove(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.ids, id)
+}
+
+func (s *upstreamSet) contains(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ids[id]
+}
+
 // exchange is the state of one request and its response.
 type exchange struct {
 	*Handler
