entry: an answer without an id on a used connection may belong to another request

Callers saw (in a test): the answer to another caller's request, as a complete 200.

Cause: an answer was rejected if it had the id of another request, but one without an id was taken for the right one. A late copy of an earlier answer that lacks the id then reaches the next caller. On the users' platform upstreams send the id with each answer, so that only a faulty one causes this.

Change: on a connection that has served another request, an answer must have the request's id.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -138,7 +138,11 @@
 	}
 	slowConnect := time.AfterFunc(connectTimeout, func() { t.recordSlowConnect(time.Now()) })
 	defer slowConnect.Stop()
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { slowConnect.Stop() }}))
+	reused := false
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		slowConnect.Stop()
+		reused = info.Reused
+	}}))
 	resp, err := x.e.opts.Client.Exchange(req, fault.Location{Step: upstream.StepDispatch, Peer: t.upstream.ID}, false)
 	if err != nil {
 		return x.handleSendError(ctx, a, err)
@@ -146,7 +150,9 @@
 	defer resp.Body.Close()
 	now := time.Now()
 	headers := x.e.opts.Protocol.ParseResponse(resp)
-	if headers.ID != "" && headers.ID != x.request.ID {
+	// On a connection that has served another request, an answer without an id may
+	// be a late copy of the earlier answer.
+	if headers.ID != x.request.ID && (headers.ID != "" || reused) {
 		a.cancel(errWrongRequestID)
 		return attemptResult{ran: true, reason: errWrongRequestID.Error()}
 	}
