quarantine: several crashes at once spare a part an isolated one

Callers saw (in the model): with messages that take up to 2 s, five requests with a part that crashes upstreams still ran later than 8 s after the fifth crash, where three may. Each of them costs an upstream and interrupts what runs there.

Cause: a verdict on a part needed three isolated crashes. Suspects wait for the reports on each, so that three one after the other take up to 12 s. What several entries had lost at once, before any of them knew of the others, counted for nothing.

The failing draws are now TestCulpritPartIsStoppedInFailedDraws, which fails without the change, as does TestSeveralCrashesAtOnceSpareAnIsolatedOne.

Change: two isolated crashes are enough for a part if two others, at which it was in flight beside other requests, have it alone in common with each other and with these. A single one would not do: two culprits and an upstream that ends by itself would condemn the first part of all requests, which the new case of TestTwoCulpritsDoNotCondemnTheirCommonPart shows (seen to fail with one).

Why it works: four crashes that have nothing but the part in common have either one cause or four different ones.

--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -179,19 +180,28 @@
 	return t.sendCrashes(now, crashes)
 }
 
-// Numbers of crashes that a request or part must explain to be quarantined.
-const (
+// proof is a number of crashes that a request or part must explain to be
+// quarantined, and how many of them must have interrupted an isolated run of it.
+type proof struct {
+	crashes, isolated int
+}
+
+var (
 	// One isolated run is not enough, because a request that crashes upstreams but
 	// is not a suspect yet may have run on the same upstream.
-	requestCrashes = 2
-	// Each of two culprits at the same time may crash an upstream, and a part that
-	// both have in common is then all that the two crashes have in common.
-	partCrashes = 3
-	// A missing report may name another common suspect. Only a request that is no
-	// suspect at that entry yet can be one, which is unlikely at one more crash.
-	extraCrashesWithoutReports = 1
+	requestProofs = []proof{{crashes: 2, isolated: 2}}
+	// Each of two culprits at the same time may crash an upstream in isolation, and
+	// a part that both have in common is then all that the two crashes have in
+	// common. So it is with a crash before them if that upstream ended by itself.
+	partProofs = []proof{{crashes: 3, isolated: 3}, {crashes: 4, isolated: 2}}
 )
 
+// extraCrashesWithoutReports is the number of isolated crashes that a proof needs
+// in addition if reports are missing. They may name another common suspect. Only a
+// request that is no suspect at that entry yet can be one, which is unlikely at one
+// more crash.
+const extraCrashesWithoutReports = 1
+
 // quarantineCulprits quarantines the requests and parts that ran in isolation at
 // this crash and at others, and are the only suspects that these have in common.
 func (t *Tracker) quarantineCulprits(now time.Time, c *crash) {
@@ -225,25 +235,30 @@
 	return t.allReported(c) || c.overdue && !c.truncated()
 }
 
-// isCulprit reports whether a request or part explains enough crashes, this one
-// among them.
+// isCulprit reports whether a request or part explains enough crashes, this
+// isolated one among them.
 func (t *Tracker) isCulprit(c *crash, d Digest) bool {
-	required := requestCrashes
-	if d.isPart() {
-		required = partCrashes
-	}
-	var reported, settled []*crash
+	var settled []*crash
 	for _, o := range t.suspects[d] {
-		if o == c || o.presence(d) != Isolated || !t.settled(o) || !explainsBoth(c, o, d) {
-			continue
-		}
-		settled = append(settled, o)
-		if t.allReported(o) {
-			reported = append(reported, o)
+		if o != c && o.presence(d) >= InFlight && t.settled(o) && explainsBoth(c, o, d) {
+			settled = append(settled, o)
 		}
 	}
-	return t.allReported(c) && explainsAny(reported, d, required-1) ||
-		explainsAny(settled, d, required-1+extraCrashesWithoutReports)
+	slices.SortStableFunc(settled, func(a, b *crash) int { return cmp.Compare(b.presence(d), a.presence(d)) })
+	proofs := requestProofs
+	if d.isPart() {
+		proofs = partProofs
+	}
+	proves := func(crashes []*crash, extra int) bool {
+		return slices.ContainsFunc(proofs, func(p proof) bool {
+			return explainsAny(crashes, d, p.crashes-1+extra, p.isolated-1+extra)
+		})
+	}
+	if proves(settled, extraCrashesWithoutReports) {
+		return true
+	}
+	reported := slices.DeleteFunc(settled, func(o *crash) bool { return !t.allReported(o) })
+	return t.allReported(c) && proves(reported, 0)
 }
 
 // mergeVerdict records a verdict. Of two verdicts on a request, the one that ends
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -23,7 +23,9 @@
 	// severed exchanges no messages with the other entries, which take it to be
 	// reachable. It is -1 for none.
 	severed int
-	nextRun uint64
+	// beginTime is the time after which a sound request with parts has progressed.
+	beginTime time.Duration
+	nextRun   uint64
 
 	crashes []modelCrash
 	// starts are the times at which requests with a culprit began to run.
@@ -87,7 +89,7 @@
 func newModel(seed uint64, entries, upstreams int) *model {
 	m := &model{
 		now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), culprits: map[Digest]bool{},
-		down: map[[2]int]time.Time{}, severed: -1, completed: map[Digest]bool{}, refused: map[Digest]int{}, soundRefused: map[Digest]bool{},
+		down: map[[2]int]time.Time{}, severed: -1, beginTime: modelTick, completed: map[Digest]bool{}, refused: map[Digest]int{}, soundRefused: map[Digest]bool{},
 	}
 	var ids []string
 	for i := range upstreams {
@@ -277,7 +279,7 @@
 			} else {
 				r.endsAt = m.now.Add(m.between(modelTick, 3*time.Second))
 				if len(r.parts) > 0 {
-					r.beginsAt = m.now.Add(modelTick)
+					r.beginsAt = m.now.Add(m.beginTime)
 				}
 			}
 			u.running = append(u.running, r)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -80,6 +80,30 @@
 // the fifth crash, and the requests that share their other parts must be neither
 // refused nor blocked forever.
 func TestCulpritPartsAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		share := rapid.Float64Range(0.02, 0.3).Draw(t, "share of culprits")
+		rate := rapid.IntRange(1, 4).Draw(t, "requests per step")
+		checkCulpritPart(t, seed, share, rate)
+	})
+}
+
+// Draws of TestCulpritPartsAreBounded that have failed: a verdict took three
+// isolated crashes, one after the other, and 5 requests ran in the meantime.
+func TestCulpritPartIsStoppedInFailedDraws(t *testing.T) {
+	for _, draw := range []struct {
+		seed  uint64
+		share float64
+		rate  int
+	}{
+		{seed: 0x1e4, share: 0.0390625, rate: 4},
+		{seed: 0x39a84ae8be1ba, share: 0.3, rate: 1},
+	} {
+		t.Run(fmt.Sprint("seed ", draw.seed), func(t *testing.T) { checkCulpritPart(t, draw.seed, draw.share, draw.rate) })
+	}
+}
+
+func checkCulpritPart(t rapid.TB, seed uint64, share float64, rate int) {
 	const (
 		entries, upstreams, subjects = 7, 24, 6
 		// A verdict needs two isolated crashes after the first ones, and each time
@@ -87,46 +111,74 @@
 		contact       = 4 * MaxOneWayDelay
 		crashes, late = 5, 3
 	)
+	m := newModel(seed, entries, upstreams)
+	system, culprit := PartDigest(modelService, "system"), PartDigest(modelService, "culprit")
+	m.culprits[culprit] = true
+	for n := 0; n < int(20*time.Second/modelTick); n++ {
+		for i := range rate {
+			d := digest(fmt.Sprint(n, " ", i))
+			parts := []Digest{system, PartDigest(modelService, fmt.Sprint(m.random.IntN(subjects)))}
+			if m.random.Float64() < share {
+				parts = append(parts, culprit)
+			}
+			if m.waiting < 40 {
+				m.send(m.random.IntN(entries), d, m.random.IntN(8) == 0, parts...)
+			}
+		}
+		m.step()
+	}
+	for range int(60 * time.Second / modelTick) {
+		if m.step(); m.idle() {
+			break
+		}
+	}
+	if len(m.crashes) >= crashes {
+		limit, after := m.crashes[crashes-1].at.Add(contact), 0
+		for _, at := range m.starts {
+			if at.After(limit) {
+				after++
+			}
+		}
+		if after > late {
+			t.Fatalf("%d requests with the part ran later than %s after the fifth of %d crashes", after, contact, len(m.crashes))
+		}
+	}
+	if len(m.soundRefused) > 0 {
+		t.Fatal("a request without the part was refused")
+	}
+	if m.waiting > 0 {
+		t.Fatalf("%d requests are still waiting", m.waiting)
+	}
+}
+
+// Upstreams that end by themselves must not condemn the parts of the requests that
+// run there, not even a part that all requests share and none has completed yet.
+func TestEndingUpstreamsCondemnNoPart(t *testing.T) {
+	const entries, upstreams, subjects = 7, 24, 6
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(rapid.Uint64().Draw(t, "seed"), entries, upstreams)
-		share := rapid.Float64Range(0.02, 0.3).Draw(t, "share of culprits")
+		m.beginTime = time.Duration(rapid.Int64Range(int64(modelTick), int64(time.Second)).Draw(t, "time to progress"))
+		endings := rapid.Float64Range(0.05, 0.5).Draw(t, "upstreams that end per step")
 		rate := rapid.IntRange(1, 4).Draw(t, "requests per step")
-		system, culprit := PartDigest(modelService, "system"), PartDigest(modelService, "culprit")
-		m.culprits[culprit] = true
+		parts := []Digest{PartDigest(modelService, "system")}
+		for i := range subjects {
+			parts = append(parts, PartDigest(modelService, fmt.Sprint(i)))
+		}
 		for n := 0; n < int(20*time.Second/modelTick); n++ {
 			for i := range rate {
-				d := digest(fmt.Sprint(n, " ", i))
-				parts := []Digest{system, PartDigest(modelService, fmt.Sprint(m.random.IntN(subjects)))}
-				if m.random.Float64() < share {
-					parts = append(parts, culprit)
-				}
 				if m.waiting < 40 {
-					m.send(m.random.IntN(entries), d, m.random.IntN(8) == 0, parts...)
+					m.send(m.random.IntN(entries), digest(fmt.Sprint(n, " ", i)), false, parts[0], parts[1+m.random.IntN(subjects)])
 				}
 			}
-			m.step()
-		}
-		for range int(60 * time.Second / modelTick) {
-			if m.step(); m.idle() {
-				break
+			if u := m.upstreams[m.random.IntN(upstreams)]; m.random.Float64() < endings && u.backAt.IsZero() {
+				m.crash(u, Digest{})
 			}
-		}
-		if len(m.crashes) >= crashes {
-			limit, after := m.crashes[crashes-1].at.Add(contact), 0
-			for _, at := range m.starts {
-				if at.After(limit) {
-					after++
+			m.step()
+			for _, part := range parts {
+				if m.trackers[0].Admit(m.now, digest("new"), part).Action == Refuse {
+					t.Fatalf("part %s is refused after %d crashes", part, len(m.crashes))
 				}
 			}
-			if after > late {
-				t.Fatalf("%d requests with the part ran later than %s after the fifth of %d crashes", after, contact, len(m.crashes))
-			}
-		}
-		if len(m.soundRefused) > 0 {
-			t.Fatal("a request without the part was refused")
-		}
-		if m.waiting > 0 {
-			t.Fatalf("%d requests are still waiting", m.waiting)
 		}
 	})
 }
@@ -547,30 +599,71 @@
 }
 
 // Two culprits at the same time must not condemn the part that they have in common
-// with all sound requests, even if no sound request has come yet.
+// with all sound requests, even if no sound request has come yet, or if the first
+// one was interrupted by an upstream that ended by itself.
 func TestTwoCulpritsDoNotCondemnTheirCommonPart(t *testing.T) {
-	now := time.Unix(1000, 0)
-	tracker := New(Config{Self: "e0"})
-	var upstreams []string
-	for i := range 12 {
-		upstreams = append(upstreams, fmt.Sprint("u", i))
-	}
-	tracker.SetUpstreams("s", upstreams)
-	system, culprit := PartDigest("s", "system"), PartDigest("s", "culprit")
-	crash := func(i int, request string, parts ...Digest) {
-		target := Target{upstreams[i], 1}
-		if _, ok := tracker.Start(now, "s", uint64(i), digest(request), target, parts...); ok {
-			tracker.Crashed(now, target)
-		}
+	for _, interrupted := range []bool{false, true} {
+		t.Run(fmt.Sprint("a sound request was interrupted: ", interrupted), func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			tracker := New(Config{Self: "e0"})
+			var upstreams []string
+			for i := range 13 {
+				upstreams = append(upstreams, fmt.Sprint("u", i))
+			}
+			tracker.SetUpstreams("s", upstreams)
+			system, culprit := PartDigest("s", "system"), PartDigest("s", "culprit")
+			crash := func(i int, request string, parts ...Digest) {
+				target := Target{upstreams[i], 1}
+				if _, ok := tracker.Start(now, "s", uint64(i), digest(request), target, parts...); ok {
+					tracker.Crashed(now, target)
+				}
+			}
+			if interrupted {
+				crash(12, "interrupted", system)
+			}
+			for i := 0; i < 12; i += 2 {
+				crash(i, fmt.Sprint("with the part ", i), system, culprit)
+				require.NotEqual(t, Refuse, tracker.Admit(now, digest("sound"), system).Action, "after %d crashes", i+1)
+				crash(i+1, "culprit", system)
+				require.NotEqual(t, Refuse, tracker.Admit(now, digest("sound"), system).Action, "after %d crashes", i+2)
+			}
+			require.Equal(t, Refuse, tracker.Admit(now, digest("new"), system, culprit).Action)
+			require.Equal(t, Refuse, tracker.Admit(now, digest("culprit"), system).Action)
+		})
 	}
-	for i := 0; i < len(upstreams); i += 2 {
-		crash(i, fmt.Sprint("with the part ", i), system, culprit)
-		require.NotEqual(t, Refuse, tracker.Admit(now, digest("sound"), system).Action, "after %d crashes", i+1)
-		crash(i+1, "culprit", system)
-		require.NotEqual(t, Refuse, tracker.Admit(now, digest("sound"), system).Action, "after %d crashes", i+2)
+}
+
+// Guards against waiting for a third isolated crash after several crashes at once:
+// requests with a part crash upstreams at several entries before any of these
+// knows of the others.
+func TestSeveralCrashesAtOnceSpareAnIsolatedOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	part := PartDigest("s", "culprit")
+	for _, test := range []struct{ atOnce, isolated int }{{1, 3}, {2, 2}, {3, 2}} {
+		t.Run(fmt.Sprint(test.atOnce, " at once"), func(t *testing.T) {
+			tracker := New(Config{Self: "e0"})
+			runs := uint64(0)
+			start := func() Target {
+				runs++
+				target := Target{fmt.Sprint("u", runs), 1}
+				_, ok := tracker.Start(now, "s", runs, digest(fmt.Sprint("request ", runs)), target, part)
+				require.True(t, ok)
+				return target
+			}
+			var first []Target
+			for range test.atOnce {
+				first = append(first, start())
+			}
+			for _, target := range first {
+				tracker.Crashed(now, target)
+			}
+			for range test.isolated {
+				require.Equal(t, Isolate, tracker.Admit(now, digest("new"), part).Action)
+				tracker.Crashed(now, start())
+			}
+			require.Equal(t, Refuse, tracker.Admit(now, digest("new"), part).Action)
+		})
 	}
-	require.Equal(t, Refuse, tracker.Admit(now, digest("new"), system, culprit).Action)
-	require.Equal(t, Refuse, tracker.Admit(now, digest("culprit"), system).Action)
 }
 
 // Guards against blaming a stream for the suspects that begin beside it. Once it
--- a/quarantine/queries.go
+++ b/quarantine/queries.go
@@ -325,11 +325,11 @@
 	})
 }
 
-// explainsBoth reports whether d, which ran in isolation at both crashes, is the
-// only suspect that they have in common, apart from wider ones that ran with it
-// each time. The request is narrower than its parts, and a deeper part narrower
-// than the ones before it. If the narrower one is not the cause, requests without
-// it go on to crash upstreams and show the wider one.
+// explainsBoth reports whether d is the only suspect that two crashes have in
+// common, apart from wider ones that ran with it in isolation each time. The
+// request is narrower than its parts, and a deeper part narrower than the ones
+// before it. If the narrower one is not the cause, requests without it go on to
+// crash upstreams and show the wider one.
 func explainsBoth(a, b *crash, d Digest) bool {
 	for _, r := range a.reports {
 		for other := range r.digests {
@@ -345,19 +345,24 @@
 	return true
 }
 
-// explainsAny reports whether d explains each two of some count crashes.
-func explainsAny(crashes []*crash, d Digest, count int) bool {
+// explainsAny reports whether d explains each two of some count crashes, at least
+// isolated of which interrupted it in isolation. The crashes must be ordered by
+// the presence of d, the highest first.
+func explainsAny(crashes []*crash, d Digest, count, isolated int) bool {
 	if count == 0 {
 		return true
 	}
 	for i, c := range crashes {
+		if isolated > 0 && c.presence(d) != Isolated {
+			return false
+		}
 		var others []*crash
 		for _, o := range crashes[i+1:] {
 			if explainsBoth(c, o, d) {
 				others = append(others, o)
 			}
 		}
-		if explainsAny(others, d, count-1) {
+		if explainsAny(others, d, count-1, isolated-1) {
 			return true
 		}
 	}
