entry, cmd: processes of tests that start again listen on an address of their own

Cause: the port of a stopped entry lies in the range of outgoing ports, and an outgoing connection from 127.0.0.1 had taken it. internal/cluster has avoided that for long; the soak of entries and the test of the daemon's process did not.

Change: the function of internal/cluster moves to internal/fake, and both use it.

--- a/cmd/bluebellfieldd/main_test.go
+++ b/cmd/bluebellfieldd/main_test.go
@@ -38,9 +38,10 @@
 }
 
 func freeAddresses(t *testing.T, n int) []string {
+	host := fake.LoopbackIP()
 	var addresses []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", host+":0")
 		require.NoError(t, err)
 		defer l.Close()
 		addresses = append(addresses, l.Addr().String())
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -13,7 +13,6 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -195,24 +194,6 @@
 	return logs
 }
 
-// clusterCount is the number of clusters started in this process.
-var clusterCount atomic.Uint32
-
-// loopbackIP returns the IP address for a new cluster. Outgoing connections use
-// ports of 127.0.0.1. With a different address, they cannot occupy the ports of a
-// daemon that is down. On hosts that support only 127.0.0.1, it returns that.
-func loopbackIP() string {
-	const octetValues = 250 // excludes 0 and 255 as octets
-	pid := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d", 1+pid/octetValues%octetValues, 1+pid%octetValues, 1+clusterCount.Add(1)%octetValues)
-	l, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return "127.0.0.1"
-	}
-	_ = l.Close()
-	return host
-}
-
 // freeAddresses returns a free address for each listener of each daemon. It keeps
 // all of them open until it returns, so that no address is assigned twice.
 func freeAddresses(layout Layout) (*[]string, error) {
@@ -220,7 +201,7 @@
 	for _, d := range layout.Domains {
 		count += listenersPerDaemon * d.Daemons
 	}
-	host := loopbackIP()
+	host := fake.LoopbackIP()
 	addresses := make([]string, 0, count)
 	for range count {
 		l, err := net.Listen("tcp", host+":0")
--- a/internal/entry/crash_cluster_test.go
+++ b/internal/entry/crash_cluster_test.go
@@ -25,6 +25,7 @@
 	"github.com/bluebellfield/bluebellfield/fleet"
 	"github.com/bluebellfield/bluebellfield/internal/control"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
+	"github.com/bluebellfield/bluebellfield/internal/fake"
 	"github.com/bluebellfield/bluebellfield/internal/mesh"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
 )
@@ -96,8 +97,10 @@
 	for _, id := range severed {
 		c.sever(id)
 	}
+	// Entries start again on their ports.
+	host := fake.LoopbackIP()
 	listen := func(id string) net.Listener {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", host+":0")
 		require.NoError(t, err)
 		c.addresses[id] = listener.Addr().String()
 		return listener
