quarantine: the narrowest part is the one that the fewest requests have

Cause: of parts that crashed upstreams together the one that comes later in the prompt was blamed, as prompts share their beginnings. The crashing part may stand at any place, and then the shared part behind it looks narrower.

Evidence: the soak now puts the crashing part at any place but the last. All tests until then had the part behind the shared ones.

Change: entries learn from all requests, also from those that wait, which parts occur without each other, and report that with their evidence. A part that is only seen with more others is narrower; of equal ones the one that was in flight at more crashes is blamed. A part is taken to be wider than another one only if it was in flight at each crash of that one. A crash at which a quarantined part was in flight is no evidence against another part.

Why it works: a sound request that waits shows that its part occurs without the crashing one, before any has completed.

--- a/internal/entry/crash_soak_test.go
+++ b/internal/entry/crash_soak_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +27,7 @@
 var ciSeeds = []uint64{
 	0, 1, 2,
 	26, // the first crashes came from two culprits, and their common first part was quarantined
+	32, // the crashing part came before the first part of all requests, which was quarantined
 }
 
 // Guards against quarantine that holds only while nothing else goes wrong. A
@@ -72,7 +74,7 @@
 	})
 	cuts := rand.New(rand.NewPCG(seed, 101))
 	faults.Go(func() { s.cutEntries(cuts, ended) })
-	s.sendRequests(random, ended)
+	s.sendRequests(random, rand.New(rand.NewPCG(seed, 102)).IntN(3), ended)
 	faults.Wait()
 	s.requests.Wait()
 	lateByPart, crashesByPart := g.late(byPart)
@@ -134,8 +136,9 @@
 }
 
 // sendRequests sends sound requests, and crashing ones in a random share of the
-// time.
-func (s *crashSoak) sendRequests(random *rand.Rand, ended time.Time) {
+// time. The crashing part comes after the given number of parts that sound requests
+// have too.
+func (s *crashSoak) sendRequests(random *rand.Rand, before int, ended time.Time) {
 	const interval, subjects = 15 * time.Millisecond, 6
 	partShare, requestShare := 0.05+0.2*random.Float64(), 0.05+0.1*random.Float64()
 	for n := 0; time.Now().Before(ended); n++ {
@@ -144,7 +147,7 @@
 		body, sound := fmt.Sprint("body ", n), false
 		switch draw := random.Float64(); {
 		case draw < partShare:
-			parts = []string{parts[0], parts[1], s.engines.part, parts[2]}
+			parts = slices.Insert(parts, before, s.engines.part)
 		case draw < partShare+requestShare:
 			body = crashingBody
 		default:
--- a/quarantine/commands.go
+++ b/quarantine/commands.go
@@ -208,6 +208,10 @@
 		t.ensureReport(c, m.From, e.Truncated)
 		for _, a := range e.Requests {
 			t.addRequest(now, c, m.From, a)
+			t.lowerDepth(c, a.Digest)
+		}
+		for _, p := range e.Depths {
+			c.addDepth(p.Digest, p.Depth)
 		}
 		for _, d := range e.Cleared {
 			t.addCleared(c, d)
--- a/quarantine/merge.go
+++ b/quarantine/merge.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -19,7 +18,7 @@
 		t.removeCrash(t.crashOrder[0])
 	}
 	c := &crash{
-		target: target, knownSince: now, reports: map[string]*report{}, cleared: map[Digest]bool{}, depths: map[Digest]uint8{},
+		target: target, knownSince: now, reports: map[string]*report{}, cleared: map[Digest]bool{}, depths: map[Digest]uint8{}, ownDepths: map[Digest]uint8{},
 		peerSums: map[string]sums{}, peerPlacements: map[string]placements{},
 	}
 	t.crashes[target] = c
@@ -54,8 +53,12 @@
 			}
 			keys = keys[:1]
 		}
-		for depth, key := range keys {
-			t.addRequest(now, c, t.cfg.Self, ReportedRequest{key, t.presence(r), uint8(min(depth, math.MaxUint8))})
+		for position, key := range keys {
+			request := ReportedRequest{Digest: key, Presence: t.presence(r)}
+			if position > 0 {
+				request.Depth = t.contexts.depth(key, position)
+			}
+			t.addRequest(now, c, t.cfg.Self, request)
 		}
 	}
 }
@@ -95,9 +98,7 @@
 	if !known {
 		t.digestCount++
 	}
-	if request.Depth > c.depths[d] {
-		c.depths[d] = request.Depth
-	}
+	c.addDepth(d, request.Depth)
 	if request.Presence > previous {
 		c.sums.addReport(presenceHash(from, d, previous) ^ presenceHash(from, d, request.Presence))
 		r.digests[d] = request.Presence
@@ -106,7 +107,7 @@
 	case c.cleared[d]:
 	case completed && now.Sub(at) < t.cfg.SoundRetention:
 		t.addCleared(c, d)
-		c.ownCleared = true
+		c.ownNews = true
 	default:
 		t.addSuspect(d, c)
 	}
@@ -236,11 +237,18 @@
 }
 
 // isCulprit reports whether a request or part explains enough crashes, this
-// isolated one among them.
+// isolated one among them. A crash that a quarantined part explains is no evidence
+// against the parts that were there too.
 func (t *Tracker) isCulprit(c *crash, d Digest) bool {
+	if d.isPart() && t.hasQuarantinedPart(c) {
+		return false
+	}
 	var settled []*crash
 	for _, o := range t.suspects[d] {
-		if o != c && o.presence(d) >= InFlight && t.settled(o) && explainsBoth(c, o, d) {
+		if o == c || o.presence(d) < InFlight || !t.settled(o) || d.isPart() && t.hasQuarantinedPart(o) {
+			continue
+		}
+		if t.explainsBoth(c, o, d) {
 			settled = append(settled, o)
 		}
 	}
@@ -251,7 +259,7 @@
 	}
 	proves := func(crashes []*crash, extra int) bool {
 		return slices.ContainsFunc(proofs, func(p proof) bool {
-			return explainsAny(crashes, d, p.crashes-1+extra, p.isolated-1+extra)
+			return t.explainsAny(crashes, d, p.crashes-1+extra, p.isolated-1+extra)
 		})
 	}
 	if proves(settled, extraCrashesWithoutReports) {
@@ -261,6 +269,17 @@
 	return t.allReported(c) && proves(reported, 0)
 }
 
+// hasQuarantinedPart reports whether a part that is quarantined was in flight at a
+// crash.
+func (t *Tracker) hasQuarantinedPart(c *crash) bool {
+	for part := range c.depths {
+		if _, quarantined := t.verdicts[part]; quarantined && c.presence(part) >= InFlight && !c.cleared[part] {
+			return true
+		}
+	}
+	return false
+}
+
 // mergeVerdict records a verdict. Of two verdicts on a request, the one that ends
 // later applies. At MaxVerdicts it removes the verdict that ends first.
 func (t *Tracker) mergeVerdict(now time.Time, v Verdict) {
@@ -301,9 +320,12 @@
 			e.Truncated = own.truncated
 		}
 		e.Cleared = sortedDigests(c.cleared)
+		for _, d := range sortedDigests(c.ownDepths) {
+			e.Depths = append(e.Depths, PartDepth{d, c.ownDepths[d]})
+		}
 		m.Evidence = append(m.Evidence, e)
 		c.sentAt, c.sentSums, c.replyRequested = now, c.sums, false
-		c.sentPlacements, c.placementChanged, c.ownCleared = len(e.Elsewhere) > 0, false, false
+		c.sentPlacements, c.placementChanged, c.ownNews = len(e.Elsewhere) > 0, false, false
 	}
 	return []Message{m}
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -206,11 +206,19 @@
 type ReportedRequest struct {
 	Digest   Digest
 	Presence Presence
-	// Depth is the position of a part in its prompt, from 1, and 0 for a request.
-	// Prompts share their beginnings, so that fewer requests have a deeper part.
+	// Depth is 0 for a request. For a part it is 16 times the number of other parts
+	// that all requests with the part had, as far as the entry has seen them, plus
+	// the position in the prompt, from 1. Fewer requests have a deeper part.
 	Depth uint8
 }
 
+// PartDepth is the depth of a part that other entries have reported, as far as an
+// entry has seen requests with it.
+type PartDepth struct {
+	Digest Digest
+	Depth  uint8
+}
+
 // Placement is a suspect that runs on an upstream.
 type Placement struct {
 	Upstream string
@@ -224,6 +232,9 @@
 	Requests []ReportedRequest
 	// Truncated is set if there were more than MaxReport requests.
 	Truncated bool
+	// Depths are the depths of parts for which another entry reported a higher one,
+	// ordered by digest.
+	Depths []PartDepth
 	// Cleared are the requests known to have completed since the crash.
 	Cleared []Digest
 	// Elsewhere lists the suspects of the crash that the entry runs now on other
@@ -272,6 +283,7 @@
 	runsByUpstream map[string][]*run // including runs that ended recently
 	completed      map[Digest]time.Time
 	completedOrder []Digest // in the order of completion
+	contexts       partContexts
 }
 
 // run is a request in flight on an upstream, or one that recently ended without an
@@ -310,12 +322,13 @@
 	overdue          bool // reports were awaited for ReportTimeout
 	reports          map[string]*report
 	cleared          map[Digest]bool
-	depths           map[Digest]uint8      // of parts, the highest that was reported
+	depths           map[Digest]uint8      // of parts, the lowest that an entry has found
+	ownDepths        map[Digest]uint8      // lower than another entry reported
 	peerSums         map[string]sums       // latest sums of each other entry
 	peerPlacements   map[string]placements // by entry
 	sentPlacements   bool                  // the last message contained placements
 	placementChanged bool                  // a suspect was placed since the last message
-	ownCleared       bool                  // this entry cleared a request since the last message
+	ownNews          bool                  // this entry cleared a request or lowered a depth since the last message
 	sums             sums
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -84,7 +85,8 @@
 		seed := rapid.Uint64().Draw(t, "seed")
 		share := rapid.Float64Range(0.02, 0.3).Draw(t, "share of culprits")
 		rate := rapid.IntRange(1, 4).Draw(t, "requests per step")
-		checkCulpritPart(t, seed, share, rate)
+		before := rapid.IntRange(0, 2).Draw(t, "parts before the culprit")
+		checkCulpritPart(t, seed, share, rate, before)
 	})
 }
 
@@ -99,11 +101,11 @@
 		{seed: 0x1e4, share: 0.0390625, rate: 4},
 		{seed: 0x39a84ae8be1ba, share: 0.3, rate: 1},
 	} {
-		t.Run(fmt.Sprint("seed ", draw.seed), func(t *testing.T) { checkCulpritPart(t, draw.seed, draw.share, draw.rate) })
+		t.Run(fmt.Sprint("seed ", draw.seed), func(t *testing.T) { checkCulpritPart(t, draw.seed, draw.share, draw.rate, 2) })
 	}
 }
 
-func checkCulpritPart(t rapid.TB, seed uint64, share float64, rate int) {
+func checkCulpritPart(t rapid.TB, seed uint64, share float64, rate, before int) {
 	const (
 		entries, upstreams, subjects = 7, 24, 6
 		// A verdict needs two isolated crashes after the first ones, and each time
@@ -119,7 +121,7 @@
 			d := digest(fmt.Sprint(n, " ", i))
 			parts := []Digest{system, PartDigest(modelService, fmt.Sprint(m.random.IntN(subjects)))}
 			if m.random.Float64() < share {
-				parts = append(parts, culprit)
+				parts = slices.Insert(parts, before, culprit)
 			}
 			if m.waiting < 40 {
 				m.send(m.random.IntN(entries), d, m.random.IntN(8) == 0, parts...)
@@ -580,6 +582,48 @@
 	require.Equal(t, Run, tracker.Admit(now, digest("e"), system).Action)
 }
 
+// A part must be found also if parts that sound requests have too come after it,
+// and no sound request has run yet. That one of them waits shows that its part is
+// the wider one.
+func TestPartBeforeSharedOnesIsQuarantined(t *testing.T) {
+	now := time.Unix(1000, 0)
+	system, culprit, other := PartDigest("s", "system"), PartDigest("s", "culprit"), PartDigest("s", "other")
+	for _, test := range []struct {
+		name string
+		// crashes lists the parts of the request that causes each crash.
+		crashes [][]Digest
+	}{
+		{"one culprit", [][]Digest{{culprit, system}, {culprit, system}, {culprit, system}, {culprit, system}}},
+		{"a request that crashes upstreams as well", [][]Digest{{culprit, system}, {culprit, system}, {culprit, system}, {system, other}, {culprit, system}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			reporting, deciding := New(Config{Self: "a"}), New(Config{Self: "b"})
+			for _, tracker := range []*Tracker{reporting, deciding} {
+				tracker.SetEntries(now, []string{"a", "b"})
+				tracker.SetUpstreams("s", []string{"u0", "u1", "u2", "u3", "u4"})
+			}
+			for i, parts := range test.crashes {
+				reporting.Admit(now, digest("sound"), system, other)
+				d, target := digest(fmt.Sprint("request ", i)), Target{fmt.Sprint("u", i), 1}
+				reporting.Admit(now, d, parts...)
+				id := uint64(i)
+				r := &run{id: id, digest: d, parts: parts, target: target, isolated: i > 0}
+				reporting.runs[id] = r
+				reporting.runsByDigest[d], reporting.runsByUpstream[target.Upstream] = []*run{r}, []*run{r}
+				for _, m := range reporting.Crashed(now, target) {
+					for _, reply := range deciding.Merge(now, m) {
+						reporting.Merge(now, reply)
+					}
+				}
+			}
+			for _, tracker := range []*Tracker{reporting, deciding} {
+				require.NotEqual(t, Refuse, tracker.Admit(now, digest("sound"), system, other).Action)
+				require.Equal(t, Refuse, tracker.Admit(now, digest("new"), culprit, system).Action)
+			}
+		})
+	}
+}
+
 // A stream that has progressed when its upstream ends must not wait as a suspect,
 // unless that happens to it again: a request may crash upstreams late in its run.
 func TestProgressedRequestIsASuspectTheSecondTime(t *testing.T) {
--- a/quarantine/quarantinepb/convert.go
+++ b/quarantine/quarantinepb/convert.go
@@ -24,6 +24,10 @@
 			Sum: e.Sum, ReportSum: e.ReportSum, Open: e.Open,
 		})
 		encoded := out.Evidence[len(out.Evidence)-1]
+		for _, p := range e.Depths {
+			encoded.Parts = append(encoded.Parts, p.Digest[:]...)
+			encoded.PartDepths = append(encoded.PartDepths, p.Depth)
+		}
 		for _, p := range e.Elsewhere {
 			encoded.Elsewhere = append(encoded.Elsewhere, &Placement{Upstream: p.Upstream, Digest: p.Digest[:]})
 		}
@@ -50,6 +54,10 @@
 		if err != nil {
 			return quarantine.Message{}, err
 		}
+		depths, err := splitDepths(e.Parts, e.PartDepths)
+		if err != nil {
+			return quarantine.Message{}, err
+		}
 		var elsewhere []quarantine.Placement
 		for _, p := range e.Elsewhere {
 			if len(p.Digest) != digestLength {
@@ -59,7 +67,7 @@
 		}
 		m.Evidence = append(m.Evidence, quarantine.Evidence{
 			Target:   quarantine.Target{Upstream: e.Upstream, Incarnation: e.Incarnation},
-			Requests: requests, Truncated: e.Truncated, Cleared: cleared, Elsewhere: elsewhere, Sum: e.Sum, ReportSum: e.ReportSum, Open: e.Open,
+			Requests: requests, Truncated: e.Truncated, Depths: depths, Cleared: cleared, Elsewhere: elsewhere, Sum: e.Sum, ReportSum: e.ReportSum, Open: e.Open,
 		})
 	}
 	for _, v := range in.Verdicts {
@@ -129,3 +137,18 @@
 	}
 	return out, nil
 }
+
+func splitDepths(data, depths []byte) ([]quarantine.PartDepth, error) {
+	parts, err := splitDigests(data)
+	if err != nil {
+		return nil, err
+	}
+	if len(parts) != len(depths) {
+		return nil, fmt.Errorf("quarantine message: %d parts but %d depths", len(parts), len(depths))
+	}
+	var out []quarantine.PartDepth
+	for i, d := range parts {
+		out = append(out, quarantine.PartDepth{Digest: d, Depth: depths[i]})
+	}
+	return out, nil
+}
--- a/quarantine/quarantinepb/convert_test.go
+++ b/quarantine/quarantinepb/convert_test.go
@@ -18,7 +18,7 @@
 		Evidence: []quarantine.Evidence{{
 			Target:    quarantine.Target{Upstream: "u1", Incarnation: 3},
 			Requests:  []quarantine.ReportedRequest{{Digest: x, Presence: quarantine.RecentlyEnded}, {Digest: y, Presence: quarantine.Isolated, Depth: 2}},
-			Truncated: true, Cleared: []quarantine.Digest{y}, Elsewhere: []quarantine.Placement{{Upstream: "u2", Digest: x}}, Sum: 1 << 63, ReportSum: 1, Open: true,
+			Truncated: true, Depths: []quarantine.PartDepth{{Digest: y, Depth: 17}}, Cleared: []quarantine.Digest{y}, Elsewhere: []quarantine.Placement{{Upstream: "u2", Digest: x}}, Sum: 1 << 63, ReportSum: 1, Open: true,
 		}},
 		Verdicts: []quarantine.Verdict{{Digest: x, Until: time.UnixMilli(1_700_000_000_123)}},
 	}
@@ -35,6 +35,7 @@
 		"short digest":     {Evidence: []*Evidence{{Digests: make([]byte, 15)}}},
 		"missing presence": {Evidence: []*Evidence{{Digests: make([]byte, 16)}}},
 		"unknown presence": {Evidence: []*Evidence{{Digests: make([]byte, 16), Presences: []byte{9}}}},
+		"missing depth":    {Evidence: []*Evidence{{Parts: make([]byte, 16)}}},
 		"short cleared":    {Evidence: []*Evidence{{Cleared: make([]byte, 17)}}},
 		"short placement":  {Evidence: []*Evidence{{Elsewhere: []*Placement{{Digest: make([]byte, 2)}}}}},
 		"short verdict":    {Verdicts: []*Verdict{{Digest: make([]byte, 3)}}},
--- a/quarantine/queries.go
+++ b/quarantine/queries.go
@@ -14,6 +14,7 @@
 func (t *Tracker) Admit(now time.Time, d Digest, parts ...Digest) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.observeParts(parts)
 	return t.decideAdmission(now, d, parts)
 }
 
@@ -254,7 +255,7 @@
 // cleared themselves is confirmed with the next message that is sent again, since
 // it makes no suspect wait.
 func (t *Tracker) hasNews(c *crash) bool {
-	return c.sentAt.IsZero() || c.placementChanged || c.ownCleared || c.sums.reports != c.sentSums.reports && t.allReported(c)
+	return c.sentAt.IsZero() || c.placementChanged || c.ownNews || c.sums.reports != c.sentSums.reports && t.allReported(c)
 }
 
 // truncated reports whether an entry's report of the crash is truncated.
@@ -326,18 +327,17 @@
 }
 
 // explainsBoth reports whether d is the only suspect that two crashes have in
-// common, apart from wider ones that ran with it in isolation each time. The
-// request is narrower than its parts, and a deeper part narrower than the ones
-// before it. If the narrower one is not the cause, requests without it go on to
-// crash upstreams and show the wider one.
-func explainsBoth(a, b *crash, d Digest) bool {
+// common, apart from wider parts that ran with it in isolation at both. If the
+// narrower one is not the cause, requests without it go on to crash upstreams and
+// show the wider one.
+func (t *Tracker) explainsBoth(a, b *crash, d Digest) bool {
 	for _, r := range a.reports {
 		for other := range r.digests {
 			if other == d || a.cleared[other] || !b.hasSuspect(other) {
 				continue
 			}
 			ranTogether := other.isPart() && a.presence(other) == Isolated && b.presence(other) == Isolated
-			if !ranTogether || d.isPart() && a.depths[other] > a.depths[d] {
+			if !ranTogether || !t.isWider(other, d) {
 				return false
 			}
 		}
@@ -348,7 +348,7 @@
 // explainsAny reports whether d explains each two of some count crashes, at least
 // isolated of which interrupted it in isolation. The crashes must be ordered by
 // the presence of d, the highest first.
-func explainsAny(crashes []*crash, d Digest, count, isolated int) bool {
+func (t *Tracker) explainsAny(crashes []*crash, d Digest, count, isolated int) bool {
 	if count == 0 {
 		return true
 	}
@@ -358,11 +358,11 @@
 		}
 		var others []*crash
 		for _, o := range crashes[i+1:] {
-			if explainsBoth(c, o, d) {
+			if t.explainsBoth(c, o, d) {
 				others = append(others, o)
 			}
 		}
-		if explainsAny(others, d, count-1, isolated-1) {
+		if t.explainsAny(others, d, count-1, isolated-1) {
 			return true
 		}
 	}
