entry, daemon, quarantine: tell which part of the prompt a request is refused for

On call, the line of a verdict had the digest of a prompt part and the lines of refused requests had the ids of all their parts, so that the logs did not tell which part was quarantined, nor whether a verdict was on a part or a request.

Change: the verdict's line says which of the two it is. The line of a refused request, and the daemons' answer to it, name the digest of the verdict; the line also has the id of the part.

Measured: TestRefusalNamesTheQuarantinedPart; the packages of both paths pass with the race detector. No decision changes.

--- a/internal/crashreport/crashreport.go
+++ b/internal/crashreport/crashreport.go
@@ -53,7 +53,7 @@
 // called as well.
 func New(o Options) *Reporter {
 	o.Tracker.OnVerdict = func(v quarantine.Verdict) {
-		o.Logger.Info("request quarantined", zap.Stringer("digest", v.Digest), zap.Time("until", v.Until))
+		o.Logger.Info("request quarantined", zap.Stringer("digest", v.Digest), zap.String("kind", v.Digest.Kind()), zap.Time("until", v.Until))
 	}
 	r := &Reporter{opts: o, tracker: quarantine.New(o.Tracker), wake: make(chan struct{}, 1)}
 	o.Network.Handle(Channel, r.receive)
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -59,7 +59,7 @@
 		return nil
 	}
 	return fault.New(fault.Quarantined, fault.Location{Step: "quarantine"}, fault.NotRun,
-		fmt.Sprintf("the request crashes upstreams and is refused until %s", r.Until.UTC().Format(time.RFC3339)))
+		fmt.Sprintf("the %s %s crashes upstreams and is refused until %s", r.Culprit.Kind(), r.Culprit, r.Until.UTC().Format(time.RFC3339)))
 }
 
 // awaitDecision returns how a request may run. A suspect waits until all
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -59,6 +59,24 @@
 	require.Equal(t, http.StatusOK, sendRequest(t, server, "/read/other").status)
 }
 
+// Guards against logs that do not tell which part of the prompt a request was
+// refused for: verdicts and requests name parts differently.
+func TestRefusalNamesTheQuarantinedPart(t *testing.T) {
+	core, logs := observer.New(zapcore.InfoLevel)
+	u := newUpstream(t, "u", answer("not asked"))
+	e, server := newLoggedEntry(t, zap.New(core), u.record("model", "m"))
+	now := time.Now()
+	culprit := quarantine.PartDigest("model", "subject")
+	e.crashes.Tracker().Merge(now, quarantine.Message{From: "other", Verdicts: []quarantine.Verdict{{Digest: culprit, Until: now.Add(time.Minute)}}})
+	withParts := func(r *http.Request) { r.Header.Set("Parts", "system,subject,own") }
+	require.Equal(t, http.StatusServiceUnavailable, sendRequest(t, server, "/chat/x", withParts).status)
+	verdict := logs.FilterMessage("request quarantined").All()[0].ContextMap()
+	require.Equal(t, "prompt part", verdict["kind"])
+	refusal := logs.FilterMessage("request").All()[0].ContextMap()
+	require.Equal(t, verdict["digest"], refusal["culprit"])
+	require.Equal(t, "subject", refusal["culpritPart"])
+}
+
 // Guards against blaming a popular request for upstreams that end by themselves
 // while copies of it are in flight.
 func TestPopularRequestSurvivesCrashes(t *testing.T) {
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -72,6 +73,15 @@
 	return parts
 }
 
+// culpritPart returns the id of the quarantined part for which the request is
+// refused, empty if the request itself is quarantined.
+func (x *exchange) culpritPart() string {
+	if i := slices.Index(x.parts, x.culprit); i >= 0 {
+		return x.request.PromptParts[i]
+	}
+	return ""
+}
+
 // permit states where quarantine allows the next attempt of a request. The zero
 // value allows every upstream.
 type permit struct {
@@ -102,6 +112,7 @@
 			return permit{pin: decision.Pin, isolate: x.isolation(now)}, true
 		case quarantine.Refuse:
 			x.e.stats.quarantined.Inc(1)
+			x.culprit = decision.Culprit
 			x.giveUp(ctx, decision.Until.Sub(now), reasonQuarantined)
 			return permit{}, false
 		case quarantine.Wait:
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -65,6 +65,8 @@
 	// targets and that of an attempt in progress.
 	attempts []attemptRecord
 	tried    map[*target]bool
+	// culprit is the quarantined request or part for which the request is refused.
+	culprit quarantine.Digest
 	// held is the time for which quarantine has delayed the request.
 	held time.Duration
 	// runs counts the failed attempts that the upstream may have run.
@@ -476,6 +478,9 @@
 		// Copies of one request have the same digest.
 		fields = append(fields, zap.Stringer("digest", x.digest), zap.Strings("parts", x.request.PromptParts))
 	}
+	if x.reason == reasonQuarantined {
+		fields = append(fields, zap.Stringer("culprit", x.culprit), zap.String("culpritPart", x.culpritPart()))
+	}
 	if len(x.attempts) > 0 {
 		fields = append(fields, zap.Array("sends", attemptRecords(x.attempts)))
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -42,6 +42,14 @@
 
 func (d Digest) isPart() bool { return [4]byte(d[:4]) == partPrefix }
 
+// Kind tells in words what a digest identifies.
+func (d Digest) Kind() string {
+	if d.isPart() {
+		return "prompt part"
+	}
+	return "request"
+}
+
 // DigestOf returns the digest of a request of an account. The resource is what
 // the request addresses: a service, or a method and URI.
 func DigestOf(account, resource string, body []byte) Digest {
@@ -162,6 +170,8 @@
 	// Copies run together, so that they crash at most one upstream.
 	Pin   string
 	Until time.Time
+	// Culprit is the quarantined request or part for which a request is refused.
+	Culprit Digest
 }
 
 // RunResult states how a run ended.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -486,7 +486,7 @@
 		require.True(t, ok)
 		tracker.Crashed(now, target)
 	}
-	require.Equal(t, Decision{Action: Refuse, Until: now.Add(20 * time.Minute)}, tracker.Admit(now, x))
+	require.Equal(t, Decision{Action: Refuse, Until: now.Add(20 * time.Minute), Culprit: x}, tracker.Admit(now, x))
 }
 
 // A popular request must not be blamed for upstreams that end by themselves: a
--- a/quarantine/queries.go
+++ b/quarantine/queries.go
@@ -52,7 +52,7 @@
 // request's own digest or that of a part.
 func (t *Tracker) decideOn(now time.Time, d, key Digest) Decision {
 	if until, ok := t.verdicts[key]; ok && now.Before(until) {
-		return Decision{Action: Refuse, Until: until}
+		return Decision{Action: Refuse, Until: until, Culprit: key}
 	}
 	decision := Decision{Action: Run}
 	for _, c := range t.suspects[key] {
