entry: prompt parts can crash the upstreams of plain services

Cause: entries read the parts of a prompt for services with engines only. The operator may move or divide a route of prompts, also to a plain service.

Change: the parts of each request that names them are tracked, whatever its service.

Measured: TestPromptPartIsRefusedAtPlainService fails on the parent (200 instead of 503) and passes here; internal/entry passes with the race detector.

--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -77,6 +77,20 @@
 	require.Equal(t, "subject", refusal["culpritPart"])
 }
 
+// Guards against a part that is unknown to quarantine at a plain service: the routes
+// of prompts may be moved to one or be divided between one and engines.
+func TestPromptPartIsRefusedAtPlainService(t *testing.T) {
+	u := newUpstream(t, "u", answer("ok"))
+	e, server := newEntry(t, u.record("app", ""))
+	now := time.Now()
+	culprit := quarantine.PartDigest("app", "subject")
+	e.crashes.Tracker().Merge(now, quarantine.Message{From: "other", Verdicts: []quarantine.Verdict{{Digest: culprit, Until: now.Add(time.Minute)}}})
+	for parts, want := range map[string]int{"system,subject,own": http.StatusServiceUnavailable, "system,subject": http.StatusOK, "": http.StatusOK} {
+		withParts := func(r *http.Request) { r.Header.Set("Parts", parts) }
+		require.Equal(t, want, sendRequest(t, server, "/read/x", withParts).status, parts)
+	}
+}
+
 // Guards against blaming a popular request for upstreams that end by themselves
 // while copies of it are in flight.
 func TestPopularRequestSurvivesCrashes(t *testing.T) {
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -62,7 +62,7 @@
 // all but the last.
 func (x *exchange) sharedParts() []quarantine.Digest {
 	ids := x.request.PromptParts
-	if x.service.Engine == nil || len(ids) == 0 {
+	if len(ids) == 0 {
 		return nil
 	}
 	ids = ids[:min(len(ids)-1, maxSharedParts)]
