quarantine: a test uses the tracker's calls instead of its fields

TestPartBeforeSharedOnesIsQuarantined built runs by hand. It now starts them, lets both entries exchange their messages and checks that each run but the first is isolated.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -582,6 +582,19 @@
 	require.Equal(t, Run, tracker.Admit(now, digest("e"), system).Action)
 }
 
+// deliver delivers messages from one entry to another, and the replies, until both
+// have nothing to send.
+func deliver(now time.Time, from, to *Tracker, messages []Message) {
+	for len(messages) > 0 {
+		var replies []Message
+		for _, m := range messages {
+			replies = append(replies, to.Merge(now, m)...)
+		}
+		messages = append(replies, to.Tick(now)...)
+		from, to = to, from
+	}
+}
+
 // A part must be found also if parts that sound requests have too come after it,
 // and no sound request has run yet. That one of them waits shows that its part is
 // the wider one.
@@ -598,24 +611,30 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			reporting, deciding := New(Config{Self: "a"}), New(Config{Self: "b"})
+			var upstreams []string
+			for i := range 20 {
+				upstreams = append(upstreams, fmt.Sprintf("u%02d", i))
+			}
 			for _, tracker := range []*Tracker{reporting, deciding} {
 				tracker.SetEntries(now, []string{"a", "b"})
-				tracker.SetUpstreams("s", []string{"u0", "u1", "u2", "u3", "u4"})
+				tracker.SetUpstreams("s", upstreams)
 			}
+			isolated := 0
 			for i, parts := range test.crashes {
 				reporting.Admit(now, digest("sound"), system, other)
-				d, target := digest(fmt.Sprint("request ", i)), Target{fmt.Sprint("u", i), 1}
-				reporting.Admit(now, d, parts...)
-				id := uint64(i)
-				r := &run{id: id, digest: d, parts: parts, target: target, isolated: i > 0}
-				reporting.runs[id] = r
-				reporting.runsByDigest[d], reporting.runsByUpstream[target.Upstream] = []*run{r}, []*run{r}
-				for _, m := range reporting.Crashed(now, target) {
-					for _, reply := range deciding.Merge(now, m) {
-						reporting.Merge(now, reply)
+				d := digest(fmt.Sprint("request ", i))
+				if reporting.Admit(now, d, parts...).Action == Isolate {
+					isolated++
+				}
+				for _, upstream := range upstreams {
+					target := Target{upstream, uint64(i + 1)}
+					if _, ok := reporting.Start(now, "s", uint64(i), d, target, parts...); ok {
+						deliver(now, reporting, deciding, reporting.Crashed(now, target))
+						break
 					}
 				}
 			}
+			require.Equal(t, len(test.crashes)-1, isolated)
 			for _, tracker := range []*Tracker{reporting, deciding} {
 				require.NotEqual(t, Refuse, tracker.Admit(now, digest("sound"), system, other).Action)
 				require.Equal(t, Refuse, tracker.Admit(now, digest("new"), culprit, system).Action)
