--- a/balance/balance.go
+++ b/balance/balance.go
@@ -55,8 +55,10 @@
 	// Deferred is set if the request will miss its objective and must run at a
 	// lower priority than timely requests.
 	Deferred bool
-	// Wait is the expected queueing time.
-	Wait time.Duration
+	// Wait is the expected queueing time. For a refused request, Answer is the
+	// expected time from the end of the queue to the first event or the whole
+	// answer, and Objective is that of the request.
+	Wait, Answer, Objective time.Duration
 	// RetryAfter is the delay after which the caller should retry a refused
 	// request.
 	RetryAfter time.Duration
@@ -133,7 +135,8 @@
 	}
 	best, wait, ok := chooseLate(costs, &r, usable, candidates)
 	if !ok {
-		return Decision{Index: -1, Wait: wait, RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter), Reason: ReasonFull}
+		return Decision{Index: -1, Wait: wait, Answer: costs.Answer(&candidates[best], &r), Objective: r.Objective,
+			RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter), Reason: ReasonFull}
 	}
 	return Decision{Index: best, Deferred: true, Wait: wait}
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -85,6 +85,10 @@
 	status     int
 	outcome    string
 	reason     string
+	// noRetry is the reason for which the last failed attempt was not retried.
+	noRetry string
+	// refusal is the decision that no upstream can serve the request in time.
+	refusal balance.Decision
 }
 
 // attemptRecord describes one attempt in the request's log line.
@@ -240,6 +244,7 @@
 			continue
 		}
 		if t == nil {
+			x.refusal = decision
 			x.giveUp(ctx, decision.RetryAfter, decision.Reason)
 			return
 		}
@@ -338,35 +343,59 @@
 	return balance.PlainCosts{ServiceTime: defaultServiceTime}
 }
 
+// Reasons for not retrying a failed attempt, for the log.
+const (
+	noRetryTime        = "no time is left"
+	noRetryNotRepeated = "the request may have run and is not repeatable"
+	noRetryRuns        = "the upstreams that may run it are used up"
+	noRetryAlternative = "no other upstream"
+	noRetryUnreachable = "too many upstreams were unreachable"
+	noRetryAttempts    = "the attempts are used up"
+	noRetryBudget      = "the retry budget is used up"
+)
+
 // mayRetry reports whether the request may be retried and, if so, takes the
-// retry from the budget.
+// retry from the budget. Otherwise it records the reason for the log.
 func (x *exchange) mayRetry(ctx context.Context, result attemptResult) bool {
+	x.noRetry = x.retryObstacle(ctx, result)
+	return x.noRetry == ""
+}
+
+// retryObstacle returns the reason for which the request cannot be retried, or an
+// empty string after it has taken the retry from the budget.
+func (x *exchange) retryObstacle(ctx context.Context, result attemptResult) string {
 	if ctx.Err() != nil || time.Until(x.deadline) < minRemaining {
-		return false
+		return noRetryTime
 	}
 	if result.budgetTaken {
-		return true
+		return ""
 	}
-	if result.ran && (!x.route.Retryable() || x.runs >= x.route.MaxAttempts) {
-		return false
+	if result.ran && !x.route.Retryable() {
+		return noRetryNotRepeated
+	}
+	if result.ran && x.runs >= x.route.MaxAttempts {
+		return noRetryRuns
 	}
 	if !x.hasAlternative(time.Now()) {
-		return false
+		return noRetryAlternative
 	}
 	if result.unreachable {
 		// The failed attempt put no load on any upstream, so it does not use
 		// the retry budget.
 		x.unreachable++
-		return x.unreachable <= maxUnreachable
+		if x.unreachable > maxUnreachable {
+			return noRetryUnreachable
+		}
+		return ""
 	}
 	if len(x.attempts)-x.unreachable >= x.route.MaxAttempts+extraAttempts {
-		return false
+		return noRetryAttempts
 	}
 	if !x.e.retryLimiter(x.service.Name).takeRetry(time.Now(), &x.e.opts.RetryBudget, x.view.entries) {
-		return false
+		return noRetryBudget
 	}
 	x.e.stats.retried.Inc(1)
-	return true
+	return ""
 }
 
 // hasAlternative reports whether there is an untried target that is not being
@@ -471,6 +500,15 @@
 	if x.reason != "" {
 		fields = append(fields, zap.String("reason", x.reason))
 	}
+	if x.noRetry != "" && x.outcome != outcomeServed {
+		fields = append(fields, zap.String("noRetry", x.noRetry))
+	}
+	if x.refusal.Reason == balance.ReasonFull {
+		// With the objective they show whether the queue or the size of the request
+		// was decisive.
+		fields = append(fields, zap.Int64("waitMs", milliseconds(x.refusal.Wait)), zap.Int64("answerMs", milliseconds(x.refusal.Answer)),
+			zap.Int64("objectiveMs", milliseconds(x.refusal.Objective)))
+	}
 	if x.held > 0 {
 		fields = append(fields, zap.Int64("heldMs", milliseconds(x.held)))
 	}
