balance, entry: fill a group only as far as its long answers end in time

Cause: an entry accepted requests by the time to their first event alone, up to all slots of a group. An engine reads the prompts of new requests between the tokens of the running ones, which the model of the engine left out: with 48 requests a pass took 100 to 130 ms instead of 57. An answer of 74 events then takes 7.4 s and more of its limit of 8 s. It held its slot until the caller left and was not served.

Entries keep the sizes of the latest requests for each model and fill a group only as far as long answers end in time, to half of its slots at least. A late request queues only if its answer can end.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,6 +37,8 @@
 
 // Request describes the request to be sent.
 type Request struct {
+	// PromptTokens is the length of the prompt. AnswerTokens is the expected length
+	// of the answer, zero if it is not known.
 	PromptTokens, AnswerTokens int
 	// Remaining is the time until the request times out.
 	Remaining time.Duration
@@ -114,6 +116,9 @@
 	// Answer returns the time from the start of processing to the first event, or
 	// to the whole answer.
 	Answer(c *Candidate, r *Request) time.Duration
+	// Completion returns the time from the start of processing to the end of the
+	// answer.
+	Completion(c *Candidate, r *Request) time.Duration
 }
 
 // Choose selects a candidate for a request by its expected time to the answer.
@@ -150,8 +155,8 @@
 func chooseLate(costs Costs, r *Request, usable []int, candidates []Candidate) (int, time.Duration, bool) {
 	expectedTime := func(c *Candidate) time.Duration { return costs.Wait(c, c.Running) + costs.Answer(c, r) }
 	best := lowestCost(usable, candidates, expectedTime)
-	wait := costs.Wait(&candidates[best], candidates[best].Running)
 	c := &candidates[best]
+	wait := costs.Wait(c, c.Running)
 	if wait == 0 {
 		return best, wait, true
 	}
@@ -159,6 +164,9 @@
 		// Refusing the request would break off an answer that has already started.
 		return best, wait, wait <= r.Remaining
 	}
+	if wait+costs.Completion(c, r) > r.Remaining {
+		return best, wait, false
+	}
 	mayQueue := r.Objective <= 0 && c.Deferred < maxDeferredFraction*float64(c.Slots)
 	return best, wait, mayQueue && wait <= time.Duration(maxLateWaitFraction*float64(r.Remaining))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,7 @@
 	draining   atomic.Bool
 	demand     demandCounter
 	baselines  baselineLatencies
+	traffic    trafficSizes
 	stats      *stats
 	started    time.Time
 	crashes    *crashreport.Reporter
