balance, entry: the rest of a broken stream does not wait behind new requests

Callers saw: streams that were broken or moved stopped for good.

Cause: whatever has missed its objective was sent with the lower priority of late requests, also the rest of a stream of which the caller has a part. Engines start all new requests before it. The log shows such sends (deferred, no event) that ended with the caller.

Change: the rest of a stream that the caller has in part keeps its priority, whether this entry resumes it or the caller does (Last-Event-Id), and queues like a timely one. What has been broken before its first event stays deferred.

TestRestOfStreamIsNotDeferred and TestDeliveringStreamsAreNotDeferred failed before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -46,8 +46,9 @@
 	// the first event or to the whole answer. It is negative if the objective
 	// has already been missed.
 	Objective time.Duration
-	// PartlyRun is set if another upstream has run part of the request.
-	PartlyRun bool
+	// PartlyRun is set if another upstream has run part of the request. Delivering
+	// is set if the caller has received part of the answer and waits for the rest.
+	PartlyRun, Delivering bool
 }
 
 // Decision is the result of Choose.
@@ -143,7 +144,10 @@
 		return Decision{Index: -1, Wait: wait, Answer: costs.Answer(&candidates[best], &r), Objective: r.Objective,
 			RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter), Reason: ReasonFull}
 	}
-	return Decision{Index: best, Deferred: true, Wait: wait}
+	// The caller of a broken stream leaves after a pause. Behind all new requests the
+	// rest of its answer would come too late, and the part that was generated would
+	// be lost.
+	return Decision{Index: best, Deferred: !r.Delivering, Wait: wait}
 }
 
 // chooseLate selects a candidate for a request that will miss its objective. A
@@ -153,10 +157,16 @@
 // deferred requests. A request that was partly run by another upstream may wait
 // until it times out.
 func chooseLate(costs Costs, r *Request, usable []int, candidates []Candidate) (int, time.Duration, bool) {
-	expectedTime := func(c *Candidate) time.Duration { return costs.Wait(c, c.Running) + costs.Answer(c, r) }
+	ahead := func(c *Candidate) float64 {
+		if r.Delivering {
+			return c.Running - c.Deferred
+		}
+		return c.Running
+	}
+	expectedTime := func(c *Candidate) time.Duration { return costs.Wait(c, ahead(c)) + costs.Answer(c, r) }
 	best := lowestCost(usable, candidates, expectedTime)
 	c := &candidates[best]
-	wait := costs.Wait(c, c.Running)
+	wait := costs.Wait(c, ahead(c))
 	if wait == 0 {
 		return best, wait, true
 	}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -81,6 +81,20 @@
 	require.Negative(t, Choose(random(), costs(), partlyRun, []Candidate{candidate(60)}).Index)
 }
 
+// Guards against putting the rest of a stream behind all new requests: its caller
+// leaves after a pause, and what was generated is lost.
+func TestDeliveringStreamsAreNotDeferred(t *testing.T) {
+	rest := request()
+	rest.Objective, rest.PartlyRun, rest.Delivering = -time.Second, true, true
+	d := Choose(random(), costs(), rest, []Candidate{candidate(40)})
+	require.Equal(t, 0, d.Index)
+	require.False(t, d.Deferred)
+	// Deferred requests do not delay it.
+	full := candidate(40)
+	full.Deferred = 15
+	require.Zero(t, Choose(random(), costs(), rest, []Candidate{full}).Wait)
+}
+
 // Guards against queueing a late request whose answer is too long to end in time
 // after the queue, while a shorter one can.
 func TestLateAnswerMustEndInTime(t *testing.T) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -209,6 +209,49 @@
 	}
 }
 
+// Guards against streams that broke after their objective and wait for the rest
+// behind all new requests, until their callers leave. That of a caller that resumes
+// is the same.
+func TestRestOfStreamIsNotDeferred(t *testing.T) {
+	slow := stream(4, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(testObjective + 50*time.Millisecond)
+		breakOff(w, r)
+	})
+	late := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(testObjective + 50*time.Millisecond)
+		breakOff(w, r)
+	}
+	for _, test := range []struct {
+		name     string
+		bad      handlerFunc
+		resumed  bool
+		deferred string
+	}{
+		{"broken after an event", slow, false, "false"},
+		{"broken before the first event", stream(-1, late), false, "true"},
+		{"resumed by its caller", stream(-1, late), true, "false"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bad, good := newUpstream(t, "bad", test.bad), newUpstream(t, "good", stream(9, nil))
+			_, server := newEntry(t, bad.record("model", "m"))
+			entry := server.Config.Handler.(*Entry)
+			done := make(chan result)
+			go func() {
+				done <- sendRequest(t, server, "/chat/", func(r *http.Request) {
+					if test.resumed {
+						r.Header.Set("Resume-After", "2")
+					}
+				})
+			}()
+			require.Eventually(t, func() bool { return bad.requests() > 0 }, 5*time.Second, time.Millisecond)
+			setUpstreams(t, entry, bad.record("model", "m"), good.record("model", "m"))
+			<-done
+			require.Equal(t, 1, good.requests())
+			require.Equal(t, test.deferred, good.seen[0].Header.Get("Deferred"))
+		})
+	}
+}
+
 // Guards against a stream that appears complete, with an error body appended,
 // after the upstream that should resume it failed.
 func TestStreamThatCannotGoOnIsCutOff(t *testing.T) {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -292,7 +292,7 @@
 	}
 	decision := balance.Choose(x.random, costs, balance.Request{
 		PromptTokens: x.request.PromptTokens, AnswerTokens: x.request.ExpectedAnswerTokens,
-		Remaining: x.remaining(now), Objective: x.route.LatencyObjective - x.elapsed - now.Sub(x.started), PartlyRun: x.runs > 0,
+		Remaining: x.remaining(now), Objective: x.route.LatencyObjective - x.elapsed - now.Sub(x.started), PartlyRun: x.runs > 0 || x.delivering(), Delivering: x.delivering(),
 	}, candidates)
 	if decision.Index < 0 {
 		return nil, decision
@@ -300,6 +300,12 @@
 	return targets[decision.Index], decision
 }
 
+// delivering reports whether the caller has received part of a stream, from this
+// entry or from the one at which the stream began.
+func (x *exchange) delivering() bool {
+	return x.position >= 0 || x.request.ResumePosition >= 0 && x.route.Retryable()
+}
+
 // remaining returns the time until the caller gives up. Callers of streams also
 // give up after a period without events, regardless of the deadline.
 func (x *exchange) remaining(now time.Time) time.Duration {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -51,6 +51,7 @@
 	h.Set("Account", a.Account)
 	h.Set("Expect-Upstream", a.Upstream)
 	h.Set("Patience", strconv.FormatInt(a.Remaining.Milliseconds(), 10))
+	h.Set("Deferred", strconv.FormatBool(a.Deferred))
 	if a.ResumePosition >= 0 {
 		h.Set("Resume", strconv.FormatInt(a.ResumePosition, 10))
 	}
@@ -186,6 +187,10 @@
 	return b.String()
 }
 
+// testObjective is the latency objective of resumable streams. It is below the time
+// after which a stream without events is suspected.
+const testObjective = 300 * time.Millisecond
+
 // testCatalog returns a catalog with a route for each kind of request.
 func testCatalog(t *testing.T) *catalog.Catalog {
 	route := func(name string, kind catalog.Kind, service string) catalog.Route {
@@ -199,7 +204,7 @@
 			ReadRate: 50000, MeanPromptTokens: 100, MeanAnswerTokens: 60, Models: []enginemodel.Model{{Name: "m", GroupSize: 2, TimeFactor: 1}}}}},
 		Accounts: []catalog.Account{{Name: "account", Keys: []string{"key"}}},
 	}
-	content.Routes[2].Resumable = true
+	content.Routes[2].Resumable, content.Routes[2].LatencyObjective = true, testObjective
 	content.Routes[4].Timeout = 300 * time.Millisecond
 	c, err := catalog.New(content)
 	require.NoError(t, err)
