daemon, routing, caller: daemons keep the limits that upstreams name

Upstreams name them in Bluebell-Request-Limit; the daemons divide them with the same mechanism as the entries (internal/limitreport). A filter of package routing leaves out upstreams at their limits, and the pick takes a request from the bucket before it dispatches.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/edge/operator"
 	"github.com/bluebellfield/bluebellfield/internal/edge/platform"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
+	"github.com/bluebellfield/bluebellfield/internal/limitreport"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
 	"github.com/bluebellfield/bluebellfield/internal/tlsfiles"
 	"github.com/bluebellfield/bluebellfield/internal/tracing"
@@ -60,6 +61,7 @@
 	admitter *admitter
 	picker   *picker
 	crashes  *crashTracker
+	limits   *limitreport.Reporter
 	verdicts *verdictStore
 	claimer  *claimer
 	groups   []*groupManager
@@ -154,7 +156,8 @@
 	}, func(stored *quarantine.Stored) { d.verdicts.setStored(stored) })
 	d.crashes = newCrashTracker(d.network, d.client, d.members, d.shared.Tree, d.logger)
 	d.verdicts = newVerdictStore(d.cfg, d.network, d.logs, d.crashes.tracker, d.logger)
-	d.picker = newPicker(d.cfg, incarnation, d.shared, d.members, d.client, d.crashes, d.logger)
+	d.limits = newLimitReporter(d.cfg, incarnation, d.network, d.members.Live, d.logger)
+	d.picker = newPicker(d.cfg, incarnation, d.shared, d.members, d.client, d.crashes, d.limits, d.logger)
 	d.members.onEvents = d.crashes.onEvents
 	d.members.onCacheEvents = d.picker.applyCacheEvents
 	d.admitter = newAdmitter(d.cfg, incarnation, d.network, d.shared.Tree, d.logger)
@@ -236,6 +239,7 @@
 	d.spawn(d.picker.run)
 	d.spawn(d.admitter.run)
 	d.spawn(d.crashes.run)
+	d.spawn(d.limits.Run)
 	d.spawn(d.verdicts.run)
 	d.spawn(d.claimer.abandonPreviousClaims)
 	d.spawn(d.setReadyWhenCurrent)
--- a/internal/daemon/isolation_test.go
+++ b/internal/daemon/isolation_test.go
@@ -35,7 +35,7 @@
 		crashes := &crashTracker{tracker: quarantine.New(quarantine.Config{Self: "x"})}
 		crashes.tracker.SetEntries(now, []string{"x", "y"})
 		shared := &sharedState{client: feed.NewClient(feed.Options{})}
-		p := newPicker(&config.Daemon{ID: "x", FailureDomain: "a"}, 1, shared, m, nil, crashes, zap.NewNop())
+		p := newPicker(&config.Daemon{ID: "x", FailureDomain: "a"}, 1, shared, m, nil, crashes, newLimitReporter(&config.Daemon{ID: "x"}, 1, &fakeNetwork{}, nil, zap.NewNop()), zap.NewNop())
 		p.trackUpstreams(m.View(), m.View().All())
 		require.Len(t, p.lostUpstreams, 10)
 		require.True(t, crashes.tracker.Isolation(now, "s", quarantine.Digest{1})(present), present)
--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -17,11 +17,13 @@
 	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/internal/limitreport"
 	"github.com/bluebellfield/bluebellfield/membership"
 	"github.com/bluebellfield/bluebellfield/outlier"
 	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/routing"
 	"github.com/bluebellfield/bluebellfield/settings"
+	"github.com/bluebellfield/bluebellfield/upstreamlimit"
 )
 
 const (
@@ -52,6 +54,7 @@
 	router  *routing.Router
 	random  *routing.Source
 	crashes *crashTracker
+	limits  *limitreport.Reporter
 	// regions maps failure domains to their regions.
 	regions map[string]string
 	// lastReports holds the time of the last report of each upstream.
@@ -85,9 +88,9 @@
 	maxEjected float64
 }
 
-func newPicker(cfg *config.Daemon, seed uint64, state currentState, m *members, client *upstream.Client, crashes *crashTracker, logger *zap.Logger) *picker {
+func newPicker(cfg *config.Daemon, seed uint64, state currentState, m *members, client *upstream.Client, crashes *crashTracker, limits *limitreport.Reporter, logger *zap.Logger) *picker {
 	p := &picker{
-		cfg: cfg, logger: logger, state: state, members: m, client: client, crashes: crashes,
+		cfg: cfg, logger: logger, state: state, members: m, client: client, crashes: crashes, limits: limits,
 		router: routing.New(routing.Config{FailureDomain: cfg.FailureDomain, Region: cfg.Region, Entries: entryCount(cfg)}, nil),
 		random: routing.NewSource(seed), detectors: map[string]detector{},
 		regions: map[string]string{cfg.FailureDomain: cfg.Region}, lastReports: map[string]time.Time{}, lostUpstreams: map[string]bool{}, knownServices: map[string]int{},
@@ -98,6 +101,18 @@
 	return p
 }
 
+// newLimitReporter returns the reporter for the limits that upstreams name.
+func newLimitReporter(cfg *config.Daemon, incarnation uint64, network messenger, live func() []string, logger *zap.Logger) *limitreport.Reporter {
+	var known []string
+	for _, peer := range cfg.Peers {
+		if peer.Has(config.RoleEntry) {
+			known = append(known, peer.ID)
+		}
+	}
+	return limitreport.New(limitreport.Options{Self: cfg.ID, Incarnation: incarnation, Network: network, LiveEntries: live,
+		KnownEntries: func() []string { return known }, Logger: logger})
+}
+
 // entryCount returns the number of entry instances of the deployment.
 func entryCount(cfg *config.Daemon) int {
 	n := 0
@@ -116,6 +131,11 @@
 		Service: info.Route.Service, Paying: info.Account.Class == caller.Paying, Excluded: slices.Clone(tried),
 		NeedsGroup: p.needsGroup(tree, info.Route),
 	}
+	if p.limits.Any() {
+		req.Limited = func(id string, incarnation uint64) bool {
+			return p.limits.Offer(upstreamlimit.Target{Upstream: id, Incarnation: incarnation}) > 0
+		}
+	}
 	if info.Prompt != "" {
 		req.Prefix = routing.BlockHashes(nil, info.Route.Model, []byte(info.Prompt), routing.DefaultBlockBytes, routing.DefaultMaxBlocks)
 	}
@@ -198,6 +218,9 @@
 		// may have left or its group may have lost a member.
 		return nil, &retryPickError{upstream: u.ID}
 	}
+	if !p.limits.Take(upstreamlimit.Target{Upstream: u.ID, Incarnation: u.Incarnation}) {
+		return nil, &retryPickError{upstream: u.ID}
+	}
 	target := quarantine.Target{Upstream: u.ID, Incarnation: u.Incarnation}
 	run := p.lastRun.Add(1)
 	decision, ok := p.crashes.tracker.Start(now, info.Route.Service, run, requestDigest(info), target, promptParts(info)...)
@@ -361,6 +384,7 @@
 			delete(p.lastReports, id)
 		}
 	}
+	p.limits.Retain(func(t upstreamlimit.Target) bool { return listed[t.Upstream] })
 }
 
 // detectLostUpstreams triggers setUpstreams when upstreams were lost or came
@@ -529,6 +553,11 @@
 // FirstByte implements caller.Choice.
 func (c *choice) FirstByte() { c.firstByte = time.Since(c.startedAt) }
 
+// NamedLimit implements caller.Choice.
+func (c *choice) NamedLimit(rate float64, named bool) {
+	c.picker.limits.Observe(upstreamlimit.Target{Upstream: c.target.Upstream, Incarnation: c.target.Incarnation}, rate, named)
+}
+
 // Progressed implements caller.Choice.
 func (c *choice) Progressed() { c.picker.crashes.reporter.Progressed(c.run) }
 
--- a/internal/daemon/pick_test.go
+++ b/internal/daemon/pick_test.go
@@ -69,7 +69,7 @@
 	members := newMembers(cfg, 1, network, client, zap.NewNop())
 	crashes := newCrashTracker(network, client, members, p.Tree, zap.NewNop())
 	crashes.tracker.SetEntries(time.Now(), nil)
-	p.picker = newPicker(cfg, 1, p, members, client, crashes, zap.NewNop())
+	p.picker = newPicker(cfg, 1, p, members, client, crashes, newLimitReporter(cfg, 1, network, members.Live, zap.NewNop()), zap.NewNop())
 	return p
 }
 
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -20,6 +20,7 @@
 	"github.com/bluebellfield/bluebellfield/membership"
 	"github.com/bluebellfield/bluebellfield/quarantine"
 	"github.com/bluebellfield/bluebellfield/settings"
+	"github.com/bluebellfield/bluebellfield/upstreamlimit"
 )
 
 // errFirstByteTimeout is the cancellation cause of an attempt that received no
@@ -215,7 +216,11 @@
 		return nil, a.fail(timeoutError(a.ctx, err))
 	}
 	a.responded = true
-	if err := x.checkResponse(a); err != nil {
+	err = x.checkResponse(a)
+	if err == nil || a.resp.Header.Get(upstream.HeaderRequestID) == x.info.RequestID {
+		choice.NamedLimit(upstreamlimit.ParseRate(a.resp.Header.Get(upstream.HeaderRequestLimit)))
+	}
+	if err != nil {
 		return nil, a.fail(err)
 	}
 	choice.FirstByte()
--- a/internal/edge/caller/deps.go
+++ b/internal/edge/caller/deps.go
@@ -135,6 +135,9 @@
 	OutlivesCaller() bool
 	// FirstByte records the time to the first byte of the response.
 	FirstByte()
+	// NamedLimit records the requests per second that an answer of the upstream
+	// names as its limit; named is false if it names none.
+	NamedLimit(rate float64, named bool)
 	// Ended checks whether the upstream has ended since the attempt began.
 	Ended() bool
 	// Progressed records that a stream has come past the start of its answer.
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -51,6 +51,8 @@
 	outlives bool
 	// ended is returned by Choice.Ended.
 	ended bool
+	// onLimit is called by Choice.NamedLimit.
+	onLimit func(rate float64, named bool)
 	// results holds the results of all attempts.
 	results []Result
 }
@@ -142,6 +144,7 @@
 	outlives  bool
 	ended     bool
 	onFinish  func(Result)
+	onLimit   func(rate float64, named bool)
 }
 
 func (c harnessChoice) Target() upstream.Target { return c.target }
@@ -149,10 +152,15 @@
 func (c harnessChoice) HonoursPriority() bool   { return false }
 func (c harnessChoice) CanResume() bool         { return c.canResume }
 func (c harnessChoice) FirstByte()              {}
-func (c harnessChoice) Progressed()             {}
-func (c harnessChoice) Ended() bool             { return c.ended }
-func (c harnessChoice) OutlivesCaller() bool    { return c.outlives }
-func (c harnessChoice) Finish(r Result)         { c.onFinish(r) }
+func (c harnessChoice) NamedLimit(rate float64, named bool) {
+	if c.onLimit != nil {
+		c.onLimit(rate, named)
+	}
+}
+func (c harnessChoice) Progressed()          {}
+func (c harnessChoice) Ended() bool          { return c.ended }
+func (c harnessChoice) OutlivesCaller() bool { return c.outlives }
+func (c harnessChoice) Finish(r Result)      { c.onFinish(r) }
 
 func (h *harness) Pick(_ context.Context, info *RequestInfo, _ int, tried []string) (Choice, error) {
 	var all []harnessChoice
@@ -168,7 +176,7 @@
 		}
 	}
 	for _, c := range all {
-		c.outlives, c.ended, c.onFinish = h.outlives, h.ended, h.recordResult
+		c.outlives, c.ended, c.onFinish, c.onLimit = h.outlives, h.ended, h.recordResult, h.onLimit
 		if !slices.Contains(tried, c.target.ID) {
 			return c, nil
 		}
@@ -177,7 +185,7 @@
 		return nil, fault.New(fault.NoUpstream, fault.Location{}, fault.NotRun, "none")
 	}
 	last := all[len(all)-1]
-	last.outlives, last.ended, last.onFinish = h.outlives, h.ended, h.recordResult
+	last.outlives, last.ended, last.onFinish, last.onLimit = h.outlives, h.ended, h.recordResult, h.onLimit
 	return last, nil
 }
 
--- a/internal/edge/upstream/wire.go
+++ b/internal/edge/upstream/wire.go
@@ -15,6 +15,9 @@
 	HeaderResumePosition = "Bluebell-Resume-Position"
 	HeaderResumeToken    = "Bluebell-Resume-Token"
 	HeaderNotStarted     = "Bluebell-Not-Started"
+	// HeaderRequestLimit names the requests per second that an upstream accepts
+	// from all entries together, for as long as its answers carry it.
+	HeaderRequestLimit = "Bluebell-Request-Limit"
 	// HeaderForwardedKey carries the caller's Idempotency-Key to an upstream
 	// whose service settings ask for it. Under the original name net/http would
 	// treat the request as safe to resend.
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -60,7 +60,7 @@
 
 func (testProtocol) ParseResponse(resp *http.Response) ResponseHeaders {
 	parsed := ResponseHeaders{ID: resp.Header.Get("Id"), NotRun: resp.Header.Get("Not-Run") != ""}
-	if rate, err := strconv.ParseFloat(resp.Header.Get("Request-Limit"), 64); err == nil && upstreamlimit.Valid(rate) {
+	if rate, named := upstreamlimit.ParseRate(resp.Header.Get("Request-Limit")); named {
 		parsed.Limit = &rate
 	}
 	return parsed
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -56,6 +56,9 @@
 	Refuse int
 	// Delay is the time by which each request is delayed before it starts.
 	Delay time.Duration
+	// RequestLimit is the limit that answers name, in requests per second; empty for
+	// none.
+	RequestLimit string
 }
 
 // leaseEcho is the Echo field of the last lease from a registrar.
--- a/internal/limitreport/limitreport.go
+++ b/internal/limitreport/limitreport.go
@@ -66,7 +66,7 @@
 // Observe records an answer of an upstream, with the rate that it names; named is
 // false if it names none.
 func (r *Reporter) Observe(target upstreamlimit.Target, rate float64, named bool) {
-	if !named && r.limited.Load() == 0 {
+	if !named && !r.Any() {
 		return
 	}
 	r.mu.Lock()
@@ -81,10 +81,13 @@
 	}
 }
 
+// Any reports whether an upstream has named a limit.
+func (r *Reporter) Any() bool { return r.limited.Load() > 0 }
+
 // Offer records that a request could be sent to the upstream, and returns the time
 // until it may, zero if it may now.
 func (r *Reporter) Offer(target upstreamlimit.Target) time.Duration {
-	if r.limited.Load() == 0 {
+	if !r.Any() {
 		return 0
 	}
 	r.mu.Lock()
@@ -95,7 +98,7 @@
 // Take reports whether a request may be sent to the upstream now and, if so, counts
 // it.
 func (r *Reporter) Take(target upstreamlimit.Target) bool {
-	if r.limited.Load() == 0 {
+	if !r.Any() {
 		return true
 	}
 	r.mu.Lock()
@@ -105,7 +108,7 @@
 
 // Retain forgets the limits of upstreams that are gone.
 func (r *Reporter) Retain(present func(upstreamlimit.Target) bool) {
-	if r.limited.Load() == 0 {
+	if !r.Any() {
 		return
 	}
 	r.mu.Lock()
--- a/routing/filter.go
+++ b/routing/filter.go
@@ -65,11 +65,12 @@
 	}
 }
 
-// Filters returns the filters in the order in which they run. The capacity
-// filter is last, so that it removes only upstreams that pass all others.
+// Filters returns the filters in the order in which they run. The filters of
+// capacity and limit are last, so that they remove only upstreams that pass all
+// others.
 func Filters() []Filter {
 	return []Filter{
 		serviceFilter{}, stateFilter{}, modelFilter{}, roleFilter{}, freshnessFilter{}, groupFilter{},
-		exclusionFilter{}, isolationFilter{}, ejectionFilter{}, capacityFilter{},
+		exclusionFilter{}, isolationFilter{}, ejectionFilter{}, capacityFilter{}, limitFilter{},
 	}
 }
--- a/routing/filter_test.go
+++ b/routing/filter_test.go
@@ -166,3 +166,17 @@
 	r.SetShare(u.ID, u.Incarnation+1, 1000)
 	require.Equal(t, 250, u.Share(), "a share of another incarnation is ignored")
 }
+
+func TestLimitFilter(t *testing.T) {
+	limited := func(id string, incarnation uint64) func(*Candidate, *Request) {
+		return func(_ *Candidate, r *Request) {
+			r.Limited = func(upstream string, i uint64) bool { return upstream == id && i == incarnation }
+		}
+	}
+	runFilter(t, limitFilter{}, []filterCase{
+		{"no limit named", nil, true},
+		{"at its limit", limited("u1", 1), false},
+		{"another upstream at its limit", limited("u2", 1), true},
+		{"an earlier process at its limit", limited("u1", 0), true},
+	})
+}
--- a/routing/selection.go
+++ b/routing/selection.go
@@ -181,7 +181,7 @@
 				continue
 			}
 			s.rejectedByEjection = true
-		case capacityFilter:
+		case capacityFilter, limitFilter:
 			s.rejectedByCapacity = true
 		}
 		if s.trace != nil {
--- a/routing/types.go
+++ b/routing/types.go
@@ -97,6 +97,9 @@
 	// Isolate is set for requests suspected of crashing upstreams. It reports
 	// whether the request may run on an upstream.
 	Isolate func(upstream string) bool
+	// Limited reports whether an upstream is at the limit that it has named. It is
+	// nil if none has named one.
+	Limited func(upstream string, incarnation uint64) bool
 	// Prefix holds the block hashes of the prompt; see BlockHashes.
 	Prefix []uint64
 }
--- a/upstreamlimit/tracker.go
+++ b/upstreamlimit/tracker.go
@@ -60,6 +60,13 @@
 // Valid reports whether a rate is one that an upstream may name.
 func Valid(rate float64) bool { return rate >= 0 && rate <= maxRate }
 
+// ParseRate reads the rate that an answer names, or returns false if it names none
+// or one that cannot be obeyed.
+func ParseRate(value string) (rate float64, named bool) {
+	rate, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	return rate, err == nil && Valid(rate)
+}
+
 // Observe records an answer of an upstream, with the rate that it names; named is
 // false if it names none. It reports whether the limit has changed.
 func (t *Tracker) Observe(now time.Time, target Target, rate float64, named bool) bool {
