control: a report or departure from the future does not outdate an upstream

Reported by operators of similar systems: another writer leaves an entry with a number too large. A report with a start far in the future superseded all reports of the upstream with the same id, and a departure with one ended it for good.

Starts more than an hour ahead are ignored and logged.

--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -17,11 +17,25 @@
 // compared with the record of the upstream's successor.
 const recordRetention = 60 * time.Second
 
+// maxStartAhead is how far ahead of this instance's time the start of an upstream's
+// process may lie. It is far above any difference between clocks. A report with a
+// later start is of no process, and would outdate all reports of the upstream.
+const maxStartAhead = time.Hour
+
+// startsAhead reports whether the start of a process lies too far ahead.
+func startsAhead(now time.Time, startMillis int64) bool {
+	return startMillis > now.Add(maxStartAhead).UnixMilli()
+}
+
 // HandleReport handles a report that an upstream sent to this instance. A
 // change is sent to all subscribers immediately, or together with other changes
 // in a burst.
 func (c *Control) HandleReport(u fleet.Upstream) {
 	now := time.Now()
+	if startsAhead(now, u.StartMillis) {
+		c.opts.Logger.Warn("report ignored: it starts in the future", zap.String("upstream", u.ID), zap.Int64("startMillis", u.StartMillis))
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	accepted, changed := c.table.Observe(now, u)
@@ -42,6 +56,10 @@
 // HandleDeparture handles the departure of an upstream. startMillis is zero if
 // the upstream did not report it.
 func (c *Control) HandleDeparture(id string, startMillis int64) {
+	if startsAhead(time.Now(), startMillis) {
+		c.opts.Logger.Warn("departure ignored: it starts in the future", zap.String("upstream", id), zap.Int64("startMillis", startMillis))
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u, ok := c.table.Leave(time.Now(), id, startMillis)
