membership, upstream: daemons refuse odd reports of upstreams

The same fault on the daemons' path: an announcement without an address or with a port out of range, with negative or huge counts, and a heartbeat with a negative load or rank were accepted. Picks chose such upstreams, and two of them could make the sum of the slots negative, which stops admission.

Eight new cases of TestReports failed before; three of its older cases now announce an id and an address, since they test other answers.

--- a/internal/edge/upstream/server.go
+++ b/internal/edge/upstream/server.go
@@ -54,6 +54,12 @@
 		http.Error(w, "decode report: "+err.Error(), decodeErrorStatus(err))
 		return
 	}
+	if report, ok := any(&in).(interface{ Validate() error }); ok {
+		if err := report.Validate(); err != nil {
+			http.Error(w, "invalid report: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
 	lease, err := handle(in)
 	switch {
 	case err != nil:
--- a/internal/edge/upstream/server_test.go
+++ b/internal/edge/upstream/server_test.go
@@ -45,7 +45,7 @@
 		status, reports          int
 		answer                   string
 	}{
-		{"announcement", "POST", PathAnnouncements, `{"id":"u"}`, nil, 200, 1, `"heartbeatMillis":1000`},
+		{"announcement", "POST", PathAnnouncements, `{"id":"u","address":"10.0.0.9:80"}`, nil, 200, 1, `"heartbeatMillis":1000`},
 		{"heartbeat", "POST", PathHeartbeats, `{"id":"u"}`, nil, 200, 1, `"announce":true`},
 		{"cache events", "POST", PathCacheEvents, `{"id":"u"}`, nil, 204, 1, ""},
 		{"malformed announcement", "POST", PathAnnouncements, `{`, nil, 400, 0, "decode report"},
@@ -56,9 +56,19 @@
 		{"unknown path", "POST", "/v1/other", `{}`, nil, 404, 0, ""},
 		{"wrong method", "GET", PathHeartbeats, ``, nil, 405, 0, ""},
 		{"registry unavailable", "POST", PathHeartbeats, `{}`, refusal(fault.Unavailable), 503, 1, "no"},
-		{"registry refuses", "POST", PathAnnouncements, `{}`, refusal(fault.Conflict), 409, 1, "no"},
+		{"registry refuses", "POST", PathAnnouncements, `{"id":"u","address":"10.0.0.9:80"}`, refusal(fault.Conflict), 409, 1, "no"},
+		{"announcement without an id", "POST", PathAnnouncements, `{"address":"10.0.0.9:80"}`, nil, 400, 0, "id"},
+		{"announcement with a port out of range", "POST", PathAnnouncements, `{"id":"u","address":"10.0.0.9:70000"}`, nil, 400, 0, "port"},
+		{"announcement without an address", "POST", PathAnnouncements, `{"id":"u"}`, nil, 400, 0, "address"},
+		{"announcement of too many slots", "POST", PathAnnouncements, `{"id":"u","address":"10.0.0.9:80","maxConcurrent":9000000000000000000}`, nil, 400, 0, "maxConcurrent"},
+		{"announcement of negative slots", "POST", PathAnnouncements, `{"id":"u","address":"10.0.0.9:80","maxConcurrent":-1}`, nil, 400, 0, "maxConcurrent"},
+		{"announcement with a number too large", "POST", PathAnnouncements, `{"id":"u","address":"10.0.0.9:80","maxConcurrent":1e400}`, nil, 400, 0, "decode report"},
+		{"deeply nested announcement", "POST", PathAnnouncements, `{"id":"u","address":"10.0.0.9:80","other":` + strings.Repeat("[", 12000) + strings.Repeat("]", 12000) + `}`, nil, 400, 0, "decode report"},
+		{"heartbeat with a negative load", "POST", PathHeartbeats, `{"id":"u","running":-5}`, nil, 400, 0, "running"},
+		{"heartbeat with a load too large", "POST", PathHeartbeats, `{"id":"u","queued":9000000000000000000}`, nil, 400, 0, "queued"},
+		{"heartbeat with a negative rank", "POST", PathHeartbeats, `{"id":"u","inForce":{"group":"g","rank":-1}}`, nil, 400, 0, "rank"},
 		{"registry refuses events", "POST", PathCacheEvents, `{}`, refusal(fault.NotFound), 404, 1, "no"},
-		{"registry fails", "POST", PathAnnouncements, `{}`, errors.New("broken"), 500, 1, "broken"},
+		{"registry fails", "POST", PathAnnouncements, `{"id":"u","address":"10.0.0.9:80"}`, errors.New("broken"), 500, 1, "broken"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
