caller: a late copy of a refusal or an error on a kept connection is no answer

Reported by operators of similar systems: a faulty worker writes an earlier refusal once more on a kept connection, and clients are told that a request has not run which the worker is running.

On the daemons' path engines' refusals and errors were taken without the id of the request; only answers with success were compared. All responses of engines must echo request and attempt now, but refusals and errors on a connection that has served nothing else.

Requests that must not run twice have their own connections on the daemons' path.

--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
@@ -55,6 +56,8 @@
 	cancelDeadline context.CancelFunc
 	// mayBeReused is set if the connection may have served an earlier request.
 	mayBeReused bool
+	// reused is set if the connection has served an earlier request.
+	reused bool
 	// responded is set when the response headers have arrived.
 	responded bool
 	// firstEvent is the time of the first event of a stream; progressed is set
@@ -205,7 +208,8 @@
 	timer := time.AfterFunc(x.info.Route.FirstByteTimeout, func() { a.cancel(errFirstByteTimeout) })
 	defer timer.Stop()
 	a.mayBeReused = !once && x.mayReuse(target)
-	a.resp, err = x.Client.Do(a.ctx, upstream.Dispatch{
+	traced := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { a.reused = info.Reused }})
+	a.resp, err = x.Client.Do(traced, upstream.Dispatch{
 		Target: target, Method: x.r.Method, URI: x.r.URL.RequestURI(), Header: x.upstreamHeader(), Body: x.body,
 		RequestID: x.info.RequestID, Attempt: x.attempts, Priority: string(x.info.Account.Class), Resume: resume, Once: !a.mayBeReused,
 	})
@@ -274,10 +278,8 @@
 func (x *exchange) checkResponse(a *attempt) error {
 	at := fault.Location{Step: upstream.StepDispatch, Peer: a.choice.Target().ID}
 	status := a.resp.StatusCode
-	if x.info.Route.Kind == membership.PlainService {
-		if err := x.checkEcho(a, at); err != nil {
-			return err
-		}
+	if err := x.checkIdentity(a, at); err != nil {
+		return err
 	}
 	if x.info.Route.Kind == membership.ModelEngine && a.resp.Header.Get(upstream.HeaderNotStarted) == "true" {
 		return fault.New(fault.UpstreamUnreachable, at, fault.NotRun, "the upstream rejected the request before starting it")
@@ -290,12 +292,18 @@
 	if status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout {
 		return fault.New(fault.UpstreamUnreachable, at, fault.Unknown, fmt.Sprintf("the upstream returned status %d", status))
 	}
-	if x.info.Route.Kind == membership.ModelEngine && status < http.StatusBadRequest {
-		return x.checkCorrelation(a, at)
-	}
 	return nil
 }
 
+// checkIdentity verifies that a response belongs to this request. Refusals and
+// errors are checked like answers: on a kept connection each may be a late copy.
+func (x *exchange) checkIdentity(a *attempt, at fault.Location) error {
+	if x.info.Route.Kind == membership.PlainService {
+		return x.checkEcho(a, at)
+	}
+	return x.checkCorrelation(a, at)
+}
+
 // checkEcho verifies that a plain service echoed the request id, if it echoes ids
 // at all. On a connection that has served an earlier request, an answer without
 // the id may be a late copy of the earlier answer.
@@ -319,10 +327,14 @@
 }
 
 // checkCorrelation verifies that the engine echoed the request id and the attempt
-// number.
+// number. A refusal or an error may lack both on a connection that has served no
+// other request.
 func (x *exchange) checkCorrelation(a *attempt, at fault.Location) error {
-	header := a.resp.Header
-	if header.Get(upstream.HeaderRequestID) == x.info.RequestID && header.Get(upstream.HeaderAttempt) == strconv.Itoa(x.attempts) {
+	id, number := a.resp.Header.Get(upstream.HeaderRequestID), a.resp.Header.Get(upstream.HeaderAttempt)
+	if id == x.info.RequestID && number == strconv.Itoa(x.attempts) {
+		return nil
+	}
+	if id == "" && number == "" && a.resp.StatusCode >= http.StatusBadRequest && !a.reused {
 		return nil
 	}
 	return fault.New(fault.UpstreamProtocol, at, fault.Unknown, "the response belongs to another request or attempt")
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -109,6 +109,8 @@
 }
 
 func (e *Engine) handleCompletions(w http.ResponseWriter, r *http.Request) {
+	faults := e.Faults()
+	e.setEchoHeaders(w, r, faults)
 	var req chatRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -119,7 +121,6 @@
 		http.Error(w, "the group or epoch is not in force", http.StatusConflict)
 		return
 	}
-	faults := e.Faults()
 	if faults.CrashOn != "" && req.contains(faults.CrashOn) {
 		e.Kill()
 		panic(http.ErrAbortHandler)
@@ -128,7 +129,6 @@
 		return
 	}
 	defer e.finishRequest()
-	e.setEchoHeaders(w, r, faults)
 	if req.Stream {
 		e.streamCompletion(w, r, &req, faults)
 		return
