entry, sse: nothing but events and comments is relayed within a stream

Reported by operators of similar systems: a stream breaks off, the next worker answers with an error, and clients find its text, at times its whole head, in the middle of their stream, or the stream ends as if it were complete.

Failures with another status than 200 were handled. A resumed stream answered with 200 and an error, or with text or the head of a response in a body of events, was relayed as a comment block and ended as complete.

A response that names another type than text/event-stream is no stream, and a block with a line that is neither comment nor field breaks the stream off, so that it is resumed elsewhere or ends as incomplete. Fields that the standard does not define are relayed beside data, as workers send them.

--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -51,6 +51,8 @@
 	outlives bool
 	// ended is returned by Choice.Ended.
 	ended bool
+	// canResume is returned by Choice.CanResume for the targets of extra.
+	canResume bool
 	// onLimit is called by Choice.NamedLimit.
 	onLimit func(rate float64, named bool)
 	// results holds the results of all attempts.
@@ -165,7 +167,7 @@
 func (h *harness) Pick(_ context.Context, info *RequestInfo, _ int, tried []string) (Choice, error) {
 	var all []harnessChoice
 	for _, target := range h.extra {
-		all = append(all, harnessChoice{target: target})
+		all = append(all, harnessChoice{target: target, canResume: h.canResume})
 	}
 	if info.Route.Kind == membership.PlainService {
 		all = append(all, harnessChoice{target: upstream.Target{ID: "p0", Address: h.plainService.Announcement().Address}})
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -169,7 +169,7 @@
 	}
 	t.recordProgress(now)
 	a.record.begun = true
-	if x.route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK {
+	if x.route.Kind == catalog.Stream && resp.StatusCode == http.StatusOK && isEventStream(resp) {
 		return x.relayStream(ctx, a, resp)
 	}
 	return x.relayBuffered(ctx, a, resp)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -272,6 +272,58 @@
 	}
 }
 
+// Guards against an error, or the head of a response, that reaches the caller in the
+// middle of its stream, and against a stream that then ends as if it were complete.
+func TestNoErrorInTheMiddleOfStream(t *testing.T) {
+	const head = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\nfailed: no memory\n\n"
+	write := func(status int, contentType, body string) handlerFunc {
+		return func(_ *fakeUpstream, _ int, w http.ResponseWriter, _ *http.Request) {
+			if contentType != "" {
+				w.Header().Set("Content-Type", contentType)
+			}
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	const eventStream = "text/event-stream; charset=utf-8"
+	for name, answer := range map[string]handlerFunc{
+		"refusal":                     refuse(http.StatusServiceUnavailable),
+		"error with status 200":       write(http.StatusOK, "application/json", "{\"error\":\"failed\"}\n\n"),
+		"page with status 200":        write(http.StatusOK, "text/html", "<p>failed</p>\n\n"),
+		"no content":                  write(http.StatusNoContent, "", ""),
+		"head in a stream":            write(http.StatusOK, eventStream, head),
+		"head in a stream with data":  write(http.StatusOK, eventStream, head+"data: piece\n\n"),
+		"error text in a stream":      write(http.StatusOK, eventStream, "upstream connect error\n\n"),
+		"JSON in a stream":            write(http.StatusOK, eventStream, "{\"error\":\"failed\"}\n\n"),
+		"end of a head in a stream":   write(http.StatusOK, eventStream, "Content-Type: text/plain\n\n"),
+		"head at the start of events": write(http.StatusOK, eventStream, "HTTP/1.1 200 OK\r\nid: 5\ndata: piece 5\n\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			script := func(u *fakeUpstream, n int, w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("Resume") != "" {
+					answer(u, n, w, r)
+					return
+				}
+				stream(4, breakOff)(u, n, w, r)
+			}
+			one, two := newUpstream(t, "one", script), newUpstream(t, "two", script)
+			_, server := newEntry(t, one.record("model", "m"), two.record("model", "m"))
+			got := sendRequest(t, server, "/chat/")
+			require.Equal(t, events(4), got.body)
+			require.False(t, got.whole)
+		})
+	}
+	t.Run("head in the first stream", func(t *testing.T) {
+		bad := newUpstream(t, "bad", stream(4, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, head) }))
+		good := newUpstream(t, "good", stream(9, nil))
+		_, server := newEntry(t, bad.record("model", "m"), good.record("model", "m"))
+		got, sends := sendUntilChosen(t, server, "/chat/", bad, good)
+		require.Equal(t, events(9), got.body)
+		require.True(t, got.whole)
+		require.Equal(t, 2, sends)
+	})
+}
+
 // Guards against streams that wait for an upstream that does not listen.
 func TestUnreachableHeadIsSkipped(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"sync"
 	"time"
@@ -25,6 +26,18 @@
 // without an event.
 var errIdleBytes = errors.New("too many bytes without an event")
 
+// errNoEvent is returned for a stream that contains something else than events and
+// comments, such as the head of another response.
+var errNoEvent = errors.New("the stream contains text that is no event")
+
+// isEventStream reports whether a response can be a stream of events. One that does
+// not name its type may be.
+func isEventStream(resp *http.Response) bool {
+	value := resp.Header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(value)
+	return value == "" || err == nil && mediaType == "text/event-stream"
+}
+
 // errCutOff is returned for a stream that ends with its connection although it is
 // not complete.
 var errCutOff = errors.New("the connection ended before the stream")
@@ -57,6 +70,9 @@
 		if err != nil {
 			return x.handleStreamError(ctx, a, err)
 		}
+		if !sse.Valid(block) {
+			return x.handleStreamError(ctx, a, errNoEvent)
+		}
 		now := time.Now()
 		if !sse.HasData(block) {
 			// A comment is relayed, but does not show that the request makes
@@ -160,7 +176,7 @@
 		return attemptResult{ran: true, reason: context.Cause(ctx).Error()}
 	}
 	a.target.recordUnreachable(time.Now())
-	return attemptResult{ran: true, broken: !errors.Is(err, errIdleBytes), reason: fmt.Sprintf("stream broke after event %d: %v", x.position, err)}
+	return attemptResult{ran: true, broken: !errors.Is(err, errIdleBytes) && !errors.Is(err, errNoEvent), reason: fmt.Sprintf("stream broke after event %d: %v", x.position, err)}
 }
 
 const (
--- a/internal/sse/block.go
+++ b/internal/sse/block.go
@@ -65,3 +65,41 @@
 	}
 	return false
 }
+
+// Valid reports whether a block consists of comments and fields. Field names that
+// the standard does not define are accepted beside data only, in lower case: a line
+// that an upstream has written for another purpose, such as the head of a response,
+// is no field.
+func Valid(block []byte) bool {
+	hasData := HasData(block)
+	for line := range bytes.Lines(block) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 || line[0] == ':' {
+			continue
+		}
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if !isStandardField(name) && !(hasData && found && isFieldName(name)) {
+			return false
+		}
+	}
+	return true
+}
+
+func isStandardField(name []byte) bool {
+	switch string(name) {
+	case "data", "id", "event", "retry":
+		return true
+	}
+	return false
+}
+
+// isFieldName reports whether a name consists of lower-case letters, digits and
+// hyphens.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return len(name) > 0
+}
--- a/internal/sse/block_test.go
+++ b/internal/sse/block_test.go
@@ -37,6 +37,19 @@
 	}
 }
 
+// Guards against text that is no part of a stream, such as an error or the head of a
+// response, and against rejecting what a stream may contain.
+func TestValid(t *testing.T) {
+	for block, want := range map[string]bool{
+		"data: a\n\n": true, "id: 1\r\nevent: e\r\ndata:a\r\ndata\r\n\r\n": true, "retry: 10\n\n": true, ": ping\n\n": true, ":\n\n": true, "\n\n": true,
+		"weight-versions: 3\nid: 1\ndata: a\n\n": true, "data: HTTP/1.1 500\n\n": true,
+		"HTTP/1.1 500 Internal Server Error\r\n\r\n": false, "HTTP/1.1 200 OK\r\ndata: a\n\n": false, "Content-Type: text/plain\r\ndata: a\n\n": false,
+		"upstream connect error\n\n": false, "failed: no memory\n\n": false, "failed\ndata: a\n\n": false, "{\"error\":1}\n\n": false, " data: a\n\n": false,
+	} {
+		require.Equal(t, want, Valid([]byte(block)), "%q", block)
+	}
+}
+
 // Guards against unbounded memory use by an upstream that sends a huge event.
 func TestBlockLimit(t *testing.T) {
 	r := NewRawReader(strings.NewReader(strings.Repeat("data: xxxxxxxx\n", 100)+"\n"), 64)
