daemon: a long request is admitted only while it can end before its deadline

The expected run time is now in proportion to the size of the request, a quarter to four times the mean, and half of the time left at most, as before. What can no longer end is refused at once. TestLongRequestsStartInTime failed before (the long request was admitted 2 s before its deadline, with an expected run time of 4 s).

Entries on the daemons' path know no step model of their engines, so that the number of usable slots is not limited there.

--- a/internal/daemon/admit.go
+++ b/internal/daemon/admit.go
@@ -53,8 +53,10 @@
 	active map[accountService]admission.Class
 	// streams counts the queued and running requests of each service on this
 	// entry.
-	streams  map[string]int
-	revision uint64
+	streams map[string]int
+	// meanTokens is the mean size of the requests of each service.
+	meanTokens map[string]float64
+	revision   uint64
 	// entryCount is the number of live entries, this one included.
 	entryCount int
 	// demandReportedAt is the time of the last demand report; zero makes the
@@ -82,7 +84,7 @@
 		cfg: cfg, network: network, logger: logger, tree: tree,
 		controller: admission.New(admission.Options{}),
 		shares:     share.New(share.Config{ID: cfg.ID, Incarnation: incarnation}, now),
-		waiting:    map[admission.Ticket]*slot{}, running: map[admission.Ticket]*slot{}, active: map[accountService]admission.Class{}, streams: map[string]int{},
+		waiting:    map[admission.Ticket]*slot{}, running: map[admission.Ticket]*slot{}, active: map[accountService]admission.Class{}, streams: map[string]int{}, meanTokens: map[string]float64{},
 	}
 	network.Handle(channelShares, a.handleMessage)
 	return a
@@ -119,7 +121,7 @@
 	if a.streams[service.ID] >= service.MaxStreams {
 		return nil, admissionError(admission.TooManyStreams, 0)
 	}
-	expected := a.estimateRunTime(service.ID, info.Deadline.Sub(now))
+	expected := a.estimateRunTime(service.ID, info.Tokens, info.Deadline.Sub(now))
 	s := &slot{
 		owner: a, key: accountService{account.ID, service.ID}, admitted: make(chan error, 1), preempted: make(chan struct{}),
 		latestStart: info.Deadline.Add(-expected),
@@ -149,11 +151,28 @@
 	return s, nil
 }
 
-// estimateRunTime estimates how long a request of a service runs. The
-// estimate is at most half the time left until the deadline; otherwise a
-// service whose earlier requests were slow would reject every later one.
-func (a *admitter) estimateRunTime(service string, untilDeadline time.Duration) time.Duration {
-	return max(0, min(a.controller.MeanRunTime(service), untilDeadline/2))
+const (
+	// tokensWeight is the weight of a request in the mean size of a service's
+	// requests.
+	tokensWeight = 0.05
+	// maxRunTimeRatio bounds how much longer or shorter than the mean a request is
+	// expected to run. The size of a request is an upper bound for its answer.
+	maxRunTimeRatio = 4.0
+)
+
+// estimateRunTime estimates how long a request of a service runs, in proportion to
+// its size. The estimate is at most half the time left until the deadline; otherwise
+// a service whose earlier requests were slow would reject every later one.
+func (a *admitter) estimateRunTime(service string, tokens int, untilDeadline time.Duration) time.Duration {
+	size := float64(max(tokens, 1))
+	mean, known := a.meanTokens[service]
+	if !known {
+		mean = size
+	}
+	a.meanTokens[service] = mean + tokensWeight*(size-mean)
+	ratio := min(max(size/mean, 1/maxRunTimeRatio), maxRunTimeRatio)
+	expected := time.Duration(ratio * float64(a.controller.MeanRunTime(service)))
+	return max(0, min(expected, untilDeadline/2))
 }
 
 // findAccount returns an account by id. The account of callers without a
--- a/internal/daemon/admit_test.go
+++ b/internal/daemon/admit_test.go
@@ -72,6 +72,40 @@
 	return len(a.waiting), len(a.running)
 }
 
+// Guards against a long request that is admitted from the queue so late that it
+// cannot end before its deadline, and holds a slot until then.
+func TestLongRequestsStartInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := startAdmitter(t, 1)
+		defer a.stop()
+		run := func(duration time.Duration) {
+			slot, err := a.Admit(t.Context(), admitRequest("rug", "wash", time.Minute))
+			require.NoError(t, err)
+			time.Sleep(duration)
+			slot.Release(caller.Usage{Tokens: 10})
+		}
+		for range 20 {
+			run(time.Second)
+		}
+		a.callers.Go(func() { run(3 * time.Second) })
+		time.Sleep(100 * time.Millisecond)
+		short, long := admitRequest("rug", "wash", 5*time.Second), admitRequest("rug", "wash", 5*time.Second)
+		short.RequestID, long.RequestID, long.Tokens = "short", "long", 4*short.Tokens
+		queued := time.Now()
+		a.callers.Go(func() {
+			slot, err := a.Admit(t.Context(), short)
+			require.NoError(t, err, "a request of the usual size runs 1 s")
+			slot.Release(caller.Usage{Tokens: 10})
+		})
+		_, err := a.Admit(t.Context(), long)
+		require.Equal(t, fault.DeadlineExceeded, fault.CodeOf(err))
+		require.Less(t, time.Since(queued), 2800*time.Millisecond, "it is told as soon as it is certain")
+		time.Sleep(5 * time.Second)
+		waiting, running := a.counts(t)
+		require.Zero(t, waiting+running)
+	})
+}
+
 // Guards against a service rejecting every request because its deadline is
 // shorter than the assumed run time or than earlier run times.
 func TestShortDeadlinesAreAdmitted(t *testing.T) {
