--- a/balance/balance.go
+++ b/balance/balance.go
@@ -160,9 +160,10 @@
 // chooseLate selects a candidate for a request that will miss its objective. A
 // new request is accepted only if it does not have to wait, because in a queue
 // it would be behind all timely requests. A retry whose objective has already
-// passed may wait for a fraction of its remaining time if the candidate has few
-// deferred requests. A request that was partly run by another upstream may wait
-// until it times out.
+// passed may wait for a fraction of its remaining time if its answer can end in
+// time after that and the candidate has few deferred requests. A request that was
+// partly run by another upstream may wait until it times out; one of which the
+// caller has a part waits behind timely requests only.
 func chooseLate(costs Costs, r *Request, usable []int, candidates []Candidate) (int, time.Duration, bool) {
 	ahead := func(c *Candidate) float64 {
 		if r.Delivering {
