--- a/internal/crashreport/crashreport_test.go
+++ b/internal/crashreport/crashreport_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -10,56 +9,13 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
-	"github.com/bluebellfield/bluebellfield/internal/peer"
+	"github.com/bluebellfield/bluebellfield/internal/peer/peertest"
 	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
-// fakeNetwork delivers messages at once. An entry without a handler is down.
-type fakeNetwork struct {
-	mu       sync.Mutex
-	handlers map[string]peer.Handler
-}
-
-// endpoint is the network of one entry.
-type endpoint struct {
-	network *fakeNetwork
-	id      string
-}
-
-func (e endpoint) Handle(_ string, h peer.Handler) {
-	e.network.mu.Lock()
-	defer e.network.mu.Unlock()
-	e.network.handlers[e.id] = h
-}
-
-func (e endpoint) Send(to, _ string, payload []byte) bool {
-	e.network.mu.Lock()
-	h := e.network.handlers[to]
-	e.network.mu.Unlock()
-	if h == nil {
-		return false
-	}
-	go func() { _, _ = h(context.Background(), e.id, payload) }()
-	return true
-}
-
-// others lists the other entries that are up.
-func (e endpoint) others() []string {
-	e.network.mu.Lock()
-	defer e.network.mu.Unlock()
-	var ids []string
-	for id := range e.network.handlers {
-		if id != e.id {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-func startReporter(t *testing.T, n *fakeNetwork, id string) *Reporter {
-	e := endpoint{n, id}
-	r := New(Options{Tracker: quarantine.Config{Self: id}, Network: e, LiveEntries: e.others, Logger: zap.NewNop()})
+func startReporter(t *testing.T, n *peertest.Messages, id string) *Reporter {
+	e := n.Endpoint(id)
+	r := New(Options{Tracker: quarantine.Config{Self: id}, Network: e, LiveEntries: e.Others, Logger: zap.NewNop()})
 	var running sync.WaitGroup
 	ctx, cancel := context.WithCancel(t.Context())
 	running.Go(func() { r.Run(ctx) })
@@ -74,7 +30,7 @@
 // comes after a second, and against an entry that starts later and knows nothing
 // of what the others have found.
 func TestEntriesShareCrashes(t *testing.T) {
-	n := &fakeNetwork{handlers: map[string]peer.Handler{}}
+	n := peertest.NewMessages()
 	first := startReporter(t, n, "a")
 	startReporter(t, n, "b")
 	first.EntriesChanged()
@@ -99,8 +55,8 @@
 
 // Guards against a broken message that ends the exchange.
 func TestInvalidMessageIsRejected(t *testing.T) {
-	n := &fakeNetwork{handlers: map[string]peer.Handler{}}
+	n := peertest.NewMessages()
 	startReporter(t, n, "a")
-	_, err := n.handlers["a"](t.Context(), "b", []byte("not a message"))
+	_, err := n.Handler("a")(t.Context(), "b", []byte("not a message"))
 	require.Error(t, err)
 }
