balance, entry: fill all slots again

Cause: a group that may run fewer requests refuses more of all sizes, and a refused caller comes back late.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -40,8 +40,6 @@
 
 // Request describes the request to be sent.
 type Request struct {
-	// PromptTokens is the length of the prompt. AnswerTokens is the expected length
-	// of the answer, zero if it is not known.
 	PromptTokens, AnswerTokens int
 	// Remaining is the time until the request times out.
 	Remaining time.Duration
@@ -121,9 +119,6 @@
 	// Answer returns the time from the start of processing to the first event, or
 	// to the whole answer.
 	Answer(c *Candidate, r *Request) time.Duration
-	// Completion returns the time from the start of processing to the end of the
-	// answer.
-	Completion(c *Candidate, r *Request) time.Duration
 }
 
 // Choose selects a candidate for a request by its expected time to the answer.
@@ -160,10 +155,10 @@
 // chooseLate selects a candidate for a request that will miss its objective. A
 // new request is accepted only if it does not have to wait, because in a queue
 // it would be behind all timely requests. A retry whose objective has already
-// passed may wait for a fraction of its remaining time if its answer can end in
-// time after that and the candidate has few deferred requests. A request that was
-// partly run by another upstream may wait until it times out; one of which the
-// caller has a part waits behind timely requests only.
+// passed may wait for a fraction of its remaining time if the candidate has few
+// deferred requests. A request that was partly run by another upstream may wait
+// until it times out; one of which the caller has a part waits behind timely
+// requests only.
 func chooseLate(costs Costs, r *Request, usable []int, candidates []Candidate) (int, time.Duration, bool) {
 	ahead := func(c *Candidate) float64 {
 		if r.Delivering {
@@ -182,9 +177,6 @@
 		// Refusing the request would break off an answer that has already started.
 		return best, wait, wait <= r.Remaining
 	}
-	if wait+costs.Completion(c, r) > r.Remaining {
-		return best, wait, false
-	}
 	mayQueue := r.Objective <= 0 && c.Deferred < maxDeferredFraction*float64(c.Slots)
 	return best, wait, mayQueue && wait <= time.Duration(maxLateWaitFraction*float64(r.Remaining))
 }
--- a/balance/costs.go
+++ b/balance/costs.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/enginemodel"
@@ -14,59 +13,6 @@
 	// BaselineLatency is the measured time to the first event of requests that
 	// were not queued, or zero if there is no measurement yet.
 	BaselineLatency time.Duration
-	// Traffic describes the requests for the model.
-	Traffic TrafficSummary
-}
-
-// minUsableSlots is the fraction of the slots of a group that are used even if long
-// answers then take too long. With fewer requests in a batch a group generates far
-// fewer tokens.
-const minUsableSlots = 0.5
-
-// UsableSlots returns the number of requests that a group may run so that long
-// answers end within their limits. Above it, they would hold their slots until the
-// limit and not be served.
-func (e EngineCosts) UsableSlots() int {
-	slots := e.Engine.Slots
-	if e.Traffic.MaxTokenTime <= 0 {
-		return slots
-	}
-	maxPassTime := time.Duration(max(e.Engine.Stride, 1)) * e.Traffic.MaxTokenTime
-	least := int(math.Ceil(minUsableSlots * float64(slots)))
-	for slots > least && e.passTime(slots) > maxPassTime {
-		slots--
-	}
-	return slots
-}
-
-// meanTokens returns the mean sizes of the requests for the model, or those of all
-// requests of the service while they are not known.
-func (e EngineCosts) meanTokens() (prompt, answer int) {
-	if e.Traffic.MeanAnswerTokens > 0 {
-		return e.Traffic.MeanPromptTokens, e.Traffic.MeanAnswerTokens
-	}
-	return e.Engine.MeanPromptTokens, e.Engine.MeanAnswerTokens
-}
-
-// passTime returns the mean time of a pass of a group that runs the given number of
-// requests.
-func (e EngineCosts) passTime(running int) time.Duration {
-	prompt, answer := e.meanTokens()
-	return e.Engine.SteadyPassTime(e.Model, running, prompt, answer)
-}
-
-// generationTime returns the time to generate an answer in a group that runs the
-// given number of requests.
-func (e EngineCosts) generationTime(running, answer int) time.Duration {
-	passes := float64(answer) / float64(max(e.Engine.Stride, 1))
-	return time.Duration(passes * float64(e.passTime(running)))
-}
-
-// Occupancy returns the mean time that a request holds a slot of a group that runs
-// the given number of requests.
-func (e EngineCosts) Occupancy(running int) time.Duration {
-	_, answer := e.meanTokens()
-	return e.generationTime(running, answer)
 }
 
 // Wait implements Costs. Requests that exceed the slots start when a slot
@@ -76,7 +22,8 @@
 	if excess <= 0 {
 		return 0
 	}
-	return time.Duration(excess / float64(max(c.Slots, 1)) * float64(e.Occupancy(c.Slots)) * max(c.SlowdownFactor, 1))
+	occupancy := e.Engine.Occupancy(e.Model, e.Engine.MeanPromptTokens, e.Engine.MeanAnswerTokens)
+	return time.Duration(excess / float64(max(c.Slots, 1)) * float64(occupancy) * max(c.SlowdownFactor, 1))
 }
 
 // passesToFirstEvent is the number of engine passes until the first event of a
@@ -99,16 +46,6 @@
 	return time.Duration(float64(answer) * max(c.SlowdownFactor, 1))
 }
 
-// Completion implements Costs. The candidate is assumed to be full, since others
-// may be sent to it until the answer ends.
-func (e EngineCosts) Completion(c *Candidate, r *Request) time.Duration {
-	answer := r.AnswerTokens
-	if answer <= 0 {
-		_, answer = e.meanTokens()
-	}
-	return e.Answer(c, r) + time.Duration(float64(e.generationTime(c.Slots, answer))*max(c.SlowdownFactor, 1))
-}
-
 // PlainCosts estimates times for services without a model engine.
 type PlainCosts struct {
 	// ServiceTime is the typical time from the start of a request to its answer.
@@ -127,6 +64,3 @@
 
 // Answer implements Costs.
 func (p PlainCosts) Answer(*Candidate, *Request) time.Duration { return p.ServiceTime }
-
-// Completion implements Costs.
-func (p PlainCosts) Completion(*Candidate, *Request) time.Duration { return p.ServiceTime }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithCancelCause(caller)
 	defer cancel(nil)
 	x.tried[t] = true
-	estimate := x.candidate(started, t, x.costs())
+	estimate := x.candidate(started, t)
 	a := &upstreamAttempt{target: t, run: run, started: started, deferred: decision.Deferred, expectedWait: decision.Wait, cancel: cancel,
 		record: attemptRecord{upstream: t.upstream.ID, group: t.upstream.Member.Group, at: started.Sub(x.started), load: estimate.Running, deferred: decision.Deferred}}
 	a.load = t.addRequest(started, x.request.PromptTokens, decision.Deferred)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,7 +51,6 @@
 	draining   atomic.Bool
 	demand     demandCounter
 	baselines  baselineLatencies
-	traffic    trafficSizes
 	stats      *stats
 	started    time.Time
 	crashes    *crashreport.Reporter
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -154,7 +154,6 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.e.demand.add(x.service.Name, &x.request)
-	x.e.traffic.observe(x.service.Name, &x.request, x.deadline.Sub(x.started)+x.elapsed-x.route.LatencyObjective)
 	x.tried = map[*target]bool{}
 	x.digest, x.parts = x.requestDigest(), x.sharedParts()
 	x.runAttempts(ctx)
@@ -281,9 +280,8 @@
 		gaps[i] = t.eventGap(now)
 	}
 	slowdown := balance.SlowdownFactors(gaps)
-	costs := x.costs()
 	for i, t := range targets {
-		c := x.candidate(now, t, costs)
+		c := x.candidate(now, t)
 		c.SlowdownFactor = slowdown[i]
 		c.Excluded = x.tried[t] || !allowed.admits(t.upstream.ID)
 		c.Avoided = c.Avoided || x.e.crashes.Tracker().KnownCrash(t.incarnation())
@@ -291,8 +289,8 @@
 		c.Local = t.upstream.FailureDomain == x.e.opts.FailureDomain
 		candidates[i] = c
 	}
-	decision := balance.Choose(x.random, costs, balance.Request{
-		PromptTokens: x.request.PromptTokens, AnswerTokens: x.request.ExpectedAnswerTokens,
+	decision := balance.Choose(x.random, x.costs(), balance.Request{
+		PromptTokens: x.request.PromptTokens, AnswerTokens: x.request.expectedAnswerTokens(),
 		Remaining: x.remaining(now), Objective: x.route.LatencyObjective - x.elapsed - now.Sub(x.started), PartlyRun: x.runs > 0 || x.delivering(), Delivering: x.delivering(),
 	}, candidates)
 	if decision.Index < 0 {
@@ -322,14 +320,13 @@
 }
 
 // candidate returns the estimated load of a target for load balancing.
-func (x *exchange) candidate(now time.Time, t *target, costs balance.Costs) balance.Candidate {
+func (x *exchange) candidate(now time.Time, t *target) balance.Candidate {
 	slots, occupancy := t.upstream.Slots, defaultServiceTime
 	if engine := x.service.Engine; engine != nil {
 		slots = engine.Slots
-	}
-	if engineCosts, ok := costs.(balance.EngineCosts); ok {
-		slots = engineCosts.UsableSlots()
-		occupancy = engineCosts.Occupancy(slots)
+		if m := engine.Model(x.request.Model); m != nil {
+			occupancy = engine.Occupancy(m, engine.MeanPromptTokens, engine.MeanAnswerTokens)
+		}
 	}
 	return t.candidate(now, x.view.entries, slots, occupancy)
 }
@@ -344,8 +341,7 @@
 func (x *exchange) costs() balance.Costs {
 	if engine := x.service.Engine; engine != nil {
 		if m := engine.Model(x.request.Model); m != nil {
-			return balance.EngineCosts{Engine: engine, Model: m, BaselineLatency: x.e.baselines.get(x.service.Name, m.Name),
-				Traffic: x.e.traffic.summary(x.service.Name, m.Name)}
+			return balance.EngineCosts{Engine: engine, Model: m, BaselineLatency: x.e.baselines.get(x.service.Name, m.Name)}
 		}
 	}
 	if baseline := x.e.baselines.get(x.service.Name, ""); baseline > 0 {
@@ -500,7 +496,7 @@
 	}
 	if x.service != nil {
 		fields = append(fields, zap.String("service", x.service.Name), zap.String("model", x.request.Model),
-			zap.Int("prompt", x.request.PromptTokens), zap.Int("answer", x.request.expectedAnswerTokens()), zap.Int("answerLimit", x.request.AnswerTokens))
+			zap.Int("prompt", x.request.PromptTokens), zap.Int("answer", x.request.expectedAnswerTokens()))
 	}
 	if !x.firstByte.IsZero() {
 		fields = append(fields, zap.Int64("firstMs", milliseconds(x.firstByte.Sub(x.started))))
