--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -230,8 +230,8 @@
 	if x.account != nil {
 		attempt.Account = x.account.Name
 	}
-	if x.position >= 0 {
-		attempt.ResumePosition = x.position
+	if position := x.position.Load(); position >= 0 {
+		attempt.ResumePosition = position
 	}
 	x.e.opts.Protocol.WriteAttempt(req.Header, attempt)
 	return req, nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -167,7 +167,8 @@
 
 // ServeHTTP implements http.Handler for callers.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{e: e, w: w, r: r, started: time.Now(), view: e.view.Load(), position: -1, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	x := &exchange{e: e, w: w, r: r, started: time.Now(), view: e.view.Load(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	x.position.Store(-1)
 	defer x.finish()
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -74,8 +75,8 @@
 	runs        int
 	unreachable int
 	// position is the id of the last event sent to the caller, -1 before the
-	// first.
-	position      int64
+	// first. The watchdog reads it while events are relayed.
+	position      atomic.Int64
 	headerWritten bool
 	firstByte     time.Time
 	// lastEvent is the time of the last event of a stream; longestGap is the
@@ -302,7 +303,7 @@
 // delivering reports whether the caller has received part of a stream, from this
 // entry or from the one at which the stream began.
 func (x *exchange) delivering() bool {
-	return x.position >= 0 || x.request.ResumePosition >= 0 && x.route.Retryable()
+	return x.position.Load() >= 0 || x.request.ResumePosition >= 0 && x.route.Retryable()
 }
 
 // remaining returns the time until the caller gives up. Callers of streams also
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -49,7 +49,7 @@
 	if framed(resp) {
 		return false
 	}
-	return a.firstEvent.IsZero() && x.position < 0 && x.request.ResumePosition < 0 || x.e.hasCrashed(a.target)
+	return a.firstEvent.IsZero() && x.position.Load() < 0 && x.request.ResumePosition < 0 || x.e.hasCrashed(a.target)
 }
 
 // relayStream relays events as they arrive. Only complete events are relayed,
@@ -99,7 +99,7 @@
 			t.recordGap(now, now.Sub(x.lastEvent))
 		}
 		x.recordGap(now)
-		if position >= 0 && position <= x.position {
+		if position >= 0 && position <= x.position.Load() {
 			// The caller received this event from an earlier attempt.
 			continue
 		}
@@ -111,7 +111,7 @@
 			return x.abandonWrite(err)
 		}
 		if position >= 0 {
-			x.position = position
+			x.position.Store(position)
 		}
 		if events.Buffered() {
 			continue
@@ -176,7 +176,7 @@
 		return attemptResult{ran: true, reason: context.Cause(ctx).Error()}
 	}
 	a.target.recordUnreachable(time.Now())
-	return attemptResult{ran: true, broken: !errors.Is(err, errIdleBytes) && !errors.Is(err, errNoEvent), reason: fmt.Sprintf("stream broke after event %d: %v", x.position, err)}
+	return attemptResult{ran: true, broken: !errors.Is(err, errIdleBytes) && !errors.Is(err, errNoEvent), reason: fmt.Sprintf("stream broke after event %d: %v", x.position.Load(), err)}
 }
 
 const (
