--- a/review/scenario/config.go
+++ b/review/scenario/config.go
@@ -58,7 +58,7 @@
 func newConfig(version int, routes ...route) config {
 	return config{Version: version, Routes: routes,
 		Services: []service{{Name: serviceName, HealthPath: "/healthz", MaxConnections: 100, Protocol: "h1"}},
-		Limits:   limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000},
+		Limits:   limits{MaxHeaderBytes: smallHeaderLimit, MaxBodyBytes: 4 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000},
 		Tenants:  []tenant{{Name: tenantName, APIKeys: []string{tenantKey}, Priority: 1}},
 	}
 }
--- a/review/scenario/heartbeat.go
+++ b/review/scenario/heartbeat.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,7 +28,7 @@
 	if err != nil {
 		return false, err
 	}
-	if _, err := d.putConfig(newConfig(3, newRoute("r-status", "/status/", "idempotent", 2))); err != nil {
+	if _, err := d.putConfig(newConfig(3, newRoute("r-book", "/book/", "non_idempotent", 1))); err != nil {
 		return false, err
 	}
 	if err := d.awaitReady(); err != nil {
@@ -86,10 +88,36 @@
 	from := time.Now()
 	for range 20 {
 		for _, e := range d.entries() {
-			d.send(call{entry: e, method: http.MethodGet, path: "/status/2"})
+			d.send(booking(e))
 		}
 	}
 	late := w.runsAfter(from)
 	d.rec.printf("worker %s: %d of 60 requests that were sent later than %s after the acknowledgement reached it", w.id, late, from.Sub(acknowledged))
+	cut := d.cutByExit(w)
+	d.rec.printf("worker %s: ended %s after the acknowledgement; %d of 60 requests that were sent just before were running there and got no answer of it", w.id, time.Since(acknowledged), cut)
 	return late > 0, nil
 }
+
+// cutByExit ends a worker while clients send requests, and counts those that the
+// worker has begun to run and whose clients get no success.
+func (d *deployment) cutByExit(w *worker) int {
+	var failed atomic.Int64
+	var clients sync.WaitGroup
+	for range 20 {
+		for _, e := range d.entries() {
+			clients.Go(func() {
+				if r := d.send(booking(e)); r.status/100 != 2 && ran([]*worker{w}, r.id) {
+					failed.Add(1)
+				}
+			})
+		}
+	}
+	time.Sleep(workTime / 2)
+	w.exit()
+	clients.Wait()
+	return int(failed.Load())
+}
+
+func booking(e *daemon) call {
+	return call{entry: e, method: http.MethodPost, path: "/book/one", body: "horse=7&rug=12"}
+}
--- a/review/scenario/main.go
+++ b/review/scenario/main.go
@@ -40,7 +40,9 @@
 type scenario func(rec *record, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
+	"foreign":   runForeign,
 	"heartbeat": runHeartbeat,
+	"limits":    runLimits,
 	"replay":    runReplay,
 }
 
--- a/review/scenario/worker.go
+++ b/review/scenario/worker.go
@@ -34,6 +34,7 @@
 	// resets the connection instead of answering.
 	loseAnswer func(n int) bool
 	total      int
+	conns      map[net.Conn]bool
 	stopped    chan struct{}
 }
 
@@ -46,7 +47,7 @@
 			return nil, err
 		}
 		w := &worker{d: d, id: fmt.Sprintf("i-%d%08x", i, time.Now().UnixNano()&0xffffffff), address: l.Addr().String(), zone: zones[i%len(zones)],
-			born: time.Now().UnixMilli(), listener: l, state: "ready", runs: map[string][]time.Time{}, stopped: make(chan struct{})}
+			born: time.Now().UnixMilli(), listener: l, state: "ready", runs: map[string][]time.Time{}, conns: map[net.Conn]bool{}, stopped: make(chan struct{})}
 		d.rec.printf("worker %s serves at %s in %s", w.id, w.address, w.zone)
 		go w.serve()
 		go w.beat(i)
@@ -88,10 +89,14 @@
 	return time.Time{}, ""
 }
 
-func (w *worker) setState(state string) {
+// exit ends the worker: it closes all of its connections.
+func (w *worker) exit() {
+	_ = w.listener.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.state = state
+	for conn := range w.conns {
+		_ = conn.Close()
+	}
 }
 
 func (w *worker) serve() {
@@ -107,6 +112,9 @@
 // serveConn serves one request at a time on a connection.
 func (w *worker) serveConn(conn net.Conn) {
 	defer conn.Close()
+	w.mu.Lock()
+	w.conns[conn] = true
+	w.mu.Unlock()
 	in := bufio.NewReader(conn)
 	for {
 		req, err := http.ReadRequest(in)
