--- a/review/scenario/config.go
+++ b/review/scenario/config.go
@@ -27,11 +27,12 @@
 }
 
 type service struct {
-	Name           string `json:"name"`
-	HealthPath     string `json:"health_path"`
-	MaxConnections int    `json:"max_connections"`
-	Protocol       string `json:"protocol"`
-	TLS            bool   `json:"tls"`
+	Name           string        `json:"name"`
+	HealthPath     string        `json:"health_path"`
+	MaxConnections int           `json:"max_connections"`
+	Protocol       string        `json:"protocol"`
+	TLS            bool          `json:"tls"`
+	Engine         *engineConfig `json:"engine,omitempty"`
 }
 
 type limits struct {
--- a/review/scenario/deployment.go
+++ b/review/scenario/deployment.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 )
@@ -245,7 +246,7 @@
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, 4096))
-	return resp.StatusCode, string(answer), err
+	return resp.StatusCode, strings.TrimSpace(string(answer)), err
 }
 
 // putConfig sends a configuration as the operator does: to one control daemon
--- a/review/scenario/main.go
+++ b/review/scenario/main.go
@@ -40,6 +40,7 @@
 type scenario func(rec *record, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
+	"address":   runAddress,
 	"foreign":   runForeign,
 	"heartbeat": runHeartbeat,
 	"limits":    runLimits,
