--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/scenario ] || { echo "run review/build.sh first"; exit 2; }
-exec target/review/scenario limits review/5/record.txt
+exec target/review/scenario heartbeat review/5/record.txt
