--- a/review/scenario/client.go
+++ b/review/scenario/client.go
@@ -49,7 +49,7 @@
 	for name, value := range c.header {
 		req.Header.Set(name, value)
 	}
-	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	client := &http.Client{Timeout: d.patience, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		r.err = err
--- a/review/scenario/deployment.go
+++ b/review/scenario/deployment.go
@@ -64,6 +64,8 @@
 	subnet  string
 	daemons []*daemon
 	http    *http.Client
+	// patience is how long clients wait for an answer.
+	patience time.Duration
 }
 
 type ports struct{ caller, ready, control, peer, metrics int }
@@ -85,7 +87,7 @@
 	processesMu.Unlock()
 	pid := os.Getpid()
 	d := &deployment{rec: rec, folder: folder, subnet: fmt.Sprintf("127.%d.%d.", 64+pid%64, pid/64%250),
-		http: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+		patience: 3 * time.Second, http: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for i := range controls {
 		zone := zones[i%len(zones)]
 		d.daemons = append(d.daemons, &daemon{name: fmt.Sprintf("core-%s-%d", zone, i), ip: fmt.Sprintf("%s%d", d.subnet, 11+i), zone: zone, control: true})
@@ -260,7 +262,7 @@
 	for try := range 60 {
 		control := d.controls()[try%len(d.controls())]
 		status, answer, err := d.post(control, "/v1/Config.Put", body)
-		d.rec.printf("operator: version %d to %s: %d %s %v", c.Version, control, status, answer, errorText(err))
+		d.rec.printf("operator: version %d to %s: %d %s%s", c.Version, control, status, answer, errorText(err))
 		if status == http.StatusOK {
 			return time.Now(), nil
 		}
--- a/review/scenario/limits.go
+++ b/review/scenario/limits.go
@@ -19,7 +19,7 @@
 
 // runLimits shows that clients are refused by the header limit of a configuration
 // that is no longer in force. Without the disruption, the first configuration
-// already has the larger limit.
+// already has the larger limit. It is not handed in as a case.
 func runLimits(rec *record, trouble bool) (bool, error) {
 	d, err := startDeployment(rec, 3, 2)
 	if err != nil {
--- a/review/scenario/main.go
+++ b/review/scenario/main.go
@@ -42,8 +42,10 @@
 var scenarios = map[string]scenario{
 	"address":   runAddress,
 	"foreign":   runForeign,
+	"hang":      runHang,
 	"heartbeat": runHeartbeat,
 	"limits":    runLimits,
+	"model":     runModel,
 	"replay":    runReplay,
 }
 
--- a/review/scenario/worker.go
+++ b/review/scenario/worker.go
@@ -33,9 +33,13 @@
 	// loseAnswer tells whether the answer to the n-th run is lost: the worker
 	// resets the connection instead of answering.
 	loseAnswer func(n int) bool
-	total      int
-	conns      map[net.Conn]bool
-	stopped    chan struct{}
+	// spoilHead tells whether the head of the answer to the n-th run is spoiled: it
+	// switches to a protocol that nobody asked for, and nothing follows until the
+	// caller closes.
+	spoilHead func(n int) bool
+	total     int
+	conns     map[net.Conn]bool
+	stopped   chan struct{}
 }
 
 // startWorkers starts a worker in each zone.
@@ -143,6 +147,7 @@
 	w.runs[id] = append(w.runs[id], time.Now())
 	w.total++
 	lost := w.loseAnswer != nil && w.loseAnswer(w.total)
+	spoiled := w.spoilHead != nil && w.spoilHead(w.total)
 	w.mu.Unlock()
 	w.d.rec.printf("worker %s: runs %s (%s %s, %d bytes)", w.id, id, req.Method, req.URL.Path, len(body))
 	time.Sleep(workTime)
@@ -153,6 +158,12 @@
 		}
 		return false
 	}
+	if spoiled {
+		w.d.rec.printf("worker %s: has run %s, its answer is spoiled", w.id, id)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\nBluebellfield-Attempt-Id: %s\r\n\r\n", id)
+		_, _ = io.Copy(io.Discard, conn)
+		return false
+	}
 	answer := "done " + id
 	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBluebellfield-Attempt-Id: %s\r\nBluebellfield-Server-Seal: seal.%s.%s\r\nBluebellfield-Server-Load: 1,0,%d\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
 		id, w.id, id, workerSlots, len(answer), answer)
