--- a/review/scenario/deployment.go
+++ b/review/scenario/deployment.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -54,6 +55,8 @@
 	name, ip, zone string
 	control        bool
 	settings, log  string
+	process        *os.Process
+	restarted      bool
 }
 
 // deployment is a small deployment of control and entry daemons in three zones.
@@ -154,7 +157,7 @@
 	at := func(port int) string { return net.JoinHostPort(m.ip, fmt.Sprint(port)) }
 	listen := map[string]any{"metrics": at(d.ports.metrics)}
 	s := map[string]any{"id": m.ip, "name": m.name, "failureDomain": m.zone, "listen": listen, "peerPort": d.ports.peer,
-		"seeds": d.controls()[:seedCount], "bootstrap": true, "heartbeatMs": heartbeatInterval.Milliseconds(), "stallMs": 6000, "memoryMb": 284,
+		"seeds": d.controls()[:seedCount], "bootstrap": !m.restarted, "heartbeatMs": heartbeatInterval.Milliseconds(), "stallMs": 6000, "memoryMb": 284,
 		"drain": map[string]any{"graceMs": 8000}, "retryBudget": map[string]any{"ratio": 0.2, "allowance": 132, "windowMs": 10000}}
 	if m.control {
 		listen["control"] = at(d.ports.control)
@@ -175,7 +178,7 @@
 		return err
 	}
 	m.log = filepath.Join(d.folder, m.name+".log")
-	out, err := os.Create(m.log)
+	out, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -188,10 +191,34 @@
 	processesMu.Lock()
 	processes = append(processes, p)
 	processesMu.Unlock()
+	m.process = p.Process
 	d.rec.printf("started %s at %s, process %d", m.name, m.ip, p.Process.Pid)
 	return nil
 }
 
+// restart kills a daemon and starts it again, as the platform does.
+func (d *deployment) restart(all ...*daemon) error {
+	for _, m := range all {
+		if err := d.signal(m, syscall.SIGKILL); err != nil {
+			return err
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, m := range all {
+		m.restarted = true
+		if err := d.start(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// signal sends a signal to the process of a daemon.
+func (d *deployment) signal(m *daemon, s syscall.Signal) error {
+	d.rec.printf("%s gets %s", m.name, s)
+	return m.process.Signal(s)
+}
+
 // controls returns the addresses that serve the operator and the workers.
 func (d *deployment) controls() []string {
 	var all []string
--- a/review/scenario/main.go
+++ b/review/scenario/main.go
@@ -44,9 +44,12 @@
 	"foreign":   runForeign,
 	"hang":      runHang,
 	"heartbeat": runHeartbeat,
+	"late":      runLate,
 	"limits":    runLimits,
 	"model":     runModel,
 	"replay":    runReplay,
+	"freeze":    runFreeze,
+	"stop":      runStop,
 }
 
 func main() { os.Exit(run()) }
