--- a/review/scenario/worker.go
+++ b/review/scenario/worker.go
@@ -40,7 +40,10 @@
 	spoilHead func(n int) bool
 	total     int
 	conns     map[net.Conn]bool
-	stopped   chan struct{}
+	// present counts the requests that run or wait for a slot.
+	present int
+	slots   chan struct{}
+	stopped chan struct{}
 }
 
 // startWorkers starts a worker in each zone.
