replica: members vote again once their disk accepts writes

Cause: after one failed write the replica stayed volatile for the life of its process. Two such members of three leave no majority. A disk that was full at the start of the process had the same effect.

The state machine is kept and skips the entries that it has.

The new tests of internal/replica and internal/storage pass under the race detector; without the change TestMembersVoteAgainAfterTheirDisksWork waits for the vote in vain.

--- a/consensus/queries.go
+++ b/consensus/queries.go
@@ -71,6 +71,9 @@
 	return SnapshotMeta{Index: index, Term: term, Members: n.log.membersAtIndex(index).Clone()}, nil
 }
 
+// Applied returns the index of the last entry that was applied.
+func (n *Node) Applied() uint64 { return n.applied }
+
 // Leader returns the leader of the current term, or zero if it is not known.
 func (n *Node) Leader() NodeID { return n.leader }
 
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -165,11 +165,14 @@
 	}
 }
 
-// failingFS fails all syncs of files with an error set by setError.
+// failingFS fails all syncs of files with an error set by setError, and those of
+// one directory with an error set by setDirError.
 type failingFS struct {
 	storage.OS
 	mu      sync.Mutex
 	syncErr error
+	dir     string
+	dirErr  error
 }
 
 type failingFile struct {
@@ -183,6 +186,26 @@
 	f.syncErr = err
 }
 
+func (f *failingFS) setDirError(dir string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dir, f.dirErr = dir, err
+}
+
+func (f *failingFS) MkdirAll(path string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dirErr != nil && path == f.dir {
+		return f.dirErr
+	}
+	return f.OS.MkdirAll(path)
+}
+
+func (f *failingFS) Append(path string) (storage.File, error) {
+	file, err := f.OS.Append(path)
+	return failingFile{file, f}, err
+}
+
 func (f *failingFS) Create(path string) (storage.File, error) {
 	file, err := f.OS.Create(path)
 	return failingFile{file, f}, err
@@ -250,6 +273,102 @@
 	}
 }
 
+// Guards against members that never vote again after their disk was full for a
+// while: the log then loses its majority once this has happened to two of three.
+// Also guards against a recovered member that shows an earlier state, and against
+// one that does not have on its disk what it acknowledged.
+func TestMembersVoteAgainAfterTheirDisksWork(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name   string
+		cause  error
+		adjust func(*Options)
+	}{
+		{"full disk", syscall.ENOSPC, nil},
+		{"failing sync", syscall.EIO, nil},
+		{"full disk, entries compacted meanwhile", syscall.ENOSPC, func(o *Options) { o.SnapshotEntries = 20 }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := &cluster{net: newNetwork(), paths: map[string]string{}, members: map[string]*member{}}
+			disks := map[string]*failingFS{}
+			for _, id := range voterIDs {
+				disks[id] = &failingFS{}
+				c.paths[id] = filepath.Join(t.TempDir(), "data")
+				c.start(t, id, disks[id], test.adjust)
+			}
+			leader, others := c.leader(t)
+			proposeCommands(t, leader, 0, 10)
+			count := 10
+			for _, failed := range []*member{leader, others[0]} {
+				disks[failed.opts.ID].setError(test.cause)
+				ctx, cancel := context.WithTimeout(testContext(t), 50*time.Millisecond)
+				_, _ = failed.Propose(ctx, []byte("interrupted"))
+				cancel()
+				waitFor(t, "the failed member stops voting", func() bool { return failed.Status().Volatile })
+				require.NoError(t, failed.Barrier(testContext(t)))
+				count = len(failed.machine.recorded())
+				proposeCommands(t, others[1], 1000, 40)
+				count += 40
+				require.NoError(t, failed.Barrier(testContext(t)))
+				before := failed.machine.recorded()
+				require.GreaterOrEqual(t, len(before), count)
+				disks[failed.opts.ID].setError(nil)
+				waitFor(t, "the member votes again", func() bool { return !failed.Status().Volatile })
+				after := failed.machine.recorded()
+				require.GreaterOrEqual(t, len(after), len(before), "the state must not go back")
+				require.Equal(t, before, after[:len(before)])
+			}
+			require.NoError(t, others[1].Barrier(testContext(t)))
+			count = len(others[1].machine.recorded())
+			others[1].stop(c.net)
+			proposeCommands(t, leader, 2000, 40)
+			requireSameCommands(t, count+40, leader, others[0])
+
+			leader.stop(c.net)
+			others[0].stop(c.net)
+			restarted := []*member{c.start(t, leader.opts.ID, storage.OS{}, test.adjust), c.start(t, others[0].opts.ID, storage.OS{}, test.adjust)}
+			require.Equal(t, leader.ID(), restarted[0].ID(), "the storage id must not change")
+			requireSameCommands(t, count+40, restarted...)
+		})
+	}
+}
+
+// Guards against a member whose disk was full at its start and that never becomes
+// a voter, and against one that forgets the votes and entries on its disk.
+func TestDiskThatFailsAtTheStartIsUsedLater(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name  string
+		empty bool
+	}{{"existing log", false}, {"empty disk", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, nil)
+			leader, others := c.leader(t)
+			proposeCommands(t, leader, 0, 10)
+			id := others[0].opts.ID
+			others[0].stop(c.net)
+			if test.empty {
+				require.NoError(t, os.RemoveAll(c.paths[id]))
+			}
+			fs := &failingFS{}
+			var restarted *member
+			fs.setDirError(filepath.Join(c.paths[id], "global"), syscall.ENOSPC)
+			restarted = c.start(t, id, fs, nil)
+			require.True(t, restarted.Status().Volatile)
+			proposeCommands(t, leader, 10, 10)
+			fs.setDirError("", nil)
+			waitFor(t, "the member has a working log", func() bool { return !restarted.Status().Volatile })
+			if test.empty {
+				require.NoError(t, leader.ProposeVoterChange(testContext(t), VoterChange{Kind: Remove, Instance: id}))
+				require.NoError(t, leader.ProposeVoterChange(testContext(t), VoterChange{Kind: AddVoter, Instance: id, Storage: restarted.ID().Storage}))
+			}
+			others[1].stop(c.net)
+			proposeCommands(t, leader, 20, 10)
+			requireSameCommands(t, 30, leader, restarted)
+		})
+	}
+}
+
 // Guards against treating a damaged log as a shorter, valid one.
 func TestDamagedLogDoesNotVote(t *testing.T) {
 	t.Parallel()
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -40,6 +40,7 @@
 		r.node.Tick(now)
 		r.sendHellos(now)
 		r.processOutputs()
+		r.recoverStorage(now)
 		r.dropIdleTransfers(now)
 		r.publishStatus()
 		timer.Reset(time.Until(r.nextDeadline()))
@@ -60,6 +61,9 @@
 
 func (r *Replica) nextDeadline() time.Time {
 	next := r.node.NextDeadline()
+	if !r.nextRecovery.IsZero() && r.nextRecovery.Before(next) {
+		next = r.nextRecovery
+	}
 	if !r.nextHello.IsZero() && r.nextHello.Before(next) {
 		return r.nextHello
 	}
@@ -134,6 +138,7 @@
 		return
 	}
 	r.storageErr = err
+	r.scheduleRecovery(time.Now())
 	r.opts.Logger.Error("log storage failed; this instance stops voting", zap.Error(err))
 	r.node.StopVoting(time.Now())
 }
@@ -193,7 +198,12 @@
 	if len(entries) == 0 || r.restoreFailed {
 		return
 	}
+	applied := r.applied.Load()
 	for _, e := range entries {
+		if e.Index <= applied {
+			// The state machine is ahead of a node that was rebuilt from the disk.
+			continue
+		}
 		var result []byte
 		if e.Kind == consensus.EntryCommand {
 			result = r.opts.Machine.Apply(e.Index, e.Data)
@@ -205,7 +215,9 @@
 			r.failEarlierTerms(e.Term)
 		}
 	}
-	r.advanceApplied(entries[len(entries)-1].Index)
+	if last := entries[len(entries)-1].Index; last > applied {
+		r.advanceApplied(last)
+	}
 }
 
 // completeProposals completes the proposals for the index of a committed entry.
@@ -272,6 +284,11 @@
 }
 
 func (r *Replica) restore(s consensus.Snapshot) {
+	if s.Meta.Index <= r.applied.Load() {
+		// The node was rebuilt from the disk and lags behind the state machine.
+		r.download = nil
+		return
+	}
 	if err := r.opts.Machine.Restore(s.Data); err != nil {
 		// The state lacks entries that the log no longer has, so later ones
 		// cannot be applied to it.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -162,6 +162,7 @@
 	node             *consensus.Node
 	store            *storage.Log
 	storageErr       error
+	nextRecovery     time.Time // zero while storage works or cannot recover
 	hardState        consensus.HardState
 	hardStateUnsaved bool
 	restoreFailed    bool
@@ -206,7 +207,8 @@
 )
 
 // Open starts a replica. If its storage fails, the replica still starts, but
-// replicates the log in memory without voting; Status reports the failure.
+// replicates the log in memory without voting until the storage works again;
+// Status reports the failure.
 func Open(o Options) (*Replica, error) {
 	o = o.withDefaults()
 	if o.Log == "" || o.ID == "" || o.Machine == nil || o.Transport == nil {
@@ -245,6 +247,7 @@
 		r.id.Storage = r.store.StorageID()
 	}
 	if r.storageErr != nil {
+		r.scheduleRecovery(time.Now())
 		r.opts.Logger.Error("log storage failed; this instance does not vote", zap.Error(r.storageErr))
 	}
 	if r.id.Storage == 0 {
@@ -254,16 +257,22 @@
 	}
 	r.cfg = consensus.Config{ID: r.id, ElectionTimeout: r.opts.ElectionTimeout, HeartbeatInterval: r.opts.HeartbeatInterval,
 		MaxClockDrift: r.opts.MaxClockDrift, Volatile: r.store == nil || r.storageErr != nil, Seed: int64(seed)}
-	if st.Snapshot.Index == 0 {
-		return st, nil
+	return st, r.restoreFromDisk(st)
+}
+
+// restoreFromDisk restores the state machine from the stored snapshot if the
+// state machine lacks entries that the snapshot covers.
+func (r *Replica) restoreFromDisk(st consensus.Persisted) error {
+	if st.Snapshot.Index <= r.applied.Load() {
+		return nil
 	}
 	snapshot, err := r.store.LoadSnapshot()
 	if err != nil {
-		return st, err
+		return err
 	}
 	r.snapshots.lastSize = len(snapshot.Data)
 	r.applied.Store(snapshot.Meta.Index)
-	return st, r.opts.Machine.Restore(snapshot.Data)
+	return r.opts.Machine.Restore(snapshot.Data)
 }
 
 func randomUint64() (uint64, error) {
@@ -272,8 +281,9 @@
 	return binary.LittleEndian.Uint64(b[:]), err
 }
 
-// ID returns the id of this member.
-func (r *Replica) ID() consensus.NodeID { return r.id }
+// ID returns the id of this member. It changes only if the storage could not be
+// opened at the start and works later.
+func (r *Replica) ID() consensus.NodeID { return r.Status().ID }
 
 // Status returns the state as of the last iteration of the replica's loop.
 func (r *Replica) Status() Status { return *r.status.Load() }
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -40,6 +40,11 @@
 	if s.running || s.entries < r.opts.SnapshotEntries && s.bytes < max(r.opts.SnapshotBytes, s.lastSize) {
 		return
 	}
+	if r.node.Applied() < r.applied.Load() {
+		// The node was rebuilt from the disk and does not have the last applied
+		// entry yet.
+		return
+	}
 	meta, err := r.node.SnapshotMeta(r.applied.Load())
 	if err != nil {
 		r.opts.Logger.Error("building the snapshot metadata failed", zap.Error(err))
@@ -120,7 +125,7 @@
 // handleSnapshotOffer handles a leader's snapshot offer: it fetches the data in
 // chunks and, once they are complete, returns the message with the data.
 func (r *Replica) handleSnapshotOffer(now time.Time, m consensus.Message) consensus.Message {
-	if m.Snapshot.Meta.Index <= r.applied.Load() {
+	if m.Snapshot.Meta.Index <= r.node.Status().Commit {
 		return m
 	}
 	if r.download == nil || r.download.from != m.From.Instance {
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -79,6 +79,45 @@
 	return l, st, nil
 }
 
+// ReopenLog opens the files of a failed log again, after the cause of the failure
+// may be gone, and returns the state that a restarted process would find. It
+// first discards what the failed log wrote after its last sync, because a sync
+// that succeeds after a failed one does not prove that these bytes are durable.
+// It fails if the disk does not accept writes yet. The failed log must not be
+// used afterwards.
+func (d *Dir) ReopenLog(failed *Log, name string) (*Log, consensus.Persisted, error) {
+	if err := failed.discardUnsynced(); err != nil {
+		return failed, consensus.Persisted{}, err
+	}
+	l, st, err := d.OpenLog(name, LogOptions{SegmentBytes: failed.segmentBytes})
+	if err == nil {
+		// Reading and truncating may succeed on a full disk; a new segment shows
+		// that the disk accepts writes.
+		err = l.startSegment(l.segments[len(l.segments)-1].sequence + 1)
+	}
+	if err != nil {
+		_ = l.Close()
+		return failed, consensus.Persisted{}, err
+	}
+	return l, st, nil
+}
+
+// discardUnsynced truncates the current segment after the last frame that was
+// synced and closes it. A log that could not be opened has no current segment.
+func (l *Log) discardUnsynced() error {
+	if l.current == nil {
+		return nil
+	}
+	path := l.segmentPath(l.segments[len(l.segments)-1].sequence)
+	if err := l.current.Truncate(int64(l.currentSize)); err != nil {
+		return ioError(opWrite, path, err)
+	}
+	if err := l.current.Sync(); err != nil {
+		return ioError(opSync, path, err)
+	}
+	return l.Close()
+}
+
 // fail records an error after which the log accepts no more writes.
 func (l *Log) fail(err error) error {
 	l.failure = err
@@ -214,7 +253,7 @@
 // Save stores the durable part of an output, which is a snapshot to install, the
 // hard state and entries. The hard state and the entries share one sync. After
 // a failure every later Save fails too, because the content of the file is no
-// longer known.
+// longer known; ReopenLog continues with what was synced before.
 func (l *Log) Save(out consensus.Output) error {
 	if l.failure != nil {
 		return l.failure
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -228,6 +228,60 @@
 	}
 }
 
+// Guards against a reopened log that keeps bytes of a failed write, loses synced
+// ones, or is usable while the disk still refuses writes.
+func TestReopenedLogHoldsWhatWasSynced(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		inject func(*memFS)
+	}{
+		{"sync fails", func(fs *memFS) { fs.syncErr = errTestIO }},
+		{"disk full", func(fs *memFS) { fs.freeBytes, fs.writeErr = 0, syscall.ENOSPC }},
+		{"short write", func(fs *memFS) { fs.freeBytes, fs.writeErr = 5, syscall.ENOSPC }},
+	} {
+		for _, step := range []string{"save", "new segment", "snapshot"} {
+			t.Run(test.name+" at "+step, func(t *testing.T) {
+				fs := newMemFS()
+				d, err := OpenDir(fs, testDir)
+				require.NoError(t, err)
+				l, _, err := d.OpenLog("log", LogOptions{SegmentBytes: 300})
+				require.NoError(t, err)
+				require.NoError(t, l.Save(consensus.Output{HardChanged: true, Hard: hard(1, "b"), Entries: entries(1, 1)}))
+				if step == "new segment" {
+					for l.currentSize < 300 {
+						require.NoError(t, l.Save(consensus.Output{HardChanged: true, Hard: hard(1, "b")}))
+					}
+				}
+				id := l.StorageID()
+				test.inject(fs)
+				out := consensus.Output{Entries: entries(1, 2)}
+				if step == "snapshot" {
+					out = consensus.Output{Snapshot: &consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 9, Term: 1}, Data: []byte("state")}}
+				}
+				require.Error(t, l.Save(out))
+				for range 3 {
+					l, _, err = d.ReopenLog(l, "log")
+					require.Error(t, err, "the disk refuses writes")
+				}
+
+				fs.syncErr, fs.freeBytes = nil, 1<<30
+				l, st, err := d.ReopenLog(l, "log")
+				require.NoError(t, err)
+				require.Equal(t, id, l.StorageID())
+				require.Equal(t, entries(1, 1), st.Entries, "the failed write must not be kept")
+				require.Equal(t, hard(1, "b"), st.Hard)
+				require.NoError(t, l.Save(consensus.Output{HardChanged: true, Hard: hard(2, "c"), Entries: entries(2, 2)}))
+
+				fs.crash(dropTail)
+				_, st, err = openTestLog(fs, LogOptions{})
+				require.NoError(t, err)
+				require.Equal(t, append(entries(1, 1), entries(2, 2)...), st.Entries)
+				require.Equal(t, hard(2, "c"), st.Hard)
+			})
+		}
+	}
+}
+
 // Guards against two processes that use one directory, and against reading an
 // unknown directory layout.
 func TestDirectoryIsLockedAndVersioned(t *testing.T) {
