edge/upstream: the transport never repeats a request

Cause: Go's transport repeats such requests by its own rules, whatever the route. The entries used the pool for all routes; the daemons for all but requests that run at most once.

Change: Client.Exchange, which both serving paths, orders and probes use, blocks the second connection and cancels the request once any byte was written to the first one. The outcome is unknown, as for a request with a body.

--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -64,9 +64,9 @@
 	Attempt   int
 	Priority  string
 	Resume    *Resume
-	// Once prevents automatic resends. The attempt uses a new connection,
-	// because the transport may resend a request after a reused connection
-	// breaks.
+	// Once sends the request on a new connection. An upstream may close a kept
+	// connection while the request is on its way, and it is then unknown whether
+	// the request ran.
 	Once bool
 }
 
@@ -150,16 +150,20 @@
 	return c.Exchange(req, at, d.Once)
 }
 
-// Exchange sends a prepared request. The transport can resend a body only if
-// GetBody is set; once prevents all automatic resends. An error has the outcome
-// NotRun only if no byte of the request can have been sent.
+// Exchange sends a prepared request at most once. With once set, it uses a new
+// connection. An error has the outcome NotRun only if no byte of the request can
+// have been sent.
 func (c *Client) Exchange(req *http.Request, at fault.Location, once bool) (*http.Response, error) {
-	tracker := &writeTracker{}
-	req = req.WithContext(tracker.withTrace(req.Context()))
+	// The context must outlive this call, because the body of the response is read
+	// under it. It ends with the caller's.
+	ctx, cancel := context.WithCancelCause(req.Context())
+	tracker := &writeTracker{cancel: cancel}
+	req = req.WithContext(tracker.withTrace(ctx))
 	resp, err := c.transport(once).RoundTrip(req)
 	if err == nil {
 		return resp, nil
 	}
+	defer cancel(nil)
 	if tracker.notSent() {
 		return nil, fault.Wrap(err, fault.UpstreamUnreachable, at, fault.NotRun)
 	}
--- a/internal/edge/upstream/client_test.go
+++ b/internal/edge/upstream/client_test.go
@@ -324,7 +324,8 @@
 }
 
 // The transport must not resend a request when the upstream closes a reused
-// connection after reading the request.
+// connection after reading the request, not even one that it takes for idempotent
+// by its method or its Idempotency-Key.
 func TestReusedConnection(t *testing.T) {
 	// The server responds to the first request on a connection. It closes the
 	// connection after reading the second one.
@@ -352,6 +353,10 @@
 	}{
 		{"POST", func(d Dispatch) Dispatch { return d }, false, true},
 		{"POST with a key", withKey, false, true},
+		{"POST with a key and without a body", func(d Dispatch) Dispatch { d.Body = nil; return withKey(d) }, false, true},
+		{"GET", get, false, true},
+		{"GET with a key", func(d Dispatch) Dispatch { return get(withKey(d)) }, false, true},
+		{"DELETE with a key", func(d Dispatch) Dispatch { d = get(withKey(d)); d.Method = http.MethodDelete; return d }, false, true},
 		{"POST once", func(d Dispatch) Dispatch { return d }, true, false},
 		{"POST with a key once", withKey, true, false},
 		{"GET with a key once", func(d Dispatch) Dispatch { return get(withKey(d)) }, true, false},
--- a/internal/edge/upstream/conn.go
+++ b/internal/edge/upstream/conn.go
@@ -60,8 +60,16 @@
 	}
 }
 
-// writeTracker records the connections that the transport uses for one request.
+// errResent cancels a request that the transport would send a second time.
+var errResent = errors.New("the connection broke after the request was sent")
+
+// writeTracker records the connections that the transport uses for one request,
+// and cancels the request before it is sent a second time: the transport repeats
+// a request without a body by itself if a kept connection breaks and the method
+// or an Idempotency-Key header makes the request idempotent by its rules.
 type writeTracker struct {
+	cancel context.CancelCauseFunc
+
 	mu    sync.Mutex
 	conns []usedConn
 }
@@ -85,17 +93,27 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.blockWrites() {
+		conn.blockWrites(conn.bytesWritten())
+		t.cancel(errResent)
+	}
 	t.conns = append(t.conns, usedConn{conn, conn.bytesWritten()})
 }
 
+// blockWrites blocks further writes on the connections of the request. It reports
+// whether nothing has been written since the request got them.
+func (t *writeTracker) blockWrites() (unwritten bool) {
+	unwritten = true
+	for _, c := range t.conns {
+		unwritten = c.conn.blockWrites(c.writtenBefore) && unwritten
+	}
+	return unwritten
+}
+
 // notSent reports whether no byte of the failed request can have been sent. It
 // blocks further writes on the connections, so that none is sent later either.
 func (t *writeTracker) notSent() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	unwritten := true
-	for _, c := range t.conns {
-		unwritten = c.conn.blockWrites(c.writtenBefore) && unwritten
-	}
-	return unwritten
+	return t.blockWrites()
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -449,3 +449,35 @@
 		require.Equal(t, events(3), got.body)
 	}
 }
+
+// Guards against a non-idempotent request that the HTTP transport repeats by itself
+// when its answer is lost on a kept connection.
+func TestLostAnswerIsNotRepeatedByTheTransport(t *testing.T) {
+	for _, test := range []struct {
+		name, method, key string
+	}{{"GET", http.MethodGet, ""}, {"POST with a key", http.MethodPost, "k"}} {
+		t.Run(test.name, func(t *testing.T) {
+			u := newUpstream(t, "u", func(u *fakeUpstream, n int, w http.ResponseWriter, r *http.Request) {
+				if n%2 == 0 {
+					resetConnection(u, n, w, r)
+					return
+				}
+				answer("done")(u, n, w, r)
+			})
+			_, server := newEntry(t, u.record("app", ""))
+			for n := range 6 {
+				got := sendRequest(t, server, "/order/x", func(r *http.Request) {
+					r.Method, r.Body, r.ContentLength = test.method, http.NoBody, 0
+					r.Header.Set("Id", fmt.Sprint("request-", n))
+					if test.key != "" {
+						r.Header.Set("Idempotency-Key", test.key)
+					}
+				})
+				require.Equal(t, n+1, u.requests(), "each request must arrive exactly once")
+				if n%2 == 1 {
+					require.Equal(t, http.StatusBadGateway, got.status)
+				}
+			}
+		})
+	}
+}
