control: a report of an unlisted service takes no address

Cause: a report takes its address from the upstream that held it, which then counts as ended, whatever service the report names.

Change: control instances keep back reports of services that the catalog does not list, at most 4096 of them. They take effect with the catalog that lists the service.

--- a/fleet/commands.go
+++ b/fleet/commands.go
@@ -7,7 +7,7 @@
 // report.
 func (t *Table) Observe(now time.Time, u Upstream) (accepted, changed bool) {
 	old := t.upstreams[u.ID]
-	if old != nil && !supersedes(old, &u) {
+	if old != nil && !u.Supersedes(old) {
 		return false, false
 	}
 	if holder := t.upstreams[t.byAddress[u.Address]]; holder != nil && holder.ID != u.ID && u.Phase != Gone {
@@ -28,9 +28,9 @@
 	return true, changed
 }
 
-// supersedes reports whether u replaces old. An incarnation that has left does
+// Supersedes reports whether u replaces old. An incarnation that has left does
 // not come back.
-func supersedes(old, u *Upstream) bool {
+func (u *Upstream) Supersedes(old *Upstream) bool {
 	switch {
 	case u.StartMillis != old.StartMillis:
 		return u.StartMillis > old.StartMillis
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -82,6 +82,7 @@
 
 	mu          sync.Mutex
 	table       *fleet.Table
+	unlisted    unlistedReports
 	subscribers map[string]*subscriber
 	// sources holds the last update that was applied from each of the other
 	// control instances.
@@ -112,6 +113,10 @@
 	// storingVerdicts is set while verdicts are being stored.
 	storingVerdicts atomic.Bool
 
+	// listedVersion is the version of the catalog whose services unlisted knows.
+	// Only the publisher uses it.
+	listedVersion uint64
+
 	controller *actor.PID
 	// tickQueued is set while a tick is in the controller's mailbox.
 	tickQueued atomic.Bool
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -173,6 +173,7 @@
 	var flush <-chan time.Time
 	for {
 		applied := c.replica.Watch()
+		c.listServices()
 		select {
 		case <-c.ctx.Done():
 			return
@@ -298,6 +299,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.table.RemoveOlderThan(now.Add(-recordRetention))
+	c.unlisted.removeOlderThan(now.Add(-recordRetention))
 	c.refreshReachable(now)
 	interval := UpdateInterval
 	if c.leads() && len(c.loadTotals(now).Loads) > 0 {
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,6 +29,15 @@
 	return placement.Accepted, nil
 }
 
+// decodeServices decodes a document that lists the names of services.
+func decodeServices(document []byte) (*catalog.Catalog, error) {
+	var content catalog.Content
+	for _, name := range strings.Fields(string(document)) {
+		content.Services = append(content.Services, catalog.Service{Name: name})
+	}
+	return catalog.New(content)
+}
+
 // startControl starts a control instance that cannot reach any other. It
 // becomes the leader if it is the only seed.
 func startControl(t *testing.T, seeds ...string) *Control {
@@ -38,7 +48,7 @@
 	dir, err := storage.OpenDir(storage.OS{}, t.TempDir())
 	require.NoError(t, err)
 	c, err := Start(Options{ID: "127.0.0.1", FailureDomain: "z", Seeds: seeds, Bootstrap: true, Dir: dir, Network: network,
-		System: actor.NewActorSystem(), Decode: func([]byte) (*catalog.Catalog, error) { return catalog.New(catalog.Content{}) },
+		System: actor.NewActorSystem(), Decode: decodeServices,
 		Orders: acceptOrders{}, HeartbeatInterval: time.Second, StallTime: time.Second, Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
 	require.NoError(t, err)
 	t.Cleanup(func() {
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -38,7 +38,18 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	accepted, changed := c.table.Observe(now, u)
+	if c.isUnlisted(&u) {
+		c.opts.Logger.Debug("report kept back: the catalog does not list its service", zap.String("upstream", u.ID), zap.String("service", u.Service))
+		c.unlisted.keep(now, u)
+		return
+	}
+	c.recordReport(now, u)
+}
+
+// recordReport records a report that was received at a time, and relays it. The
+// caller holds mu.
+func (c *Control) recordReport(receivedAt time.Time, u fleet.Upstream) {
+	accepted, changed := c.table.Observe(receivedAt, u)
 	if !accepted {
 		c.opts.Logger.Debug("report ignored: a newer one is known", zap.String("upstream", u.ID), zap.Uint64("sequence", u.Sequence))
 		return
@@ -62,6 +73,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.unlisted.leave(id, startMillis)
 	u, ok := c.table.Leave(time.Now(), id, startMillis)
 	if !ok {
 		return
--- a/internal/control/registrar_test.go
+++ b/internal/control/registrar_test.go
@@ -1,12 +1,15 @@
 package control
 
 import (
+	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/fleet"
 )
 
@@ -36,3 +39,88 @@
 	report(started+time.Minute.Milliseconds(), 1, "10.0.0.4:80")
 	require.Equal(t, "10.0.0.4:80", known().Address, "a clock that is ahead by a minute")
 }
+
+// Guards against a report of another system that takes the address of an upstream in
+// use, so that the upstream counts as ended and its replica group is dissolved.
+func TestReportOfUnlistedServiceTakesNoAddress(t *testing.T) {
+	c := startControl(t, "127.0.0.1")
+	started := time.Now().UnixMilli()
+	head := fleet.Upstream{ID: "head", Service: "model", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: started, Sequence: 1}
+	listServices(t, c, 1, "model")
+	c.HandleReport(head)
+	c.HandleReport(fleet.Upstream{ID: "web", Service: "elsewhere", Address: head.Address, FailureDomain: "z", StartMillis: started + 1, Sequence: 1})
+	u, known := registered(c, "head")
+	require.True(t, known)
+	require.Equal(t, fleet.Ready, u.Phase)
+	require.False(t, u.Replaced)
+	_, known = registered(c, "web")
+	require.False(t, known)
+
+	// A process of a listed service that started later does take the address.
+	c.HandleReport(fleet.Upstream{ID: "next", Service: "model", Address: head.Address, FailureDomain: "z", StartMillis: started + 2, Sequence: 1})
+	u, _ = registered(c, "head")
+	require.True(t, u.Replaced)
+}
+
+// Guards against upstreams that are used late, or after they left, because their
+// reports arrived before the catalog that lists their service.
+func TestReportsTakeEffectWithTheCatalogThatListsTheirService(t *testing.T) {
+	c := startControl(t, "127.0.0.1")
+	started := time.Now().UnixMilli()
+	report := func(id string, sequence uint64, phase fleet.Phase) {
+		c.HandleReport(fleet.Upstream{ID: id, Service: "new", Address: id + ":80", FailureDomain: "z", StartMillis: started, Sequence: sequence, Phase: phase})
+	}
+	listServices(t, c, 1, "model")
+	report("10.0.0.1", 2, fleet.Draining)
+	report("10.0.0.1", 1, fleet.Ready)
+	report("10.0.0.2", 1, fleet.Ready)
+	c.HandleDeparture("10.0.0.2", started)
+	_, known := registered(c, "10.0.0.1")
+	require.False(t, known)
+
+	listServices(t, c, 2, "model", "new")
+	u, known := registered(c, "10.0.0.1")
+	require.True(t, known)
+	require.Equal(t, fleet.Draining, u.Phase, "the newest report counts")
+	_, known = registered(c, "10.0.0.2")
+	require.False(t, known, "an upstream that left is not used")
+
+	// After the service was removed, its registered upstreams still report that
+	// they drain or leave.
+	report("10.0.0.3", 1, fleet.Ready)
+	listServices(t, c, 3, "model")
+	report("10.0.0.3", 2, fleet.Draining)
+	u, _ = registered(c, "10.0.0.3")
+	require.Equal(t, fleet.Draining, u.Phase)
+}
+
+// Guards against reports of unlisted services that fill the memory.
+func TestUnlistedReportsAreBounded(t *testing.T) {
+	var r unlistedReports
+	now := time.Now()
+	r.setServices(nil)
+	for n := range 2 * maxUnlisted {
+		r.keep(now, fleet.Upstream{ID: fmt.Sprint(n), Service: "elsewhere"})
+	}
+	require.Len(t, r.reports, maxUnlisted)
+	r.removeOlderThan(now.Add(time.Second))
+	require.Empty(t, r.reports)
+}
+
+// listServices puts a catalog with the given services into force.
+func listServices(t *testing.T, c *Control, version uint64, services ...string) {
+	content, err := catalog.New(catalog.Content{Version: version})
+	require.NoError(t, err)
+	require.NoError(t, c.PutCatalog(t.Context(), content, []byte(strings.Join(services, " "))))
+	require.Eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(services) == len(c.unlisted.listed)
+	}, 10*time.Second, time.Millisecond)
+}
+
+func registered(c *Control, id string) (fleet.Upstream, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Get(id)
+}
