--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -135,7 +135,7 @@
 	s.lastNumber++
 	update.Number = s.lastNumber
 	s.pending, s.lastSent = nil, time.Now()
-	payload, err := proto.Marshal(update)
+	payload, err := c.encodeUpdate(update)
 	if err != nil {
 		c.opts.Logger.Error("failed to encode update", zap.String("peer", id), zap.Error(err))
 		return
@@ -145,6 +145,25 @@
 	c.opts.Network.Send(id, mesh.ChannelUpdate, payload)
 }
 
+// encodeUpdate encodes an update. It leaves out records that cannot be encoded, so
+// that one of them does not keep all others from the subscribers.
+func (c *Control) encodeUpdate(update *mesh.Update) ([]byte, error) {
+	payload, err := proto.Marshal(update)
+	if err == nil {
+		return payload, nil
+	}
+	var encodable []*mesh.Upstream
+	for _, u := range update.Upstreams {
+		if _, err := proto.Marshal(u); err != nil {
+			c.opts.Logger.Error("record left out of an update", zap.String("upstream", u.Id), zap.Error(err))
+			continue
+		}
+		encodable = append(encodable, u)
+	}
+	update.Upstreams = encodable
+	return proto.Marshal(update)
+}
+
 // entryCount returns the number of entries. Every entry subscribes to the
 // leader, and to some of the other control instances, so that only the leader's
 // count is complete. The caller holds mu.
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -181,3 +181,19 @@
 	offer(until + 100)
 	require.Never(t, func() bool { after, _ := c.machine.Verdicts(); return after != before }, 200*time.Millisecond, 20*time.Millisecond)
 }
+
+// Guards against a record that cannot be encoded and keeps all other records, among
+// them departures, from the other instances.
+func TestRecordThatCannotBeEncodedIsLeftOut(t *testing.T) {
+	c := startControl(t, "127.0.0.1")
+	valid := fleet.Upstream{ID: "valid", Service: "s", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: 1, Sequence: 1}
+	invalid := valid
+	invalid.ID = "\xff\xfe"
+	payload, err := c.encodeUpdate(&mesh.Update{Number: 7, Upstreams: []*mesh.Upstream{mesh.EncodeUpstream(&invalid), mesh.EncodeUpstream(&valid)}})
+	require.NoError(t, err)
+	var update mesh.Update
+	require.NoError(t, proto.Unmarshal(payload, &update))
+	require.Equal(t, uint64(7), update.Number)
+	require.Len(t, update.Upstreams, 1)
+	require.Equal(t, "valid", update.Upstreams[0].Id)
+}
