entry: changed limits of connections are in force at running entries

Cause: the limits were given to the HTTP server with the first catalog, and net/http does not allow to change them while it serves.

Change: internal/edge/callerconn gives the server placeholders, which the connections replace by the limits in force, also while they wait. The header limit is checked for each request.

Evidence: TestLimitsOfNewCatalogAreInForce, over all keys of the limits, fails on the code before (a higher header limit) and passes under the race detector.

--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -23,6 +23,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"github.com/bluebellfield/bluebellfield/internal/edge/callerconn"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
 	"github.com/bluebellfield/bluebellfield/membership"
 )
@@ -337,7 +338,7 @@
 	if int64(len(x.body)) > route.MaxBodyBytes {
 		return fault.New(fault.BodyTooLarge, at, fault.NotRun, fmt.Sprintf("the body exceeds %d bytes", route.MaxBodyBytes))
 	}
-	if n := headerBytes(x.r.Header); n > route.MaxHeaderBytes {
+	if n := callerconn.HeaderBytes(x.r.Header); n > route.MaxHeaderBytes {
 		return fault.New(fault.HeaderTooLarge, at, fault.NotRun, fmt.Sprintf("the headers exceed %d bytes", route.MaxHeaderBytes))
 	}
 	x.info.Route = route
@@ -358,16 +359,6 @@
 	return [32]byte(sum.Sum(nil))
 }
 
-func headerBytes(h http.Header) int {
-	n := 0
-	for name, values := range h {
-		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return n
-}
-
 // fail reports err to the caller: as an error response, or by aborting the
 // connection when the response has already started.
 func (x *exchange) fail(err error) {
--- /dev/null
+++ b/internal/edge/callerconn/listener.go
@@ -0,0 +1,148 @@
+// Package callerconn applies the limits of caller connections that are in force,
+// also to connections that are already open.
+package callerconn
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Limits are the timeouts of a connection. Zero means no timeout.
+type Limits struct {
+	// Header limits the time to read the header of a request.
+	Header time.Duration
+	// Idle limits the time between two requests.
+	Idle time.Duration
+}
+
+// An http.Server reads its timeouts without synchronization, so that they cannot
+// change while it serves. The server is therefore given these placeholders, which
+// the connections of a Listener recognize and replace by the limits in force.
+// They are far apart from each other and from any other deadline.
+const (
+	idlePlaceholder   = 1000 * time.Hour
+	headerPlaceholder = 3000 * time.Hour
+)
+
+// Configure sets the timeouts of a server that serves a Listener.
+func Configure(s *http.Server) {
+	s.IdleTimeout, s.ReadHeaderTimeout = idlePlaceholder, headerPlaceholder
+}
+
+// Listener accepts connections of callers.
+type Listener struct {
+	net.Listener
+
+	mu     sync.Mutex
+	limits Limits
+	conns  map[*conn]struct{}
+}
+
+// NewListener returns a listener whose connections obey limits until SetLimits.
+func NewListener(l net.Listener, limits Limits) *Listener {
+	return &Listener{Listener: l, limits: limits, conns: map[*conn]struct{}{}}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: inner, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return c, nil
+}
+
+// SetLimits puts limits into force. A connection that is waiting keeps the time
+// that it has waited.
+func (l *Listener) SetLimits(limits Limits) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if limits == l.limits {
+		return
+	}
+	l.limits = limits
+	for c := range l.conns {
+		// An error means that the connection is closed.
+		_ = c.applyLimits()
+	}
+}
+
+// waiting is what a connection waits for.
+type waiting uint8
+
+const (
+	forNothing waiting = iota
+	forRequest
+	forHeader
+)
+
+// conn is a connection of a caller. Its fields are guarded by the listener's mu.
+type conn struct {
+	net.Conn
+	listener *Listener
+	waiting  waiting
+	since    time.Time
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	now := time.Now()
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.waiting, c.since = waitingFor(now, t), now
+	if c.waiting == forNothing {
+		return c.Conn.SetReadDeadline(t)
+	}
+	return c.applyLimits()
+}
+
+// waitingFor returns what a server waits for that sets a read deadline.
+func waitingFor(now, deadline time.Time) waiting {
+	switch until := deadline.Sub(now); {
+	case deadline.IsZero() || until < idlePlaceholder/2:
+		return forNothing
+	case until < (idlePlaceholder+headerPlaceholder)/2:
+		return forRequest
+	}
+	return forHeader
+}
+
+// applyLimits sets the deadline of a connection that waits. The caller holds mu.
+func (c *conn) applyLimits() error {
+	var limit time.Duration
+	switch c.waiting {
+	case forNothing:
+		return nil
+	case forRequest:
+		limit = c.listener.limits.Idle
+	case forHeader:
+		limit = c.listener.limits.Header
+	}
+	if limit <= 0 {
+		return c.Conn.SetReadDeadline(time.Time{})
+	}
+	return c.Conn.SetReadDeadline(c.since.Add(limit))
+}
+
+// CloseWrite lets the server close a connection without a reset of the last
+// response.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/edge/callerconn/listener_test.go
@@ -0,0 +1,110 @@
+package callerconn
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func serve(t *testing.T, limits Limits) *Listener {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := NewListener(inner, limits)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "ok")
+	})}
+	Configure(server)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(l)
+	}()
+	t.Cleanup(func() {
+		_ = server.Close()
+		<-done
+	})
+	return l
+}
+
+// client is a connection of a caller.
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func connect(t *testing.T, l *Listener) client {
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return client{c, bufio.NewReader(c)}
+}
+
+func (c client) request(t *testing.T) {
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(c.in, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+}
+
+// closedAfter returns the time until the server closes the connection.
+func (c client) closedAfter(t *testing.T, limit time.Duration) time.Duration {
+	started := time.Now()
+	require.NoError(t, c.SetReadDeadline(started.Add(limit)))
+	_, err := io.Copy(io.Discard, c.in)
+	require.NoError(t, err, "the server closes the connection")
+	return time.Since(started)
+}
+
+// Guards against timeouts that stay those of the first catalog: on connections that
+// are idle, on those that send a header, and on new ones.
+func TestChangedLimitsApplyToOpenConnections(t *testing.T) {
+	const short, long, margin = 300 * time.Millisecond, 30 * time.Second, 10 * time.Second
+	l := serve(t, Limits{Header: long, Idle: long})
+	idle, sending := connect(t, l), connect(t, l)
+	idle.request(t)
+	_, err := io.WriteString(sending, "GET / HTTP/1.1\r\nHo")
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	l.SetLimits(Limits{Header: short, Idle: short})
+	require.Less(t, idle.closedAfter(t, margin), margin, "a shorter idle timeout")
+	require.Less(t, sending.closedAfter(t, margin), margin, "a shorter header timeout")
+
+	later := connect(t, l)
+	later.request(t)
+	l.SetLimits(Limits{Header: long, Idle: long})
+	time.Sleep(3 * short)
+	later.request(t)
+	l.SetLimits(Limits{})
+	time.Sleep(3 * short)
+	later.request(t)
+	require.Less(t, l.open(), 3, "closed connections are forgotten")
+}
+
+// Guards against a connection that is cut off by the timeouts while its request is
+// served or its body is read.
+func TestLimitsDoNotCutRequests(t *testing.T) {
+	l := serve(t, Limits{Header: 200 * time.Millisecond, Idle: 200 * time.Millisecond})
+	c := connect(t, l)
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx")
+	require.NoError(t, err)
+	time.Sleep(600 * time.Millisecond)
+	_, err = io.WriteString(c, "y")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(c.in, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
+
+func (l *Listener) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,7 +34,10 @@
 	Seeds   []string
 	Network *peer.Network
 	// Decode parses and validates a catalog document.
-	Decode      func(document []byte) (*catalog.Catalog, error)
+	Decode func(document []byte) (*catalog.Catalog, error)
+	// OnLimits, if set, is called with the limits of each catalog that takes
+	// effect, in order. It must return quickly.
+	OnLimits    func(catalog.Limits)
 	Protocol    Protocol
 	Client      *upstream.Client
 	RetryBudget RetryBudget
@@ -116,15 +119,6 @@
 	return v != nil && v.catalog != nil && len(v.services) > 0 && !e.draining.Load()
 }
 
-// Limits returns the request limits of the catalog in force, or zero limits
-// before there is one.
-func (e *Entry) Limits() catalog.Limits {
-	if v := e.view.Load(); v != nil && v.catalog != nil {
-		return v.catalog.Limits
-	}
-	return catalog.Limits{}
-}
-
 // Drain makes the instance report that it is not ready. It continues to serve
 // requests.
 func (e *Entry) Drain() { e.draining.Store(true) }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -17,6 +17,7 @@
 
 	"github.com/bluebellfield/bluebellfield/balance"
 	"github.com/bluebellfield/bluebellfield/catalog"
+	"github.com/bluebellfield/bluebellfield/internal/edge/callerconn"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
 	"github.com/bluebellfield/bluebellfield/quarantine"
 )
@@ -172,6 +173,9 @@
 		return x.reject(http.StatusBadRequest, err.Error())
 	}
 	current := x.view.catalog
+	if limit := current.Limits.MaxHeaderBytes; limit > 0 && callerconn.HeaderBytes(x.r.Header)+len(x.r.RequestURI) > limit {
+		return x.reject(http.StatusRequestHeaderFieldsTooLarge, "header over the limit")
+	}
 	x.route = current.Route(hostOf(x.r.Host), x.r.URL.Path)
 	if x.route == nil {
 		return x.reject(http.StatusNotFound, "no route")
--- a/internal/entry/subscription.go
+++ b/internal/entry/subscription.go
@@ -358,6 +358,9 @@
 	first := e.activeCatalog == nil
 	e.catalogVersion, e.activeCatalog = version, content
 	e.rebuildView()
+	if e.opts.OnLimits != nil {
+		e.opts.OnLimits(content.Limits)
+	}
 	e.opts.Logger.Info("catalog in force", zap.Uint64("version", version), zap.String("peer", from), zap.Int("routes", len(content.Routes)))
 	if first {
 		close(e.configured)
--- a/internal/instance/cluster_test.go
+++ b/internal/instance/cluster_test.go
@@ -103,11 +103,14 @@
 }
 
 func configuration(version int, path string) []byte {
+	return configurationWithLimits(version, path, map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000})
+}
+
+func configurationWithLimits(version int, path string, limits map[string]any) []byte {
 	document, err := json.Marshal(map[string]any{"version": version,
 		"routes": []any{map[string]any{"name": "r", "host": "h.example", "path_prefix": path, "kind": "idempotent", "timeout_ms": 2000,
 			"target_latency_ms": 300, "service": "app", "max_attempts": 2}},
-		"services": []any{map[string]any{"name": "app"}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+		"services": []any{map[string]any{"name": "app"}}, "limits": limits})
 	if err != nil {
 		panic(err)
 	}
@@ -293,3 +296,84 @@
 	}
 	c.eventually("a later change", func() bool { return c.putConfiguration(ids[1], 8, "/eight/") })
 }
+
+// Guards against limits of the first catalog that stay in force at a running entry
+// until it restarts: each key of the limits must change within applyTime, also on
+// connections that are open.
+func TestLimitsOfNewCatalogAreInForce(t *testing.T) {
+	const applyTime = 2 * time.Second
+	c := newCluster(t, 7)
+	control, entry := seedHost(c.seeds[0]), hostID(7, 4)
+	c.seeds = c.seeds[:1]
+	c.start(control, true, false, "n")
+	c.start(entry, true, true, "")
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Bluebellfield-Attempt-Id", r.Header.Get("Bluebellfield-Attempt-Id"))
+		_, _ = io.WriteString(w, "served")
+	}))
+	defer worker.Close()
+	limits := map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 20000, "idle_timeout_ms": 20000}
+	version := 0
+	put := func(key string, value int) {
+		version++
+		limits[key] = value
+		body := configurationWithLimits(version, "/", limits)
+		c.eventually("acknowledged", func() bool {
+			status, _ := call("POST", "http://"+address(control, controlPort)+"/v1/Config.Put", body)
+			return status == 200
+		})
+	}
+	put("idle_timeout_ms", 20000)
+	c.sendHeartbeat(control, strings.TrimPrefix(worker.URL, "http://"))
+	c.eventually("served", func() bool { status, _ := request(entry, "/x"); return status == 200 })
+
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	send := func(headerBytes, bodyBytes int) int {
+		req, err := http.NewRequest("POST", "http://"+address(entry, callerPort)+"/x", strings.NewReader(strings.Repeat("b", bodyBytes)))
+		require.NoError(t, err)
+		req.Host = "h.example"
+		req.Header.Set("Bluebellfield-Attempt-Id", "a1")
+		req.Header.Set("Cookie", strings.Repeat("c", headerBytes))
+		resp, err := client.Do(req)
+		if err != nil {
+			return 0
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	require.Equal(t, 200, send(8<<10, 10))
+	require.Equal(t, 431, send(32<<10, 10))
+	require.Equal(t, 413, send(10, 2000))
+	within := func(what string, condition func() bool) {
+		t.Helper()
+		require.Eventually(t, condition, applyTime, 20*time.Millisecond, what)
+	}
+	put("max_header_bytes", 64<<10)
+	within("a higher header limit", func() bool { return send(32<<10, 10) == 200 })
+	put("max_header_bytes", 16<<10)
+	within("a lower header limit", func() bool { return send(32<<10, 10) == 431 })
+	put("max_body_bytes", 4000)
+	within("a higher body limit", func() bool { return send(10, 2000) == 200 })
+
+	closesWithin := func(conn net.Conn, limit time.Duration) bool {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(limit)))
+		_, err := io.Copy(io.Discard, conn)
+		return err == nil
+	}
+	dial := func(text string) net.Conn {
+		conn, err := net.Dial("tcp", address(entry, callerPort))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, text)
+		require.NoError(t, err)
+		return conn
+	}
+	header := dial("GET /x HTTP/1.1\r\nHo")
+	put("header_timeout_ms", 300)
+	require.True(t, closesWithin(header, applyTime), "a shorter header timeout")
+	idle := dial("GET /x HTTP/1.1\r\nHost: h.example\r\nBluebellfield-Attempt-Id: a2\r\n\r\n")
+	time.Sleep(100 * time.Millisecond)
+	put("idle_timeout_ms", 300)
+	require.True(t, closesWithin(idle, applyTime), "a shorter idle timeout")
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -18,6 +18,7 @@
 
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/internal/control"
+	"github.com/bluebellfield/bluebellfield/internal/edge/callerconn"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/entry"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
@@ -150,15 +151,19 @@
 
 func (i *Instance) startEntry() error {
 	s := i.settings
+	inner, err := net.Listen("tcp", s.Listen.Caller)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	listener := callerconn.NewListener(inner, callerconn.Limits{})
+	setLimits := func(l catalog.Limits) {
+		listener.SetLimits(callerconn.Limits{Header: l.HeaderTimeout, Idle: l.IdleTimeout})
+	}
 	i.entry = entry.Start(entry.Options{ID: s.ID, FailureDomain: s.FailureDomain, Seeds: s.seedIDs(), Network: i.network,
-		Decode: i.adapter.Decode, Protocol: i.adapter.Protocol, Client: i.client, Logger: i.logger, Registry: i.registry,
+		Decode: i.adapter.Decode, OnLimits: setLimits, Protocol: i.adapter.Protocol, Client: i.client, Logger: i.logger, Registry: i.registry,
 		RetryBudget: entry.RetryBudget{Ratio: s.RetryBudget.Ratio, Allowance: s.RetryBudget.Allowance, Window: milliseconds(s.RetryBudget.WindowMS)}})
 	if err := i.serve(s.Listen.Ready, i.adapter.Ready(i.entry.Ready)); err != nil {
-		return err
-	}
-	listener, err := net.Listen("tcp", s.Listen.Caller)
-	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return errors.Join(err, listener.Close())
 	}
 	i.serverGoroutines.Go(func() { i.serveCallers(listener) })
 	return nil
@@ -166,11 +171,10 @@
 
 // serveCallers waits for the first catalog, which contains the limits of the
 // caller connections, and then serves callers.
-func (i *Instance) serveCallers(listener net.Listener) {
+func (i *Instance) serveCallers(listener *callerconn.Listener) {
 	<-i.entry.Configured()
-	limits := i.entry.Limits()
-	server := &http.Server{Handler: i.entry, ReadHeaderTimeout: limits.HeaderTimeout, MaxHeaderBytes: limits.MaxHeaderBytes,
-		IdleTimeout: limits.IdleTimeout, ErrorLog: debugHTTPLogger(i.logger)}
+	server := &http.Server{Handler: i.entry, MaxHeaderBytes: callerconn.MaxHeaderBytes, ErrorLog: debugHTTPLogger(i.logger)}
+	callerconn.Configure(server)
 	i.mu.Lock()
 	i.callerServer = server
 	i.mu.Unlock()
