entry, caller: a planned stop answers every request

Here a request that was the first on its connection and came after the balancer wait was read and dropped without an answer, and requests that outlasted the grace period were cut.

Cause: http.Server.Shutdown drops a request that it reads on a new connection, and nothing ended running requests before the connections were closed.

Change: after the balancer wait an entry refuses new requests with 503, waits for the connections with a request, and cancels what still runs 200 ms before the end, so that callers are told whether it may have run. The daemons, which refused new requests already, cancel in the same way (callerconn.Stop).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,6 +34,9 @@
 	readHeaderTimeout         = 10 * time.Second
 	maxHeaderBytes            = 64 << 10
 	leadershipTransferTimeout = 3 * time.Second
+	// answerReserve is the time in which requests that are cancelled at the end of
+	// the drain timeout are answered.
+	answerReserve = 200 * time.Millisecond
 )
 
 // Options are the parameters of a daemon that are not in its settings file.
@@ -291,6 +294,12 @@
 		d.claimer.pendingRecords.Wait()
 	case <-ctx.Done():
 		unfinished = fmt.Errorf("stopped with %d requests in flight", d.callers.InFlight())
+		d.callers.CancelRequests()
+		select {
+		case <-d.callers.Drain():
+			d.claimer.pendingRecords.Wait()
+		case <-time.After(answerReserve):
+		}
 	}
 	transferCtx, cancelTransfer := context.WithTimeout(context.Background(), leadershipTransferTimeout)
 	defer cancelTransfer()
--- a/internal/edge/caller/atmostonce.go
+++ b/internal/edge/caller/atmostonce.go
@@ -92,6 +92,8 @@
 	detached := trace.ContextWithSpan(context.WithoutCancel(ctx), trace.SpanFromContext(ctx))
 	detached, cancel := context.WithDeadline(detached, deadline)
 	defer cancel()
+	detached, unbind := x.stop.Bind(detached)
+	defer unbind()
 	defer releaseSlot()
 	result := x.sendAtMostOnce(detached)
 	x.recordClaimOutcome(id, result)
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -201,7 +201,12 @@
 		trace.WithAttributes(attribute.String("upstream", target.ID), attribute.Int("attempt", x.attempts)))
 	a.span = span
 	if choice.OutlivesCaller() {
-		spanCtx, a.cancelDeadline = context.WithDeadline(context.WithoutCancel(spanCtx), x.info.Deadline)
+		detached, cancelDeadline := context.WithDeadline(context.WithoutCancel(spanCtx), x.info.Deadline)
+		bound, unbind := x.stop.Bind(detached)
+		spanCtx, a.cancelDeadline = bound, func() {
+			unbind()
+			cancelDeadline()
+		}
 	}
 	a.ctx, a.cancel = context.WithCancelCause(spanCtx)
 	a.watchPreemption(preempted)
--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -502,3 +502,22 @@
 	require.Equal(t, fake.Answer("rug", 30), r.content)
 	<-idle
 }
+
+// Guards against requests that outlast the drain timeout and are cut off without an
+// answer when the process ends.
+func TestCancelledRequestsAreAnswered(t *testing.T) {
+	h := newHarness(t, 0)
+	e, err := fake.StartEngine(fake.EngineConfig{TokenDelay: time.Minute})
+	require.NoError(t, err)
+	defer e.Close()
+	h.engines = append(h.engines, e)
+	got := make(chan result, 1)
+	go func() { got <- h.stream("rug", 30) }()
+	require.Eventually(t, func() bool { return h.handler.InFlight() == 1 && e.Running() == 1 }, 10*time.Second, time.Millisecond)
+	idle := h.handler.Drain()
+	h.handler.CancelRequests()
+	r := <-got
+	require.GreaterOrEqual(t, r.status, 500)
+	require.NotEqual(t, string(fault.NotRun), r.header.Get(HeaderOutcome))
+	<-idle
+}
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -76,6 +76,7 @@
 	inFlight int
 	// drained is closed when Drain was called and no request is in flight.
 	drained chan struct{}
+	stop    *callerconn.Stop
 	// echoing holds the plain services that echo request ids.
 	echoing upstreamSet
 }
@@ -86,7 +87,7 @@
 		o.Observe = func(Finished) {}
 	}
 	o.BodyTimeout = cmp.Or(o.BodyTimeout, defaultBodyTimeout)
-	return &Handler{Options: o}
+	return &Handler{Options: o, stop: callerconn.NewStop()}
 }
 
 // maxUpstreamSet limits the size of an upstreamSet. A deployment has fewer plain
@@ -190,6 +191,10 @@
 	return h.drained
 }
 
+// CancelRequests cancels the requests in flight, so that their callers get an
+// answer before the process ends.
+func (h *Handler) CancelRequests() { h.stop.CancelRequests() }
+
 // InFlight returns the number of requests in flight.
 func (h *Handler) InFlight() int {
 	h.mu.Lock()
@@ -235,6 +240,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.info.Deadline)
 	defer cancel()
+	ctx, unbind := x.stop.Bind(ctx)
+	defer unbind()
 	defer x.setWriteDeadline()()
 	if !x.info.Route.Idempotent {
 		return x.serveAtMostOnce(ctx)
--- a/internal/edge/callerconn/listener.go
+++ b/internal/edge/callerconn/listener.go
@@ -34,6 +34,8 @@
 // Listener accepts connections of callers.
 type Listener struct {
 	net.Listener
+	closeOnce sync.Once
+	closeErr  error
 
 	mu     sync.Mutex
 	limits Limits
@@ -58,6 +60,13 @@
 	return c, nil
 }
 
+// Close implements net.Listener. A planned stop closes the listener before its
+// server does.
+func (l *Listener) Close() error {
+	l.closeOnce.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
+}
+
 // SetLimits puts limits into force. A connection that is waiting keeps the time
 // that it has waited.
 func (l *Listener) SetLimits(limits Limits) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/fleet"
 	"github.com/bluebellfield/bluebellfield/internal/crashreport"
+	"github.com/bluebellfield/bluebellfield/internal/edge/callerconn"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/limitreport"
 	"github.com/bluebellfield/bluebellfield/internal/mesh"
@@ -52,6 +53,7 @@
 	// configured is closed when the first catalog takes effect.
 	configured chan struct{}
 	draining   atomic.Bool
+	stop       *callerconn.Stop
 	demand     demandCounter
 	baselines  baselineLatencies
 	stats      *stats
@@ -95,7 +97,7 @@
 // force.
 func Start(o Options) *Entry {
 	ctx, cancel := context.WithCancel(context.Background())
-	e := &Entry{opts: o, configured: make(chan struct{}), table: fleet.NewTable(), targets: map[targetKey]*target{},
+	e := &Entry{opts: o, configured: make(chan struct{}), stop: callerconn.NewStop(), table: fleet.NewTable(), targets: map[targetKey]*target{},
 		sources: map[string]*updateSource{}, retryLimiters: map[string]*retryLimiter{}, fetches: map[string]time.Time{}, stats: newStats(o.Registry), started: time.Now(), ctx: ctx, cancel: cancel}
 	e.crashes = newCrashReporter(&e.opts, e.reachableEntries)
 	e.limits = limitreport.New(limitreport.Options{Self: o.ID, Incarnation: uint64(e.started.UnixNano()), Network: o.Network,
@@ -123,6 +125,9 @@
 // requests.
 func (e *Entry) Drain() { e.draining.Store(true) }
 
+// Stop returns the state of the planned stop of this instance.
+func (e *Entry) Stop() *callerconn.Stop { return e.stop }
+
 // Close stops the background goroutines and waits for them.
 func (e *Entry) Close() {
 	e.cancel()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -155,6 +155,8 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	ctx, unbind := x.e.stop.Bind(ctx)
+	defer unbind()
 	x.e.demand.add(x.service.Name, &x.request)
 	x.tried = map[*target]bool{}
 	x.digest, x.parts = x.requestDigest(), x.sharedParts()
@@ -166,6 +168,9 @@
 func (x *exchange) resolve() bool {
 	request, err := x.e.opts.Protocol.ParseRequest(x.r)
 	x.request = request
+	if x.e.stop.Refusing() {
+		return x.refuse(http.StatusServiceUnavailable, stoppingRetryAfter, "the instance is stopping")
+	}
 	if x.view == nil || x.view.catalog == nil {
 		return x.refuse(http.StatusServiceUnavailable, notConfiguredRetryAfter, "no catalog is in force")
 	}
@@ -201,6 +206,10 @@
 	return true
 }
 
+// stoppingRetryAfter is the Retry-After of an entry that is about to end. Other
+// entries serve the request at once.
+const stoppingRetryAfter = 20 * time.Millisecond
+
 // notConfiguredRetryAfter is the Retry-After of an entry without a catalog. A
 // starting entry gets the catalog within a few milliseconds of its first
 // contact with a control instance.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -65,6 +65,9 @@
 	// stopReserve is the part of the grace period reserved for closing
 	// connections.
 	stopReserve = 700 * time.Millisecond
+	// answerReserve is the part of the grace period in which the requests that are
+	// cancelled at its end are answered.
+	answerReserve = 200 * time.Millisecond
 	// memoryLimitFraction is the fraction of the allowed memory that is set as the
 	// soft limit of the Go runtime. The rest is for memory that the runtime does
 	// not manage, such as kernel buffers.
@@ -84,7 +87,9 @@
 	control          *control.Control
 	entry            *entry.Entry
 	servers          []*http.Server
+	callerListener   *callerconn.Listener
 	callerServer     *http.Server
+	activeCallers    callerconn.Active
 	failures         chan error
 	serverGoroutines sync.WaitGroup
 	mu               sync.Mutex
@@ -165,6 +170,7 @@
 	if err := i.serve(s.Listen.Ready, i.adapter.Ready(i.entry.Ready)); err != nil {
 		return errors.Join(err, listener.Close())
 	}
+	i.callerListener = listener
 	i.serverGoroutines.Go(func() { i.serveCallers(listener) })
 	return nil
 }
@@ -175,10 +181,11 @@
 	<-i.entry.Configured()
 	server := &http.Server{Handler: i.entry, MaxHeaderBytes: callerconn.MaxHeaderBytes, ErrorLog: debugHTTPLogger(i.logger)}
 	callerconn.Configure(server)
+	i.activeCallers.Track(server)
 	i.mu.Lock()
 	i.callerServer = server
 	i.mu.Unlock()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		i.failures <- fmt.Errorf("serve callers: %w", err)
 	}
 }
@@ -212,16 +219,24 @@
 	if i.entry != nil {
 		i.entry.Drain()
 		sleepContext(ctx, balancerWait)
-		i.mu.Lock()
-		callers := i.callerServer
-		i.mu.Unlock()
-		if callers != nil {
-			unfinished = callers.Shutdown(ctx)
-		}
+		unfinished = i.stopCallers(ctx)
 	}
 	return errors.Join(unfinished, i.Close(ctx))
 }
 
+// stopCallers refuses new connections and requests and waits for the running
+// requests. Those that are still running shortly before ctx ends are cancelled and
+// answered.
+func (i *Instance) stopCallers(ctx context.Context) error {
+	i.entry.Stop().RefuseNew()
+	closeErr := i.callerListener.Close()
+	if end, limited := ctx.Deadline(); limited {
+		timer := time.AfterFunc(time.Until(end)-answerReserve, i.entry.Stop().CancelRequests)
+		defer timer.Stop()
+	}
+	return errors.Join(closeErr, i.activeCallers.Wait(ctx))
+}
+
 func sleepContext(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
