entry, daemon: an upstream that says that it is leaving gets no requests

Cause: no code read the header. An entry learned of departures from the core only, and a heartbeat could take a departure back.

Change: upstreamlimit.Notices, kept by limitreport on both serving paths, holds what answers have said about a process; it is asked with the limits, so that the choice, retries, resumed streams and the last check before a send go past it. Draining is final for an incarnation in fleet.Table, whatever order reports come in. Entries tell the control instances, which pass it on as a draining record, so that groups are replaced and other entries hear of it. The daemons do not tell each other yet.

--- a/fleet/commands.go
+++ b/fleet/commands.go
@@ -8,7 +8,11 @@
 func (t *Table) Observe(now time.Time, u Upstream) (accepted, changed bool) {
 	old := t.upstreams[u.ID]
 	if old != nil && !u.Supersedes(old) {
-		return false, false
+		drains := t.Drain(u.ID, u.StartMillis, u.Phase)
+		return drains, drains
+	}
+	if old != nil && old.StartMillis == u.StartMillis {
+		u.Phase = max(u.Phase, old.Phase)
 	}
 	if holder := t.upstreams[t.byAddress[u.Address]]; holder != nil && holder.ID != u.ID && u.Phase != Gone {
 		switch {
@@ -77,6 +81,20 @@
 	return left, true
 }
 
+// Drain records that an incarnation is draining, if phase says so. Draining is
+// final for an incarnation: it is told by answers too, which no sequence number
+// orders, and by reports that arrive late. It reports whether the phase changed.
+func (t *Table) Drain(id string, startMillis int64, phase Phase) bool {
+	old := t.upstreams[id]
+	if old == nil || old.StartMillis != startMillis || old.Phase != Ready || phase != Draining {
+		return false
+	}
+	drained := *old
+	drained.Phase = Draining
+	t.upstreams[id] = &drained
+	return true
+}
+
 // RemoveOlderThan removes the upstreams whose last report arrived before the
 // given time.
 func (t *Table) RemoveOlderThan(before time.Time) {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -75,7 +75,7 @@
 		reports := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Upstream {
 			return Upstream{
 				ID: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), Address: "", StartMillis: rapid.Int64Range(1, 3).Draw(t, "born"),
-				Sequence: rapid.Uint64Range(1, 4).Draw(t, "sequence"),
+				Sequence: rapid.Uint64Range(1, 4).Draw(t, "sequence"), Phase: rapid.SampledFrom([]Phase{Ready, Draining}).Draw(t, "phase"),
 			}
 		}), 1, 10).Draw(t, "reports")
 		for i := range reports {
@@ -105,3 +105,22 @@
 	_, ok = table.Get("b")
 	require.True(t, ok)
 }
+
+// Guards against an upstream that is used again because a heartbeat says that it is
+// ready after it was told to be leaving, or because its departure was reported late.
+func TestDrainingIsFinalForAnIncarnation(t *testing.T) {
+	table := NewTable()
+	phase := func() Phase { u, _ := table.Get("a"); return u.Phase }
+	observe(table, Upstream{ID: "a", Address: "1", StartMillis: 10, Sequence: 5})
+	require.False(t, table.Drain("a", 9, Draining), "an earlier incarnation")
+	require.False(t, table.Drain("a", 10, Ready))
+	require.True(t, table.Drain("a", 10, Draining))
+	require.False(t, table.Drain("a", 10, Draining))
+	require.True(t, observe(table, Upstream{ID: "a", Address: "1", StartMillis: 10, Sequence: 6, Slots: 7}))
+	require.Equal(t, Draining, phase())
+	observe(table, Upstream{ID: "a", Address: "1", StartMillis: 20, Sequence: 1})
+	require.Equal(t, Ready, phase(), "a new incarnation starts clean")
+	accepted, changed := table.Observe(start, Upstream{ID: "a", Address: "1", StartMillis: 20, Sequence: 0, Phase: Draining})
+	require.True(t, accepted && changed, "a departure that is reported late")
+	require.Equal(t, Draining, phase())
+}
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -82,6 +82,25 @@
 	c.relay(&u, true)
 }
 
+// serveLeaving handles an entry's report that an answer of an upstream said that it
+// is leaving.
+func (c *Control) serveLeaving(_ context.Context, from string, payload []byte) ([]byte, error) {
+	var record mesh.Upstream
+	if err := proto.Unmarshal(payload, &record); err != nil {
+		return nil, fault.Wrap(err, fault.BadRequest, fault.Location{Step: mesh.ChannelLeaving, Peer: from}, fault.NotRun)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.table.Drain(record.Id, record.Born, fleet.Draining) {
+		return nil, nil
+	}
+	u, _ := c.table.Get(record.Id)
+	c.opts.Logger.Info("upstream is leaving", zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("peer", from))
+	c.relay(&u, true)
+	c.wakeController()
+	return nil, nil
+}
+
 // relay queues a report for the subscribers. Control instances receive every
 // report, because they need to know which upstreams still send reports; entries
 // receive only changes. The caller holds mu.
--- a/internal/control/registrar_test.go
+++ b/internal/control/registrar_test.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/fleet"
+	"github.com/bluebellfield/bluebellfield/internal/mesh"
 )
 
 // Guards against one report of another writer, with a number that is no time, that
@@ -124,3 +126,31 @@
 	defer c.mu.Unlock()
 	return c.table.Get(id)
 }
+
+// Guards against a departure that only the entry knows whose request was answered
+// with it: the other instances must be told, and a heartbeat that says ready must not
+// take it back.
+func TestDepartureToldByAnEntry(t *testing.T) {
+	c := startControl(t, "127.0.0.1")
+	subscribe(t, c, "10.0.0.9")
+	started := time.Now().UnixMilli()
+	report := fleet.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: started, Sequence: 1}
+	c.HandleReport(report)
+	tell := func(id string, start int64) {
+		payload, err := proto.Marshal(&mesh.Upstream{Id: id, Born: start})
+		require.NoError(t, err)
+		_, err = c.serveLeaving(t.Context(), "10.0.0.9", payload)
+		require.NoError(t, err)
+	}
+	tell("other", started)
+	tell("u", started-1)
+	u, _ := registered(c, "u")
+	require.Equal(t, fleet.Ready, u.Phase)
+	tell("u", started)
+	u, _ = registered(c, "u")
+	require.Equal(t, fleet.Draining, u.Phase)
+	report.Sequence = 2
+	c.HandleReport(report)
+	u, _ = registered(c, "u")
+	require.Equal(t, fleet.Draining, u.Phase)
+}
--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -558,6 +558,13 @@
 	c.picker.limits.Observe(upstreamlimit.Target{Upstream: c.target.Upstream, Incarnation: c.target.Incarnation}, rate, named)
 }
 
+// Leaving implements caller.Choice.
+func (c *choice) Leaving() {
+	if c.picker.limits.Leave(upstreamlimit.Target{Upstream: c.target.Upstream, Incarnation: c.target.Incarnation}) {
+		c.picker.logger.Info("upstream says that it is leaving", zap.String("upstream", c.target.Upstream), zap.Uint64("incarnation", c.target.Incarnation))
+	}
+}
+
 // Progressed implements caller.Choice.
 func (c *choice) Progressed() { c.picker.crashes.reporter.Progressed(c.run) }
 
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -228,6 +228,9 @@
 	err = x.checkResponse(a)
 	if err == nil || a.resp.Header.Get(upstream.HeaderRequestID) == x.info.RequestID {
 		choice.NamedLimit(upstreamlimit.ParseRate(a.resp.Header.Get(upstream.HeaderRequestLimit)))
+		if upstreamlimit.ParseLeaving(a.resp.Header.Get(upstream.HeaderLeaving)) {
+			choice.Leaving()
+		}
 	}
 	if err != nil {
 		return nil, a.fail(err)
--- a/internal/edge/caller/deps.go
+++ b/internal/edge/caller/deps.go
@@ -138,6 +138,8 @@
 	// NamedLimit records the requests per second that an answer of the upstream
 	// names as its limit; named is false if it names none.
 	NamedLimit(rate float64, named bool)
+	// Leaving records that an answer of the upstream said that it is leaving.
+	Leaving()
 	// Ended checks whether the upstream has ended since the attempt began.
 	Ended() bool
 	// Progressed records that a stream has come past the start of its answer.
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -154,6 +154,7 @@
 func (c harnessChoice) HonoursPriority() bool   { return false }
 func (c harnessChoice) CanResume() bool         { return c.canResume }
 func (c harnessChoice) FirstByte()              {}
+func (c harnessChoice) Leaving()                {}
 func (c harnessChoice) NamedLimit(rate float64, named bool) {
 	if c.onLimit != nil {
 		c.onLimit(rate, named)
--- a/internal/edge/upstream/wire.go
+++ b/internal/edge/upstream/wire.go
@@ -18,6 +18,9 @@
 	// HeaderRequestLimit names the requests per second that an upstream accepts
 	// from all entries together, for as long as its answers carry it.
 	HeaderRequestLimit = "Bluebell-Request-Limit"
+	// HeaderLeaving with the value 1 says that an upstream is leaving and takes no
+	// new requests.
+	HeaderLeaving = "Bluebell-Leaving"
 	// HeaderForwardedKey carries the caller's Idempotency-Key to an upstream
 	// whose service settings ask for it. Under the original name net/http would
 	// treat the request as safe to resend.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -163,6 +163,9 @@
 		t.recordLoad(now, headers.Load)
 	}
 	x.observeLimit(t, resp, headers.Limit)
+	if headers.Leaving {
+		x.e.recordLeaving(t, x.request.ID)
+	}
 	if headers.NotRun {
 		t.recordUnreachable(now)
 		return attemptResult{reason: fmt.Sprintf("upstream refused with status %d", resp.StatusCode), retryAfter: notRunRetryAfter}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,7 +86,9 @@
 	// storedVerdicts holds the verdicts that the control instances have stored,
 	// with their ends.
 	storedVerdicts map[quarantine.Digest]time.Time
-	retryLimiters  map[string]*retryLimiter
+	// leaving holds the departures that are being reported.
+	leaving       []leavingReport
+	retryLimiters map[string]*retryLimiter
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -297,7 +297,7 @@
 	for i, t := range targets {
 		c := x.candidate(now, t)
 		c.SlowdownFactor = slowdown[i]
-		c.Excluded = x.tried[t] || !allowed.admits(t.upstream.ID)
+		c.Excluded = x.tried[t] || !allowed.admits(t.upstream.ID) || x.e.limits.Leaving(t.process())
 		c.Avoided = c.Avoided || x.e.crashes.Tracker().KnownCrash(t.incarnation())
 		c.LimitedFor = x.e.limits.Offer(t.process())
 		c.Local = t.upstream.FailureDomain == x.e.opts.FailureDomain
@@ -423,7 +423,7 @@
 // avoided.
 func (x *exchange) hasAlternative(now time.Time) bool {
 	for _, t := range x.targets() {
-		if !x.tried[t] && !t.avoided(now) {
+		if !x.tried[t] && !t.avoided(now) && !x.e.limits.Leaving(t.process()) {
 			return true
 		}
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -63,6 +63,7 @@
 	if rate, named := upstreamlimit.ParseRate(resp.Header.Get("Request-Limit")); named {
 		parsed.Limit = &rate
 	}
+	parsed.Leaving = upstreamlimit.ParseLeaving(resp.Header.Get("Leaving"))
 	return parsed
 }
 
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -57,6 +57,8 @@
 	// Limit is the number of requests per second that the upstream accepts from all
 	// entries together, nil if it names no limit.
 	Limit *float64
+	// Leaving is set if the upstream says that it is leaving.
+	Leaving bool
 }
 
 // Load is the load that an upstream reports.
--- a/internal/entry/subscription.go
+++ b/internal/entry/subscription.go
@@ -92,6 +92,7 @@
 func (e *Entry) subscribe(now time.Time, interval time.Duration) {
 	demands := e.demand.take()
 	e.storeVerdicts(now)
+	e.reportLeaving(now)
 	e.mu.Lock()
 	e.expireWithdrawn(now)
 	alive := e.aliveGroups(now.Add(-interval))
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -156,6 +156,9 @@
 	}
 	w.Header().Set(upstream.HeaderRequestID, id)
 	w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
+	if faults.Leaving {
+		w.Header().Set(upstream.HeaderLeaving, "1")
+	}
 	if faults.RequestLimit != "" {
 		w.Header().Set(upstream.HeaderRequestLimit, faults.RequestLimit)
 	}
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -59,6 +59,8 @@
 	// RequestLimit is the limit that answers name, in requests per second; empty for
 	// none.
 	RequestLimit string
+	// Leaving makes answers say that the upstream is leaving.
+	Leaving bool
 }
 
 // leaseEcho is the Echo field of the last lease from a registrar.
--- a/internal/instance/cluster_test.go
+++ b/internal/instance/cluster_test.go
@@ -458,3 +458,43 @@
 	require.Contains(t, []int{502, 504}, got.status, "it may have run")
 	<-stopped
 }
+
+// Guards against entries that send requests to an upstream that has told another
+// entry, in an answer, that it is leaving.
+func TestDepartureReachesOtherEntries(t *testing.T) {
+	c := newCluster(t, 9)
+	control, told, other := seedHost(c.seeds[0]), hostID(9, 4), hostID(9, 5)
+	c.seeds = c.seeds[:1]
+	c.start(control, true, false, "n")
+	c.start(told, true, true, "")
+	c.start(other, true, true, "")
+	var arrived atomic.Int32
+	var leaving atomic.Bool
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived.Add(1)
+		w.Header().Set("Bluebellfield-Attempt-Id", r.Header.Get("Bluebellfield-Attempt-Id"))
+		if leaving.Load() {
+			w.Header().Set("Server-Leaving", "1")
+		}
+		_, _ = io.WriteString(w, "served")
+	}))
+	defer worker.Close()
+	c.eventually("acknowledged", func() bool { return c.putConfiguration(control, 1, "/") })
+	heartbeat := func() { c.sendHeartbeat(control, strings.TrimPrefix(worker.URL, "http://")) }
+	heartbeat()
+	for _, id := range []string{told, other} {
+		c.eventually("served", func() bool { status, _ := request(id, "/x"); return status == 200 })
+	}
+	leaving.Store(true)
+	status, _ := request(told, "/x")
+	require.Equal(t, 200, status)
+	time.Sleep(time.Second)
+	heartbeat()
+	before := arrived.Load()
+	for range 10 {
+		status, _ := request(other, "/x")
+		require.Equal(t, 503, status)
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.Equal(t, before, arrived.Load())
+}
--- a/internal/limitreport/limitreport.go
+++ b/internal/limitreport/limitreport.go
@@ -43,15 +43,17 @@
 	Logger                    *zap.Logger
 }
 
-// Reporter is safe for concurrent use.
+// Reporter holds what upstreams have said in their answers about the requests that
+// they want: limits, pauses and departures. It is safe for concurrent use.
 type Reporter struct {
 	opts Options
-	// limited is the number of limits that are known, so that requests take no lock
-	// while there are none.
+	// limited is the number of limits and notices that are known, so that requests
+	// take no lock while there are none.
 	limited atomic.Int32
 
 	mu        sync.Mutex
 	tracker   *upstreamlimit.Tracker
+	notices   upstreamlimit.Notices
 	live      []string
 	entriesAt time.Time
 }
@@ -81,7 +83,27 @@
 	}
 }
 
-// Any reports whether an upstream has named a limit.
+// Leave records that a process of an upstream has said that it is leaving, and
+// reports whether that is new. The process gets no more requests.
+func (r *Reporter) Leave(target upstreamlimit.Target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	isNew := r.notices.Leave(time.Now(), target)
+	r.count()
+	return isNew
+}
+
+// Leaving reports whether a process has said that it is leaving.
+func (r *Reporter) Leaving(target upstreamlimit.Target) bool {
+	if !r.Any() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.notices.Leaving(target)
+}
+
+// Any reports whether an upstream has said anything about the requests it wants.
 func (r *Reporter) Any() bool { return r.limited.Load() > 0 }
 
 // Offer records that a request could be sent to the upstream, and returns the time
@@ -90,9 +112,13 @@
 	if !r.Any() {
 		return 0
 	}
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.tracker.Offer(time.Now(), target)
+	if wait := r.blockedFor(now, target); wait > 0 {
+		return wait
+	}
+	return r.tracker.Offer(now, target)
 }
 
 // Take reports whether a request may be sent to the upstream now and, if so, counts
@@ -101,19 +127,31 @@
 	if !r.Any() {
 		return true
 	}
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.tracker.Take(time.Now(), target)
+	return r.blockedFor(now, target) == 0 && r.tracker.Take(now, target)
+}
+
+// blockedFor returns the time for which a process wants no requests at all. The
+// caller holds mu.
+func (r *Reporter) blockedFor(now time.Time, target upstreamlimit.Target) time.Duration {
+	if r.notices.Leaving(target) {
+		return upstreamlimit.MaxPause
+	}
+	return r.notices.PausedFor(now, target)
 }
 
-// Retain forgets the limits of upstreams that are gone.
+// Retain forgets the limits and notices of upstreams that are gone.
 func (r *Reporter) Retain(present func(upstreamlimit.Target) bool) {
 	if !r.Any() {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tracker.Retain(time.Now(), present)
+	now := time.Now()
+	r.tracker.Retain(now, present)
+	r.notices.Retain(now, present)
 	r.count()
 }
 
@@ -125,7 +163,7 @@
 }
 
 // count updates limited. The caller holds mu.
-func (r *Reporter) count() { r.limited.Store(int32(r.tracker.Count())) }
+func (r *Reporter) count() { r.limited.Store(int32(r.tracker.Count() + r.notices.Count())) }
 
 func (r *Reporter) receive(_ context.Context, from string, payload []byte) ([]byte, error) {
 	message, err := upstreamlimitpb.Decode(payload)
