entry, daemon: an upstream that asks for a pause gets no requests

Cause: the header was not read. A refusal led to a backoff of 0.5 to 4 s, during which the upstream was still used if no other was left.

Change: upstreamlimit.Notices holds the pause; it is asked with the limits. The refusal counts neither as a failure nor for the ejection of the upstream, and the next attempt draws on the retry budget. If all upstreams pause, the request is refused at once with the shortest rest as Retry-After, plus up to the same time again, one second at most, so that callers do not all return at its end.

Not measured: requests after the bound on the code before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -74,7 +74,7 @@
 const (
 	ReasonNoUpstream = "no upstream serves this"
 	ReasonFull       = "all upstreams are full"
-	ReasonLimited    = "all upstreams are at the limits that they have named"
+	ReasonLimited    = "all upstreams are at the limits that they have named, or have asked for a pause"
 )
 
 const (
@@ -203,6 +203,21 @@
 	return best, wait, false
 }
 
+// returnSpread is the longest time over which the callers that wait for the same
+// moment are spread.
+const returnSpread = time.Second
+
+// SpreadReturn returns a time to wait that lies at random between wait and twice that,
+// at most returnSpread later. Callers that were refused during a pause would otherwise
+// all return at its end.
+func SpreadReturn(random *rand.Rand, wait time.Duration) time.Duration {
+	spread := min(wait, returnSpread)
+	if spread <= 0 {
+		return wait
+	}
+	return wait + time.Duration(random.Int64N(int64(spread)))
+}
+
 // shortestLimit returns the time until one of the candidates accepts a request
 // again, or false if none is held back by its limit.
 func shortestLimit(candidates []Candidate) (time.Duration, bool) {
--- a/internal/cluster/leaving_test.go
+++ b/internal/cluster/leaving_test.go
@@ -42,3 +42,30 @@
 		}
 	}
 }
+
+// Guards against a daemon that sends requests to an engine during the pause that it
+// has asked that daemon for.
+func TestDaemonsKeepThePauseOfAnUpstream(t *testing.T) {
+	t.Parallel()
+	const pause = 3 * time.Second
+	c := startCluster(t, 1)
+	paused := c.addEngine("paused", "a")
+	c.addEngine("free", "b")
+	for _, id := range c.IDs() {
+		c.waitServed(id)
+	}
+	paused.SetFaults(fake.Faults{Pause: fmt.Sprint(pause.Seconds())})
+	asked := map[string]time.Time{}
+	for started, n := time.Now(), 0; time.Since(started) < 2*pause; n++ {
+		id := c.IDs()[n%len(c.IDs())]
+		before := paused.Refusals()
+		require.True(t, c.paying.Stream(context.Background(), c.CallerURL(id), "rug-model", fmt.Sprint("pause", n), 3).Complete, "another engine serves it")
+		if paused.Refusals() > before {
+			if last, known := asked[id]; known {
+				require.Greater(t, time.Since(last), pause-100*time.Millisecond, "a request during the pause")
+			}
+			asked[id] = time.Now()
+		}
+	}
+	require.NotEmpty(t, asked)
+}
--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellfield/bluebellfield/admission"
+	"github.com/bluebellfield/bluebellfield/balance"
 	"github.com/bluebellfield/bluebellfield/group"
 	"github.com/bluebellfield/bluebellfield/internal/config"
 	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
@@ -131,9 +133,16 @@
 		Service: info.Route.Service, Paying: info.Account.Class == caller.Paying, Excluded: slices.Clone(tried),
 		NeedsGroup: p.needsGroup(tree, info.Route),
 	}
+	// shortestWait is the time until one of the limited upstreams takes a request.
+	var shortestWait time.Duration
 	if p.limits.Any() {
 		req.Limited = func(id string, incarnation uint64) bool {
-			return p.limits.Offer(upstreamlimit.Target{Upstream: id, Incarnation: incarnation}) > 0
+			target := upstreamlimit.Target{Upstream: id, Incarnation: incarnation}
+			wait := p.limits.Offer(target)
+			if wait > 0 && !p.limits.Leaving(target) && (shortestWait == 0 || wait < shortestWait) {
+				shortestWait = wait
+			}
+			return wait > 0
 		}
 	}
 	if info.Prompt != "" {
@@ -149,7 +158,7 @@
 		}
 		var retryErr *retryPickError
 		if !errors.As(err, &retryErr) || try >= maxPickAttempts && !retryErr.suspect || !time.Now().Before(info.Deadline) {
-			return nil, pickError(err)
+			return nil, p.withReturn(pickError(err), shortestWait)
 		}
 		if retryErr.suspect {
 			wait(ctx, nil, suspectPollInterval)
@@ -169,6 +178,15 @@
 
 func (e *retryPickError) Error() string { return "upstream " + e.upstream + " is no longer available" }
 
+// withReturn tells the caller to return when one of the upstreams that want no
+// request now takes one again.
+func (p *picker) withReturn(err error, wait time.Duration) error {
+	if wait == 0 || fault.RetryAfterOf(err) > 0 {
+		return err
+	}
+	return fault.WithRetryAfter(err, balance.SpreadReturn(rand.New(p.random), wait))
+}
+
 func pickError(err error) error {
 	if fault.CodeOf(err) != fault.Internal {
 		return err
@@ -513,6 +531,8 @@
 	// isolated means that quarantine requires the request to run in
 	// isolation.
 	isolated bool
+	// paused is set if the upstream asked for a pause, which is no failure.
+	paused bool
 }
 
 // Target implements caller.Choice.
@@ -565,6 +585,14 @@
 	}
 }
 
+// Pause implements caller.Choice.
+func (c *choice) Pause(pause time.Duration) {
+	c.paused = true
+	if c.picker.limits.Pause(upstreamlimit.Target{Upstream: c.target.Upstream, Incarnation: c.target.Incarnation}, pause) {
+		c.picker.logger.Info("upstream asks for a pause", zap.String("upstream", c.target.Upstream), zap.Uint64("incarnation", c.target.Incarnation), zap.Duration("pause", pause))
+	}
+}
+
 // Progressed implements caller.Choice.
 func (c *choice) Progressed() { c.picker.crashes.reporter.Progressed(c.run) }
 
@@ -580,7 +608,9 @@
 	case r.NotRun && r.Cancelled:
 		p.crashes.finish(c, quarantine.NotStarted)
 	case r.NotRun:
-		p.applyShares(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlier.Failure, 0))
+		if !c.paused {
+			p.applyShares(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlier.Failure, 0))
+		}
 		p.crashes.finish(c, quarantine.NotStarted)
 	case r.Cancelled:
 		p.crashes.finish(c, quarantine.Cancelled)
@@ -588,7 +618,9 @@
 		p.applyShares(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlier.Reset, 0))
 		p.crashes.handleBrokenConnection(c)
 	default:
-		p.applyShares(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlierResult(c, r.Err), 0))
+		if !c.paused {
+			p.applyShares(p.detector(c.service).Observe(now, c.service, c.upstream.ID, outlierResult(c, r.Err), 0))
+		}
 		p.crashes.finish(c, quarantine.Failed)
 	}
 }
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -231,6 +231,9 @@
 		if upstreamlimit.ParseLeaving(a.resp.Header.Get(upstream.HeaderLeaving)) {
 			choice.Leaving()
 		}
+		if pause, ok := upstreamlimit.ParsePause(time.Now(), a.resp.Header); ok && a.resp.StatusCode == http.StatusServiceUnavailable {
+			choice.Pause(pause)
+		}
 	}
 	if err != nil {
 		return nil, a.fail(err)
--- a/internal/edge/caller/deps.go
+++ b/internal/edge/caller/deps.go
@@ -140,6 +140,9 @@
 	NamedLimit(rate float64, named bool)
 	// Leaving records that an answer of the upstream said that it is leaving.
 	Leaving()
+	// Pause records that the upstream refused the request and wants no others from
+	// this entry for a time.
+	Pause(pause time.Duration)
 	// Ended checks whether the upstream has ended since the attempt began.
 	Ended() bool
 	// Progressed records that a stream has come past the start of its answer.
--- a/internal/edge/caller/harness_test.go
+++ b/internal/edge/caller/harness_test.go
@@ -155,6 +155,7 @@
 func (c harnessChoice) CanResume() bool         { return c.canResume }
 func (c harnessChoice) FirstByte()              {}
 func (c harnessChoice) Leaving()                {}
+func (c harnessChoice) Pause(time.Duration)     {}
 func (c harnessChoice) NamedLimit(rate float64, named bool) {
 	if c.onLimit != nil {
 		c.onLimit(rate, named)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -122,10 +122,12 @@
 	// expectedWait is the queueing delay that was estimated when the target was
 	// chosen.
 	expectedWait time.Duration
-	cancel       context.CancelCauseFunc
-	load         *requestLoad
-	watchdog     *watchdog
-	record       attemptRecord
+	// paused is set if the upstream asked for a pause, which is no failure.
+	paused   bool
+	cancel   context.CancelCauseFunc
+	load     *requestLoad
+	watchdog *watchdog
+	record   attemptRecord
 }
 
 // forward performs one attempt: it sends the request and relays the response.
@@ -166,8 +168,14 @@
 	if headers.Leaving {
 		x.e.recordLeaving(t, x.request.ID)
 	}
+	if headers.Pause > 0 {
+		a.paused = true
+		x.e.recordPause(t, headers.Pause, x.request.ID)
+	}
 	if headers.NotRun {
-		t.recordUnreachable(now)
+		if !a.paused {
+			t.recordUnreachable(now)
+		}
 		return attemptResult{reason: fmt.Sprintf("upstream refused with status %d", resp.StatusCode), retryAfter: notRunRetryAfter}
 	}
 	t.recordProgress(now)
@@ -283,7 +291,9 @@
 	}
 	response := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
-		t.recordFailure(time.Now())
+		if !a.paused {
+			t.recordFailure(time.Now())
+		}
 		return attemptResult{ran: true, response: response, reason: fmt.Sprintf("upstream answered %d", resp.StatusCode)}
 	}
 	t.recordSuccess()
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -131,7 +131,7 @@
 	tracker := x.e.crashes.Tracker()
 	var usable []string
 	for _, t := range x.targets() {
-		if !t.avoided(now) && !tracker.KnownCrash(t.incarnation()) {
+		if !t.avoided(now) && !tracker.KnownCrash(t.incarnation()) && x.e.limits.BlockedFor(t.process()) == 0 {
 			usable = append(usable, t.upstream.ID)
 		}
 	}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -259,7 +259,7 @@
 		}
 		if t == nil {
 			x.refusal = decision
-			x.giveUp(ctx, decision.RetryAfter, decision.Reason)
+			x.giveUp(ctx, x.retryAfter(decision.RetryAfter), decision.Reason)
 			return
 		}
 		result, started := x.attempt(ctx, t, decision)
@@ -277,7 +277,7 @@
 			return
 		}
 		if !x.mayRetry(ctx, result) {
-			x.giveUp(ctx, result.retryAfter, result.reason)
+			x.giveUp(ctx, x.retryAfter(result.retryAfter), result.reason)
 			return
 		}
 	}
@@ -423,7 +423,7 @@
 // avoided.
 func (x *exchange) hasAlternative(now time.Time) bool {
 	for _, t := range x.targets() {
-		if !x.tried[t] && !t.avoided(now) && !x.e.limits.Leaving(t.process()) {
+		if !x.tried[t] && !t.avoided(now) && x.e.limits.BlockedFor(t.process()) == 0 {
 			return true
 		}
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -64,6 +64,9 @@
 		parsed.Limit = &rate
 	}
 	parsed.Leaving = upstreamlimit.ParseLeaving(resp.Header.Get("Leaving"))
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		parsed.Pause, _ = upstreamlimit.ParsePause(time.Now(), resp.Header)
+	}
 	return parsed
 }
 
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -59,6 +59,9 @@
 	Limit *float64
 	// Leaving is set if the upstream says that it is leaving.
 	Leaving bool
+	// Pause is the time for which an upstream that refused the request with status
+	// 503 wants no others from this entry, zero if it asks for none.
+	Pause time.Duration
 }
 
 // Load is the load that an upstream reports.
--- a/internal/entry/stats.go
+++ b/internal/entry/stats.go
@@ -11,7 +11,7 @@
 	served, refused, failed, rejected, abandoned metrics.Counter
 	moved, retried, stalls                       metrics.Counter
 	held, quarantined                            metrics.Counter
-	leaving                                      metrics.Counter
+	leaving, pauses                              metrics.Counter
 	firstByte, total                             metrics.Histogram
 }
 
@@ -32,7 +32,7 @@
 		rejected: counter("requests.rejected"), abandoned: counter("requests.abandoned"),
 		moved: counter("streams.moved"), retried: counter("sends.repeated"), stalls: counter("groups.stalls_seen"),
 		held: counter("requests.held"), quarantined: counter("requests.quarantined"),
-		leaving:   counter("upstreams.leaving"),
+		leaving: counter("upstreams.leaving"), pauses: counter("upstreams.pauses"),
 		firstByte: histogram("latency.first_byte_ms"), total: histogram("latency.total_ms"),
 	}
 }
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
@@ -39,8 +40,13 @@
 type Engine struct {
 	*Server
 	cfg EngineConfig
+	// refusals counts the requests that were refused with a pause.
+	refusals atomic.Int64
 }
 
+// Refusals returns the number of requests that were refused with a pause.
+func (e *Engine) Refusals() int { return int(e.refusals.Load()) }
+
 // StartEngine starts an engine on a free loopback port.
 func StartEngine(cfg EngineConfig) (*Engine, error) {
 	cfg.Kind = membership.ModelEngine
@@ -121,6 +127,13 @@
 		http.Error(w, "the group or epoch is not in force", http.StatusConflict)
 		return
 	}
+	if faults.Pause != "" {
+		e.refusals.Add(1)
+		w.Header().Set(upstream.HeaderNotStarted, "true")
+		w.Header().Set("Retry-After", faults.Pause)
+		http.Error(w, "no requests now", http.StatusServiceUnavailable)
+		return
+	}
 	if faults.CrashOn != "" && req.contains(faults.CrashOn) {
 		e.Kill()
 		panic(http.ErrAbortHandler)
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -61,6 +61,9 @@
 	RequestLimit string
 	// Leaving makes answers say that the upstream is leaving.
 	Leaving bool
+	// Pause is the Retry-After with which an engine refuses all requests; empty to
+	// accept them.
+	Pause string
 }
 
 // leaseEcho is the Echo field of the last lease from a registrar.
--- a/internal/limitreport/limitreport.go
+++ b/internal/limitreport/limitreport.go
@@ -103,6 +103,27 @@
 	return r.notices.Leaving(target)
 }
 
+// Pause records that a process wants no requests for a time, and reports whether
+// the end of its pause has moved.
+func (r *Reporter) Pause(target upstreamlimit.Target, pause time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	moved := r.notices.Pause(time.Now(), target, pause)
+	r.count()
+	return moved
+}
+
+// BlockedFor returns the time for which a process wants no requests at all, zero if
+// it takes some.
+func (r *Reporter) BlockedFor(target upstreamlimit.Target) time.Duration {
+	if !r.Any() {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.blockedFor(time.Now(), target)
+}
+
 // Any reports whether an upstream has said anything about the requests it wants.
 func (r *Reporter) Any() bool { return r.limited.Load() > 0 }
 
@@ -133,8 +154,7 @@
 	return r.blockedFor(now, target) == 0 && r.tracker.Take(now, target)
 }
 
-// blockedFor returns the time for which a process wants no requests at all. The
-// caller holds mu.
+// blockedFor is BlockedFor for callers that hold mu.
 func (r *Reporter) blockedFor(now time.Time, target upstreamlimit.Target) time.Duration {
 	if r.notices.Leaving(target) {
 		return upstreamlimit.MaxPause
