--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -37,6 +37,12 @@
 // errWrongRequestID is returned for a response with the id of another request.
 var errWrongRequestID = errors.New("the answer belongs to another request")
 
+// errForeignAnswer is returned for a success that is no answer of an upstream.
+var errForeignAnswer = errors.New("the answer does not come from an upstream")
+
+// isSuccess reports whether a response has a 2xx status.
+func isSuccess(resp *http.Response) bool { return resp.StatusCode/100 == 2 }
+
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	// done is set if the caller has been answered.
@@ -161,6 +167,13 @@
 		a.cancel(errWrongRequestID)
 		return attemptResult{ran: true, reason: errWrongRequestID.Error()}
 	}
+	if isSuccess(resp) && (headers.ID == "" || !headers.Signed) {
+		// The server of another system may have the address, or the answer was
+		// spoiled. Whether the upstream has run the request is not known.
+		t.recordUnreachable(now)
+		a.cancel(errForeignAnswer)
+		return attemptResult{ran: true, reason: errForeignAnswer.Error()}
+	}
 	if headers.Load != nil {
 		t.recordLoad(now, headers.Load)
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -481,3 +481,33 @@
 		})
 	}
 }
+
+// Guards against the page of another system's server that reaches a caller as the
+// answer to its request, also on a connection that has served no other request.
+func TestAnswerOfAnotherSystemIsNoSuccess(t *testing.T) {
+	for name, spoil := range map[string]func(http.Header){
+		"no id":        func(h http.Header) { h.Del("Id") },
+		"no signature": func(h http.Header) { h.Set("Unsigned", "1") },
+	} {
+		for _, path := range []string{"/order/x", "/read/x", "/chat/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				foreign := newUpstream(t, "foreign", func(u *fakeUpstream, n int, w http.ResponseWriter, r *http.Request) {
+					spoil(w.Header())
+					if path == "/chat/x" {
+						stream(2, nil)(u, n, w, r)
+						return
+					}
+					answer("<html>")(u, n, w, r)
+				})
+				service, model := "app", ""
+				if path == "/chat/x" {
+					service, model = "model", "m"
+				}
+				_, server := newEntry(t, foreign.record(service, model))
+				got := sendRequest(t, server, path)
+				require.Equal(t, http.StatusBadGateway, got.status, "it may have run")
+				require.NotContains(t, got.body, "<html>")
+			})
+		}
+	}
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -59,7 +59,7 @@
 }
 
 func (testProtocol) ParseResponse(resp *http.Response) ResponseHeaders {
-	parsed := ResponseHeaders{ID: resp.Header.Get("Id"), NotRun: resp.Header.Get("Not-Run") != ""}
+	parsed := ResponseHeaders{ID: resp.Header.Get("Id"), Signed: resp.Header.Get("Unsigned") == "", NotRun: resp.Header.Get("Not-Run") != ""}
 	if rate, named := upstreamlimit.ParseRate(resp.Header.Get("Request-Limit")); named {
 		parsed.Limit = &rate
 	}
--- a/internal/entry/latecopy_test.go
+++ b/internal/entry/latecopy_test.go
@@ -29,7 +29,8 @@
 					require.Equal(t, path, got.body, "request %d", n)
 				}
 			}
-			require.Positive(t, served)
+			// A success without an id is no answer of an upstream.
+			require.Equal(t, header != "", served > 0)
 		})
 	}
 }
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -49,6 +49,9 @@
 type ResponseHeaders struct {
 	// ID is the request id echoed by the upstream, empty without one.
 	ID string
+	// Signed is set if the response carries the signature that upstreams add to the
+	// answers to requests that have run.
+	Signed bool
 	// NotRun is set if the upstream guarantees that the request has not run and
 	// will not run.
 	NotRun bool
--- a/internal/instance/cluster_test.go
+++ b/internal/instance/cluster_test.go
@@ -164,7 +164,7 @@
 }
 
 func (c *cluster) sendHeartbeat(id, workerAddress string) {
-	body := fmt.Sprintf(`{"service":"app","address":%q,"zone":"z","slots":4,"state":"ready","seq":%d,"born":1000}`, workerAddress, time.Now().UnixMilli())
+	body := fmt.Sprintf(`{"service":"app","address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","cold_remaining_ms":0,"seq":%d,"born":1000}`, workerAddress, time.Now().UnixMilli())
 	status, _ := call("POST", "http://"+address(id, controlPort)+"/v1/Instances.Heartbeat/w1", []byte(body))
 	require.Equal(c.t, 200, status)
 }
@@ -191,6 +191,7 @@
 	c.start(entry, true, true, "")
 	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Bluebellfield-Attempt-Id", r.Header.Get("Bluebellfield-Attempt-Id"))
+		w.Header().Set("Bluebellfield-Server-Seal", "seal")
 		_, _ = io.WriteString(w, "served "+r.URL.Path)
 	}))
 	defer worker.Close()
@@ -312,6 +313,7 @@
 	c.start(entry, true, true, "")
 	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Bluebellfield-Attempt-Id", r.Header.Get("Bluebellfield-Attempt-Id"))
+		w.Header().Set("Bluebellfield-Server-Seal", "seal")
 		_, _ = io.WriteString(w, "served")
 	}))
 	defer worker.Close()
@@ -394,6 +396,7 @@
 	release := make(chan struct{})
 	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Bluebellfield-Attempt-Id", r.Header.Get("Bluebellfield-Attempt-Id"))
+		w.Header().Set("Bluebellfield-Server-Seal", "seal")
 		if strings.HasSuffix(r.URL.Path, "/slow") {
 			arrived.Add(1)
 			<-release
@@ -473,6 +476,7 @@
 	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		arrived.Add(1)
 		w.Header().Set("Bluebellfield-Attempt-Id", r.Header.Get("Bluebellfield-Attempt-Id"))
+		w.Header().Set("Bluebellfield-Server-Seal", "seal")
 		if leaving.Load() {
 			w.Header().Set("Server-Leaving", "1")
 		}
--- a/internal/instance/crash_test.go
+++ b/internal/instance/crash_test.go
@@ -89,12 +89,13 @@
 			return
 		}
 		w.Header().Set("Bluebellfield-Attempt-Id", r.Header.Get("Bluebellfield-Attempt-Id"))
+		w.Header().Set("Bluebellfield-Server-Seal", "seal")
 		_, _ = io.WriteString(w, "served")
 	})}
 	go func() { _ = server.Serve(listener) }()
 	started := time.Now().UnixMilli()
 	for number := 1; ; number++ {
-		body := fmt.Sprintf(`{"service":"app","address":%q,"zone":"z","slots":6,"state":"ready","seq":%d,"born":%d}`, listener.Addr(), number, started)
+		body := fmt.Sprintf(`{"service":"app","address":%q,"zone":"z","version":"v1","slots":6,"state":"ready","cold_remaining_ms":0,"seq":%d,"born":%d}`, listener.Addr(), number, started)
 		call("POST", "http://"+address(s.controls[number%len(s.controls)], controlPort)+"/v1/Instances.Heartbeat/"+id, []byte(body))
 		select {
 		case <-s.ctx.Done():
