edge/upstream: an unsolicited 101 ends the request

Cause: the transport hands the connection of a 101 to the caller; the deadline no longer closes it. Statuses outside of 200 to 599 were relayed as well.

Change: Client.Exchange, used by both serving paths, ends such a request with the outcome unknown and closes the connection.

Evidence: without the change TestStatusThatEndsNoRequest and TestUnsolicitedChangeOfProtocolIsAnswered do not end within 40 s; with it they pass under the race detector.

--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -160,16 +160,26 @@
 	tracker := &writeTracker{cancel: cancel}
 	req = req.WithContext(tracker.withTrace(ctx))
 	resp, err := c.transport(once).RoundTrip(req)
-	if err == nil {
+	if err == nil && isFinal(resp.StatusCode) {
 		return resp, nil
 	}
 	defer cancel(nil)
+	if err == nil {
+		_ = resp.Body.Close()
+		err = fmt.Errorf("the upstream answered with the status %d", resp.StatusCode)
+		return nil, fault.Wrap(err, fault.UpstreamFailed, at, fault.Unknown)
+	}
 	if tracker.notSent() {
 		return nil, fault.Wrap(err, fault.UpstreamUnreachable, at, fault.NotRun)
 	}
 	return nil, fault.Wrap(err, failureCode(err), at, fault.Unknown)
 }
 
+// isFinal reports whether a status may end a request. After an unsolicited 101, the
+// transport would hand over the connection, on which no deadline holds; a status out
+// of range could not be sent to the caller.
+func isFinal(status int) bool { return status >= http.StatusOK && status <= 599 }
+
 // failureCode returns the fault code of a request that failed in transit.
 func failureCode(err error) fault.Code {
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/edge/upstream/client_test.go
+++ b/internal/edge/upstream/client_test.go
@@ -511,3 +511,29 @@
 	require.Error(t, err)
 	require.True(t, listening, "silence is not the end of the process")
 }
+
+// Guards against an answer that changes the protocol unasked, after which no deadline
+// ends the request, and against statuses that cannot be sent to a caller.
+func TestStatusThatEndsNoRequest(t *testing.T) {
+	for _, status := range []string{"101 Switching Protocols", "000 x", "099 x", "600 x", "999 x"} {
+		for _, once := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, once=%v", status, once), func(t *testing.T) {
+				s := startRawServer(t, func(s *rawServer, conn *net.TCPConn, _ int) {
+					if _, err := s.readRequest(bufio.NewReader(conn)); err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+					// The server keeps the connection until the client closes it.
+					_, _ = io.Copy(io.Discard, conn)
+				})
+				client, _ := newTestClient(t)
+				started := time.Now()
+				_, err := send(t.Context(), client, postTo(s, once))
+				require.Error(t, err)
+				require.Equal(t, fault.Unknown, fault.OutcomeOf(err))
+				require.Equal(t, fault.UpstreamFailed, fault.CodeOf(err))
+				require.Less(t, time.Since(started), 5*time.Second)
+			})
+		}
+	}
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -511,3 +511,24 @@
 		}
 	}
 }
+
+// Guards against a request without an answer after its upstream has changed the
+// protocol unasked and sends nothing more.
+func TestUnsolicitedChangeOfProtocolIsAnswered(t *testing.T) {
+	for _, path := range []string{"/quick/x", "/order/x"} {
+		u := newUpstream(t, "u", func(_ *fakeUpstream, _ int, w http.ResponseWriter, r *http.Request) {
+			conn, out, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = out.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nId: " + r.Header.Get("Id") + "\r\n\r\n")
+			_ = out.Flush()
+			_, _ = io.Copy(io.Discard, conn)
+		})
+		_, server := newEntry(t, u.record("app", ""))
+		got := sendRequest(t, server, path)
+		require.Equal(t, http.StatusBadGateway, got.status)
+		require.Less(t, got.took, 2*time.Second)
+	}
+}
