entry: only models that the catalog lists are counted

Cause: the name went into a protobuf string of the subscription, which could not be encoded and renewed. Any name was also kept in memory.

Change: demand and baselines are kept for models that the service lists. No other text of a caller reaches a message between instances; requests and prompt parts are passed on as digests.

--- a/internal/entry/demand.go
+++ b/internal/entry/demand.go
@@ -16,17 +16,18 @@
 
 type demandKey struct{ service, model string }
 
-// add counts a request, whether or not it is served.
-func (d *demandCounter) add(service string, r *Request) {
+// add counts a request for a model that the service lists, whether or not it is
+// served.
+func (d *demandCounter) add(service, model string, r *Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.counts == nil {
 		d.counts = map[demandKey]*mesh.Demand{}
 	}
-	key := demandKey{service, r.Model}
+	key := demandKey{service, model}
 	count := d.counts[key]
 	if count == nil {
-		count = &mesh.Demand{Service: service, Model: r.Model}
+		count = &mesh.Demand{Service: service, Model: model}
 		d.counts[key] = count
 	}
 	count.Requests++
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -157,7 +157,9 @@
 	defer cancel()
 	ctx, unbind := x.e.stop.Bind(ctx)
 	defer unbind()
-	x.e.demand.add(x.service.Name, &x.request)
+	if model := x.knownModel(); model != "" {
+		x.e.demand.add(x.service.Name, model, &x.request)
+	}
 	x.tried = map[*target]bool{}
 	x.digest, x.parts = x.requestDigest(), x.sharedParts()
 	x.runAttempts(ctx)
@@ -345,6 +347,16 @@
 	return t.candidate(now, x.view.entries, slots, occupancy)
 }
 
+// knownModel returns the requested model if the service lists it, otherwise an empty
+// string. Callers may name anything, in any bytes: other names are neither kept nor
+// sent to other instances.
+func (x *exchange) knownModel() string {
+	if engine := x.service.Engine; engine != nil && engine.Model(x.request.Model) != nil {
+		return x.request.Model
+	}
+	return ""
+}
+
 // targets returns the targets of the latest view, because groups may be formed
 // anew while a request is in progress.
 func (x *exchange) targets() []*target {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -146,7 +146,7 @@
 	a.firstEvent = now
 	a.load.started()
 	if a.expectedWait == 0 {
-		x.e.baselines.add(x.service.Name, x.request.Model, now.Sub(a.started))
+		x.e.baselines.add(x.service.Name, x.knownModel(), now.Sub(a.started))
 	}
 }
 
