entry, control: entries remember departures for control instances that restart

Cause: the record of a departure was held in memory only, and all of its holders among the control instances restarted together.

Change: an entry tells a control instance that has started all upstreams of which it knows that they are draining or gone.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -146,7 +146,7 @@
 	o.Network.Handle(mesh.ChannelUpdate, c.serveUpdate)
 	o.Network.Handle(mesh.ChannelCatalog, c.serveCatalog)
 	o.Network.Handle(mesh.ChannelStall, c.serveStall)
-	o.Network.Handle(mesh.ChannelLeaving, c.serveLeaving)
+	o.Network.Handle(mesh.ChannelDepartures, c.serveDepartures)
 	o.Network.Handle(mesh.ChannelLoads, c.serveLoads)
 	o.Network.Handle(mesh.ChannelVerdicts, c.serveVerdicts)
 	c.wg.Go(c.runPublisher)
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -82,25 +82,38 @@
 	c.relay(&u, true)
 }
 
-// serveLeaving handles an entry's report that an answer of an upstream said that it
-// is leaving.
-func (c *Control) serveLeaving(_ context.Context, from string, payload []byte) ([]byte, error) {
-	var record mesh.Upstream
-	if err := proto.Unmarshal(payload, &record); err != nil {
-		return nil, fault.Wrap(err, fault.BadRequest, fault.Location{Step: mesh.ChannelLeaving, Peer: from}, fault.NotRun)
+// serveDepartures handles the departures that an entry knows: those that answers of
+// upstreams have told it, and, after this instance has started, all others. The
+// entries remember them when all control instances restart at once; a report that
+// was sent before the departure may still arrive then.
+func (c *Control) serveDepartures(_ context.Context, from string, payload []byte) ([]byte, error) {
+	var update mesh.Update
+	if err := proto.Unmarshal(payload, &update); err != nil {
+		return nil, fault.Wrap(err, fault.BadRequest, fault.Location{Step: mesh.ChannelDepartures, Peer: from}, fault.NotRun)
 	}
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.table.Drain(record.Id, record.Born, fleet.Draining) {
-		return nil, nil
+	for _, encoded := range update.Upstreams {
+		c.recordDeparture(now, from, mesh.DecodeUpstream(encoded))
 	}
-	u, _ := c.table.Get(record.Id)
-	c.opts.Logger.Info("upstream is leaving", zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("peer", from))
-	c.relay(&u, true)
-	c.wakeController()
 	return nil, nil
 }
 
+// recordDeparture records that an upstream is draining or gone. The caller holds mu.
+func (c *Control) recordDeparture(now time.Time, from string, u fleet.Upstream) {
+	if u.Phase == fleet.Ready || startsAhead(now, u.StartMillis) {
+		return
+	}
+	if _, changed := c.table.Observe(now, u); !changed {
+		return
+	}
+	known, _ := c.table.Get(u.ID)
+	c.opts.Logger.Info("departure reported by an entry", zap.String("upstream", u.ID), zap.Stringer("phase", known.Phase), zap.String("peer", from))
+	c.relay(&known, true)
+	c.wakeController()
+}
+
 // relay queues a report for the subscribers. Control instances receive every
 // report, because they need to know which upstreams still send reports; entries
 // receive only changes. The caller holds mu.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,8 +86,8 @@
 	// storedVerdicts holds the verdicts that the control instances have stored,
 	// with their ends.
 	storedVerdicts map[quarantine.Digest]time.Time
-	// leaving holds the departures that are being reported.
-	leaving       []leavingReport
+	// departures holds the departures that are being reported.
+	departures    []departureReport
 	retryLimiters map[string]*retryLimiter
 
 	ctx    context.Context
--- a/internal/entry/subscription.go
+++ b/internal/entry/subscription.go
@@ -92,7 +92,7 @@
 func (e *Entry) subscribe(now time.Time, interval time.Duration) {
 	demands := e.demand.take()
 	e.storeVerdicts(now)
-	e.reportLeaving(now)
+	e.reportDepartures(now)
 	e.mu.Lock()
 	e.expireWithdrawn(now)
 	alive := e.aliveGroups(now.Add(-interval))
@@ -184,6 +184,11 @@
 	if now.Sub(s.lastUpdate) > sourceTimeout {
 		e.opts.Logger.Info("control instance regained", zap.String("peer", from))
 	}
+	if update.Complete && update.Source != s.id {
+		// The control instance has started. If all have, the entries are the only
+		// ones that remember departures.
+		e.sendDepartures(from, e.departed())
+	}
 	if !update.Complete && (update.Source != s.id || update.Number != s.lastNumber+1) {
 		// An update was lost. The next subscription request asks for all
 		// records.
--- a/internal/instance/cluster_test.go
+++ b/internal/instance/cluster_test.go
@@ -13,6 +13,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -502,3 +503,60 @@
 	}
 	require.Equal(t, before, arrived.Load())
 }
+
+// Guards against an upstream that is used again after its departure was acknowledged:
+// all control instances and an entry restart, and a heartbeat that was sent before
+// the departure arrives late.
+func TestDepartureOutlivesRestartOfControlInstances(t *testing.T) {
+	c := newCluster(t, 10)
+	var controls []string
+	for n, seed := range c.seeds {
+		controls = append(controls, seedHost(seed))
+		c.start(controls[n], true, false, fmt.Sprint("n-", n))
+	}
+	restarted, other := hostID(10, 4), hostID(10, 5)
+	c.start(restarted, true, true, "")
+	c.start(other, true, true, "")
+	var arrived atomic.Int32
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived.Add(1)
+		w.Header().Set("Bluebellfield-Attempt-Id", r.Header.Get("Bluebellfield-Attempt-Id"))
+		w.Header().Set("Bluebellfield-Server-Seal", "seal")
+		_, _ = io.WriteString(w, "served")
+	}))
+	defer worker.Close()
+	workerAddress := strings.TrimPrefix(worker.URL, "http://")
+	c.eventually("acknowledged", func() bool { return c.putConfiguration(controls[0], 1, "/") })
+	c.sendHeartbeat(controls[0], workerAddress)
+	for _, id := range []string{restarted, other} {
+		c.eventually("served", func() bool { status, _ := request(id, "/x"); return status == 200 })
+	}
+	status, _ := call("POST", "http://"+address(controls[1], controlPort)+"/v1/Instances.Deregister/w1", []byte(`{"born":1000}`))
+	require.Equal(t, 200, status)
+	for _, id := range []string{restarted, other} {
+		c.eventually("not served", func() bool { status, _ := request(id, "/x"); return status == 503 })
+	}
+	for _, id := range append(slices.Clone(controls), restarted) {
+		c.stop(id)
+	}
+	for n, id := range controls {
+		c.start(id, false, false, fmt.Sprint("n-", n))
+	}
+	c.start(restarted, false, true, "")
+	time.Sleep(2 * time.Second)
+	c.sendHeartbeat(controls[0], workerAddress)
+	c.sendHeartbeat(controls[2], workerAddress)
+	time.Sleep(time.Second)
+	before := arrived.Load()
+	for _, id := range []string{restarted, other} {
+		c.eventually("the entry knows the catalog", func() bool {
+			status, _ := request(id, "/x")
+			return status == 503 || arrived.Load() > before
+		})
+		for range 5 {
+			status, _ := request(id, "/x")
+			require.Equal(t, 503, status)
+		}
+	}
+	require.Equal(t, before, arrived.Load())
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -17,13 +17,13 @@
 	ChannelUpdate    = "fleet.update"
 	ChannelCatalog   = "catalog.get"
 	ChannelStall     = "group.stall"
-	// ChannelLeaving carries the record of an upstream whose answer to an entry said
-	// that it is leaving.
-	ChannelLeaving  = "fleet.leaving"
-	ChannelLoads    = "fleet.loads"
-	ChannelVerdicts = "quarantine.verdicts"
-	ChannelLog      = "log.deployment"
-	ChannelForward  = "forward.deployment"
+	// ChannelDepartures carries the records of upstreams of which an entry knows that
+	// they are draining or gone.
+	ChannelDepartures = "fleet.departures"
+	ChannelLoads      = "fleet.loads"
+	ChannelVerdicts   = "quarantine.verdicts"
+	ChannelLog        = "log.deployment"
+	ChannelForward    = "forward.deployment"
 )
 
 // EncodeUpstream converts an upstream record to its message.
