storage: a loss of power during compaction leaves no gap

Seen in the code by the review: Compact removed several segments before one sync of the directory. A loss of power that keeps the removal of a later segment and loses that of an earlier one left a log that counts as damaged, and its member never votes again.

Cause: changes of names are durable independently of each other until their directory is synced.

The file system of the tests keeps or loses each change of a name by itself.

--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -327,19 +327,16 @@
 			return l.fail(err)
 		}
 	}
-	removed := false
 	for len(l.segments) > 1 && l.segments[0].lastIndex <= covered {
 		if err := l.fs.Remove(l.segmentPath(l.segments[0].sequence)); err != nil {
 			return l.fail(ioError(opRemove, l.segmentPath(l.segments[0].sequence), err))
 		}
+		// A loss of power may keep the removal of one file and lose that of another.
+		// Without a sync between them, a segment in the middle could be missing.
+		if err := l.fs.SyncDir(l.path); err != nil {
+			return l.fail(ioError(opSync, l.path, err))
+		}
 		l.segments = l.segments[1:]
-		removed = true
-	}
-	if !removed {
-		return nil
-	}
-	if err := l.fs.SyncDir(l.path); err != nil {
-		return l.fail(ioError(opSync, l.path, err))
 	}
 	return nil
 }
--- a/internal/storage/memfs_test.go
+++ b/internal/storage/memfs_test.go
@@ -23,6 +23,9 @@
 	syncErr   error
 	dirErr    error
 	crashed   bool // every operation fails from now on
+	// keepName decides for each name that was created, renamed or removed since the
+	// last SyncDir whether the change survives a crash; nil means that none does.
+	keepName func(name string) bool
 	// operationsLeft is the number of modifying operations until crashed is set.
 	operationsLeft int
 }
@@ -49,12 +52,36 @@
 	return nil
 }
 
+// namesAfterCrash returns the names that remain after a crash: those of the last
+// SyncDir, with each later change for which keepName returns true.
+func (m *memFS) namesAfterCrash() map[string]*memFile {
+	remaining := maps.Clone(m.durableFiles)
+	if m.keepName == nil {
+		return remaining
+	}
+	names := maps.Clone(m.durableFiles)
+	maps.Copy(names, m.files)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		current, exists := m.files[name]
+		if current == m.durableFiles[name] || !m.keepName(name) {
+			continue
+		}
+		if exists {
+			remaining[name] = current
+		} else {
+			delete(remaining, name)
+		}
+	}
+	return remaining
+}
+
 // crash discards unsynced names and bytes, except for the part of each file's
 // unsynced tail that keep returns. start is the offset of the tail in the file.
 // The file system works again afterwards.
 func (m *memFS) crash(keep func(start int, tail []byte) []byte) {
 	m.crashed, m.operationsLeft, m.syncErr, m.dirErr, m.freeBytes = false, 1<<30, nil, nil, 1<<30
-	m.files, m.locked = maps.Clone(m.durableFiles), map[string]bool{}
+	m.files, m.locked = m.namesAfterCrash(), map[string]bool{}
+	m.durableFiles = maps.Clone(m.files)
 	for _, name := range slices.Sorted(maps.Keys(m.files)) {
 		f := m.files[name]
 		var tail []byte
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -106,12 +106,11 @@
 		return damagedError(newest, 0, "snapshot ends at entry %d, unlike its file name", s.Meta.Index)
 	}
 	l.snapshot = s.Meta
-	if len(names) > 1 {
-		// The removal of the older snapshot could survive a loss of power that
-		// undoes the renaming of the newer one.
-		if err := l.fs.SyncDir(l.path); err != nil {
-			return ioError(opSync, l.path, err)
-		}
+	// An earlier process may have ended between the renaming of the snapshot and the
+	// sync. Later removals of what it covers could survive a loss of power that
+	// undoes the renaming.
+	if err := l.fs.SyncDir(l.path); err != nil {
+		return ioError(opSync, l.path, err)
 	}
 	for _, name := range names[:len(names)-1] {
 		if err := l.fs.Remove(filepath.Join(l.path, name)); err != nil {
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -374,6 +374,7 @@
 				}
 			}
 			zero := rapid.Bool().Draw(t, "zero")
+			fs.keepName = func(name string) bool { return rapid.Bool().Draw(t, "keeps "+name) }
 			fs.crash(func(start int, tail []byte) []byte {
 				n := rapid.IntRange(0, len(tail)).Draw(t, "kept")
 				if zero {
@@ -385,6 +386,35 @@
 	})
 }
 
+// Guards against a log that counts as damaged after a loss of power that keeps the
+// removal of a later segment and loses that of an earlier one.
+func TestRemovedSegmentsLeaveNoGap(t *testing.T) {
+	for kept := range 4 {
+		fs := newMemFS()
+		l, _, err := openTestLog(fs, LogOptions{SegmentBytes: 100})
+		require.NoError(t, err)
+		for index := uint64(1); index <= 20; index++ {
+			require.NoError(t, l.Save(consensus.Output{HardChanged: true, Hard: hard(1, "b"), Entries: entries(1, index)}))
+		}
+		paths := segmentPaths(fs)
+		require.NoError(t, l.SaveSnapshot(consensus.Snapshot{Meta: consensus.SnapshotMeta{Index: 18, Term: 1}, Data: []byte("state")}))
+		// The machine loses power after each number of removals.
+		fs.operationsLeft = 2*kept + 1
+		require.Error(t, l.Compact())
+		last := ""
+		for _, path := range paths {
+			if fs.files[path] == nil {
+				last = path
+			}
+		}
+		fs.keepName = func(name string) bool { return name == last }
+		fs.crash(dropTail)
+		_, st, err := openTestLog(fs, LogOptions{})
+		require.NoError(t, err)
+		require.Equal(t, entries(1, 19, 20), st.Entries)
+	}
+}
+
 func equalModels(a, b model) bool {
 	return a.hard == b.hard && a.snapshot.Index == b.snapshot.Index && a.snapshot.Term == b.snapshot.Term &&
 		slices.EqualFunc(a.entries, b.entries, func(x, y consensus.Entry) bool {
