entry, caller: paths and queries reach the upstream as they were sent

Cause: the URI was parsed and formatted again.

Change: upstream.KeepRequestURI, used by both serving paths, keeps the caller's request target.

--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -215,7 +215,7 @@
 	a.mayBeReused = !once && x.mayReuse(target)
 	traced := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { a.reused = info.Reused }})
 	a.resp, err = x.Client.Do(traced, upstream.Dispatch{
-		Target: target, Method: x.r.Method, URI: x.r.URL.RequestURI(), Header: x.upstreamHeader(), Body: x.body,
+		Target: target, Method: x.r.Method, URI: requestURI(x.r), Header: x.upstreamHeader(), Body: x.body,
 		RequestID: x.info.RequestID, Attempt: x.attempts, Priority: string(x.info.Account.Class), Resume: resume, Once: !a.mayBeReused,
 	})
 	if err != nil {
@@ -242,6 +242,14 @@
 	return a, nil
 }
 
+// requestURI returns the path and query of a request as they were sent.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 // contextErrorCode returns the fault code for the error of a request's context.
 func contextErrorCode(err error) fault.Code {
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -10,7 +10,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -175,6 +177,18 @@
 	return nil, fault.Wrap(err, failureCode(err), at, fault.Unknown)
 }
 
+// KeepRequestURI makes a request carry the path and query of a caller as they were
+// sent. Parsing and formatting a URL escapes characters that a URL must not contain,
+// such as "|", and cuts off a part after "#".
+func KeepRequestURI(u *url.URL, requestURI string) {
+	if u.RequestURI() == requestURI || !strings.HasPrefix(requestURI, "/") || strings.HasPrefix(requestURI, "//") {
+		// An opaque part with two slashes would count as an authority.
+		return
+	}
+	path, query, hasQuery := strings.Cut(requestURI, "?")
+	u.Opaque, u.RawQuery, u.ForceQuery = path, query, hasQuery && query == ""
+}
+
 // isFinal reports whether a status may end a request. After an unsolicited 101, the
 // transport would hand over the connection, on which no deadline holds; a status out
 // of range could not be sent to the caller.
@@ -202,6 +216,7 @@
 	if err != nil {
 		return nil, err
 	}
+	KeepRequestURI(req.URL, d.URI)
 	req.GetBody = nil
 	if len(d.Body) == 0 {
 		req.Body = http.NoBody
--- a/internal/edge/upstream/client_test.go
+++ b/internal/edge/upstream/client_test.go
@@ -537,3 +537,31 @@
 		}
 	}
 }
+
+// Guards against a path or query that reaches the upstream changed.
+func TestRequestURIIsKept(t *testing.T) {
+	got := make(chan string, 1)
+	s := startRawServer(t, func(s *rawServer, conn *net.TCPConn, _ int) {
+		in := bufio.NewReader(conn)
+		for {
+			line, err := in.Peek(4)
+			if err != nil || len(line) == 0 {
+				return
+			}
+			req, err := s.readRequest(in)
+			if err != nil {
+				return
+			}
+			got <- req.RequestURI
+			_, _ = io.WriteString(conn, okReply)
+		}
+	})
+	client, _ := newTestClient(t)
+	for _, uri := range []string{"/", "/a/b?c=d", "/a|b", "/{a}/^`", "/a%7Cb", "/a?x={y}|z", "/a?", "/a#b", "/a//b", "/a/../b", "/caf\xc3\xa9", "/%2e%2E/%2f"} {
+		d := postTo(s, false)
+		d.URI = uri
+		_, err := send(t.Context(), client, d)
+		require.NoError(t, err, uri)
+		require.Equal(t, uri, <-got)
+	}
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -239,6 +239,7 @@
 	if err != nil {
 		return nil, err
 	}
+	upstream.KeepRequestURI(req.URL, x.r.RequestURI)
 	// Without GetBody the transport cannot replay the body on its own.
 	req.GetBody = nil
 	if len(x.body) == 0 {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -532,3 +533,21 @@
 		require.Less(t, got.took, 2*time.Second)
 	}
 }
+
+// Guards against a path or query that reaches the upstream changed.
+func TestRequestURIIsForwardedUnchanged(t *testing.T) {
+	u := newUpstream(t, "u", answer("ok"))
+	_, server := newEntry(t, u.record("app", ""))
+	for _, uri := range []string{"/read/a|b", "/read/{a}?x=|y", "/read/a%7Cb", "/read/a#b", "/read/?"} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+		require.NoError(t, err)
+		_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h.example\r\nId: request-1\r\nKey: key\r\nConnection: close\r\n\r\n", uri)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, conn)
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+		u.mu.Lock()
+		require.Equal(t, uri, u.seen[len(u.seen)-1].RequestURI)
+		u.mu.Unlock()
+	}
+}
