instance: settings accept fractions

Seen in the code by the review: a template value such as grace_s = 7.5 gave 7.5000 milliseconds, and the daemon did not start.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -98,7 +98,7 @@
 // Start starts an instance. The settings must be valid.
 func Start(s *Settings, a Adapter, logger *zap.Logger) (*Instance, error) {
 	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryMB) * (1 << 20)))
+		debug.SetMemoryLimit(int64(memoryLimitFraction * s.MemoryMB * (1 << 20)))
 	}
 	i := &Instance{settings: s, adapter: a, logger: logger.With(zap.String("instance", s.Name)), registry: metrics.NewRegistry(),
 		system:   actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) })),
@@ -166,7 +166,7 @@
 	}
 	i.entry = entry.Start(entry.Options{ID: s.ID, FailureDomain: s.FailureDomain, Seeds: s.seedIDs(), Network: i.network,
 		Decode: i.adapter.Decode, OnLimits: setLimits, Protocol: i.adapter.Protocol, Client: i.client, Logger: i.logger, Registry: i.registry,
-		RetryBudget: entry.RetryBudget{Ratio: s.RetryBudget.Ratio, Allowance: s.RetryBudget.Allowance, Window: milliseconds(s.RetryBudget.WindowMS)}})
+		RetryBudget: entry.RetryBudget{Ratio: s.RetryBudget.Ratio, Allowance: int(s.RetryBudget.Allowance), Window: milliseconds(s.RetryBudget.WindowMS)}})
 	if err := i.serve(s.Listen.Ready, i.adapter.Ready(i.entry.Ready)); err != nil {
 		return errors.Join(err, listener.Close())
 	}
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -16,6 +16,7 @@
 )
 
 // Settings is the configuration of an instance, stored as JSON with comments.
+// Quantities may have fractions, since the platform's values may.
 type Settings struct {
 	// ID is the IP address of the host, at which other instances connect to it.
 	ID            string `json:"id"`
@@ -31,13 +32,13 @@
 	// DataFolder is the folder for the log of a control instance.
 	DataFolder string `json:"dataFolder"`
 	// HeartbeatMS is the interval of the upstreams' heartbeats, in milliseconds.
-	HeartbeatMS int `json:"heartbeatMs"`
+	HeartbeatMS float64 `json:"heartbeatMs"`
 	// StallMS is the time from the loss of a member until the head of the stalled
 	// group gives up, in milliseconds.
-	StallMS int `json:"stallMs"`
+	StallMS float64 `json:"stallMs"`
 	// MemoryMB is the memory that the process may use, in megabytes; 0 means no
 	// limit.
-	MemoryMB    int         `json:"memoryMb"`
+	MemoryMB    float64     `json:"memoryMb"`
 	Drain       Drain       `json:"drain"`
 	RetryBudget RetryBudget `json:"retryBudget"`
 	LogLevel    string      `json:"logLevel"`
@@ -59,7 +60,7 @@
 type Drain struct {
 	// GraceMS is the time from the stop signal until the process is killed, in
 	// milliseconds.
-	GraceMS int `json:"graceMs"`
+	GraceMS float64 `json:"graceMs"`
 }
 
 // RetryBudget limits the retries to a service across all entry instances.
@@ -67,9 +68,9 @@
 	// Ratio is the maximum ratio of retries to first attempts.
 	Ratio float64 `json:"ratio"`
 	// Allowance is the number of retries that are allowed in addition.
-	Allowance int `json:"allowance"`
+	Allowance float64 `json:"allowance"`
 	// WindowMS is the period over which attempts are counted, in milliseconds.
-	WindowMS int `json:"windowMs"`
+	WindowMS float64 `json:"windowMs"`
 }
 
 // Load reads and validates a settings file.
@@ -117,11 +118,11 @@
 	}
 	require(s.Listen.Caller != "" || s.Listen.Control != "", "listen: caller or control is required")
 	require(s.Listen.Control == "" || s.DataFolder != "", "dataFolder: required for a control instance")
-	require(s.HeartbeatMS > 0, "heartbeatMs: %d is not positive", s.HeartbeatMS)
-	require(s.StallMS >= 0, "stallMs: %d is negative", s.StallMS)
-	require(s.Drain.GraceMS > 0, "drain.graceMs: %d is not positive", s.Drain.GraceMS)
+	require(s.HeartbeatMS > 0, "heartbeatMs: %v is not positive", s.HeartbeatMS)
+	require(s.StallMS >= 0, "stallMs: %v is negative", s.StallMS)
+	require(s.Drain.GraceMS > 0, "drain.graceMs: %v is not positive", s.Drain.GraceMS)
 	require(s.RetryBudget.Ratio >= 0 && s.RetryBudget.Allowance >= 0, "retryBudget: ratio and allowance must not be negative")
-	require(s.RetryBudget.WindowMS > 0, "retryBudget.windowMs: %d is not positive", s.RetryBudget.WindowMS)
+	require(s.RetryBudget.WindowMS > 0, "retryBudget.windowMs: %v is not positive", s.RetryBudget.WindowMS)
 	return errors.Join(problems...)
 }
 
@@ -137,4 +138,4 @@
 	return ids
 }
 
-func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
--- a/internal/instance/settings_test.go
+++ b/internal/instance/settings_test.go
@@ -1,7 +1,11 @@
 package instance
 
 import (
+	"os"
+	"regexp"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -49,3 +53,37 @@
 	_, err = Parse("file", []byte(`{"id": `))
 	require.Error(t, err)
 }
+
+// Guards against an instance that does not start because a value of the platform is no
+// whole number, with the template of the deployment.
+func TestFractionsInTheTemplate(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/settings.jsonc")
+	require.NoError(t, err)
+	for _, fractional := range []bool{false, true} {
+		values := map[string]string{"ip": `"10.1.0.40"`, "node_name": `"n"`, "zone": `"z"`, "internal_ports.0": "7340", "bootstrap": "true",
+			"heartbeat_ms": "1200", "bounds.stall_ms": "6000", "limits.memory_mb": "284", "bounds.grace_s": "8",
+			"bounds.retry_budget_ratio": "0.2", "bounds.budget_slack": "132", "bounds.budget_window_s": "10"}
+		if fractional {
+			for _, name := range []string{"heartbeat_ms", "bounds.stall_ms", "limits.memory_mb", "bounds.grace_s", "bounds.budget_slack", "bounds.budget_window_s"} {
+				values[name] += ".5"
+			}
+		}
+		text := string(template)
+		for name, value := range values {
+			text = strings.ReplaceAll(text, "{{"+name+"|json}}", value)
+		}
+		text = strings.ReplaceAll(text, `{{#seeds}}{{.|json}}{{,}}{{/seeds}}`, `"10.1.0.43:8229"`)
+		text = strings.ReplaceAll(text, `{{#listen.front}}"caller": {{listen.front|json}},{{/listen.front}}`, `"caller": "10.1.0.40:8227",`)
+		// The rest are sections without a value.
+		text = regexp.MustCompile(`(?s)\{\{#.*?\{\{/[a-z_.]+\}\}`).ReplaceAllString(text, "")
+		text = strings.ReplaceAll(text, "{{ip}}", "10.1.0.40")
+		s, err := Parse("template", []byte(text))
+		require.NoError(t, err, text)
+		grace, window := 8*time.Second, 10*time.Second
+		if fractional {
+			grace, window = 8500*time.Millisecond, 10500*time.Millisecond
+		}
+		require.Equal(t, grace, milliseconds(s.Drain.GraceMS))
+		require.Equal(t, window, milliseconds(s.RetryBudget.WindowMS))
+	}
+}
