cmd/bluebellfieldd: the soak covers departures and pauses told in answers

Two of three upstreams ask for a pause and then say that they leave, in answers only, and are followed by a new incarnation; what arrives is checked against the users' rules. A disruption of the entry excuses it.

--- a/cmd/bluebellfieldd/config_soak_test.go
+++ b/cmd/bluebellfieldd/config_soak_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -43,9 +42,10 @@
 var ciConfigSeeds = []uint64{0, 1, 2}
 
 // Guards against acknowledged changes of the configuration that are not in force in
-// time, come back older, or are lost, and against invalid ones that are accepted,
-// while control instances and entries are killed, stopped, paused and wiped in
-// overlapping series. Callers use open connections until the process is gone.
+// time, come back older, or are lost, against invalid ones that are accepted, and
+// against requests to upstreams that have said that they leave or want a pause, while
+// control instances and entries are killed, stopped, paused and wiped in overlapping
+// series. Callers use open connections until the process is gone.
 func TestConfigurationSoak(t *testing.T) {
 	seeds := ciConfigSeeds
 	if text := os.Getenv(soakSeeds); text != "" {
@@ -122,6 +122,8 @@
 	failures []string
 	reads    int
 	probes   int
+	// departures and pauses count what the upstreams have told.
+	departures, pauses int
 }
 
 func (s *configSoak) fail(format string, args ...any) {
@@ -391,6 +393,7 @@
 	}
 	req.Host = soakHost
 	req.Header.Set("Bluebellfield-Attempt-Id", fmt.Sprintf("%s-%d", i.id, n))
+	req.Header.Set("Sent", strconv.FormatInt(time.Now().UnixNano(), 10))
 	req.Header.Set("Bluebellfield-Deadline-Ms", "1500")
 	resp, err := client.Do(req)
 	if err != nil {
@@ -401,35 +404,6 @@
 	return resp.StatusCode
 }
 
-// runWorker reports an upstream to all control instances in turn.
-func (s *configSoak) runWorker(ctx context.Context, n int) {
-	id := fmt.Sprint("w-", n)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("Bluebellfield-Expect-Instance") != id {
-			w.WriteHeader(http.StatusMisdirectedRequest)
-			return
-		}
-		w.Header().Set("Bluebellfield-Attempt-Id", r.Header.Get("Bluebellfield-Attempt-Id"))
-		w.Header().Set("Bluebellfield-Server-Seal", "seal")
-		_, _ = io.WriteString(w, "served")
-	}))
-	defer server.Close()
-	born := time.Now().UnixMilli()
-	for number := 1; ctx.Err() == nil; number++ {
-		body := fmt.Sprintf(`{"service":"app","address":%q,"zone":"z","version":"v1","slots":20,"state":"ready","cold_remaining_ms":0,"seq":%d,"born":%d}`,
-			server.Listener.Addr(), number, born)
-		for try := range s.controls {
-			i := s.controls[(n+number+try)%len(s.controls)]
-			resp, err := s.http.Post("http://"+s.address(i, "control")+"/v1/Instances.Heartbeat/"+id, "application/json", strings.NewReader(body))
-			if err == nil {
-				_ = resp.Body.Close()
-				break
-			}
-		}
-		time.Sleep(400 * time.Millisecond)
-	}
-}
-
 // runDisruptions disturbs instances in overlapping series. At most one control
 // instance is disturbed at a time, except for kills of the whole core, after which
 // all are back within a second.
@@ -514,7 +488,8 @@
 	workers, stopWorkers := context.WithCancel(t.Context())
 	var background, running sync.WaitGroup
 	for n := range 3 {
-		background.Go(func() { s.runWorker(workers, n) })
+		w := &soakWorker{soak: s, steady: n == 0, random: source()}
+		background.Go(func() { w.run(workers, n) })
 	}
 	defer background.Wait()
 	defer stopWorkers()
@@ -553,7 +528,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.Logf("%d changes, %d reads, %d requests", len(s.changes), s.reads, s.probes)
+	t.Logf("%d changes, %d reads, %d requests; %d departures and %d pauses told", len(s.changes), s.reads, s.probes, s.departures, s.pauses)
 	if len(s.failures) > 0 {
 		keep, _ := os.MkdirTemp("", fmt.Sprintf("config-soak-%d-", seed))
 		_ = os.CopyFS(keep, os.DirFS(s.dir))
