control: a departure of an unknown upstream is passed on

Seen by the review, not tried: a control instance that has just started acknowledges the departure of an upstream that only others know, and forgets it.

Change: the incarnation is recorded as gone and passed on; others keep what they know of it. Without the start of its process nothing can be recorded.

Evidence: TestDepartureOfUnknownUpstreamIsPassedOn passes under the race detector.

--- a/fleet/commands.go
+++ b/fleet/commands.go
@@ -13,6 +13,11 @@
 	}
 	if old != nil && old.StartMillis == u.StartMillis {
 		u.Phase = max(u.Phase, old.Phase)
+		if u.Phase == Gone {
+			// A departure may come from an instance that knows the id alone.
+			u = *old
+			u.Phase = Gone
+		}
 	}
 	if holder := t.upstreams[t.byAddress[u.Address]]; holder != nil && holder.ID != u.ID && u.Phase != Gone {
 		switch {
@@ -64,6 +69,19 @@
 	return true
 }
 
+// LeaveUnknown records the departure of an incarnation that is not registered, so
+// that a report that it sent before does not register it. It returns the record, or
+// false if the upstream is registered or the start of its process is not known.
+func (t *Table) LeaveUnknown(now time.Time, id string, startMillis int64) (Upstream, bool) {
+	old := t.upstreams[id]
+	if startMillis == 0 || old != nil && old.StartMillis >= startMillis {
+		return Upstream{}, false
+	}
+	left := Upstream{ID: id, StartMillis: startMillis, Phase: Gone, ReceivedAt: now}
+	t.upstreams[id] = &left
+	return left, true
+}
+
 // Leave marks the current incarnation of an upstream as gone, unless startMillis
 // shows that an earlier one has left. startMillis is zero if unknown.
 func (t *Table) Leave(now time.Time, id string, startMillis int64) (Upstream, bool) {
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -75,6 +75,10 @@
 	defer c.mu.Unlock()
 	c.unlisted.leave(id, startMillis)
 	u, ok := c.table.Leave(time.Now(), id, startMillis)
+	if !ok {
+		// An instance that has just started may not know an upstream that others do.
+		u, ok = c.table.LeaveUnknown(time.Now(), id, startMillis)
+	}
 	if !ok {
 		return
 	}
--- a/internal/control/registrar_test.go
+++ b/internal/control/registrar_test.go
@@ -155,3 +155,32 @@
 	u, _ = registered(c, "u")
 	require.Equal(t, fleet.Draining, u.Phase)
 }
+
+// Guards against a departure that is acknowledged and forgotten because the instance
+// has just started and does not know the upstream yet.
+func TestDepartureOfUnknownUpstreamIsPassedOn(t *testing.T) {
+	started, other := startControl(t, "127.0.0.1"), startControl(t, "127.0.0.1")
+	subscribe(t, started, "10.0.0.9")
+	born := time.Now().UnixMilli()
+	report := fleet.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: born, Sequence: 1}
+	other.HandleReport(report)
+	started.HandleDeparture("u", born)
+	report.Sequence = 2
+	started.HandleReport(report)
+	u, known := registered(started, "u")
+	require.True(t, known)
+	require.Equal(t, fleet.Gone, u.Phase, "a report that was sent before the departure")
+
+	other.mu.Lock()
+	_, changed := other.table.Observe(time.Now(), u)
+	other.mu.Unlock()
+	require.True(t, changed)
+	u, _ = registered(other, "u")
+	require.Equal(t, fleet.Gone, u.Phase)
+	require.Equal(t, "s", u.Service, "what was known of it is kept")
+
+	report.StartMillis, report.Sequence = born+1, 1
+	started.HandleReport(report)
+	u, _ = registered(started, "u")
+	require.Equal(t, fleet.Ready, u.Phase, "a new incarnation")
+}
