cmd/bluebellfieldd: the soak asks for routes that exist

Change: requests go to the routes of the last four versions and to one that all have, and some changes stay the newest for up to 6 s. The test requires that requests are served.

--- a/cmd/bluebellfieldd/config_soak_test.go
+++ b/cmd/bluebellfieldd/config_soak_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,6 +38,8 @@
 	// restartPause is the time after which the platform starts a process again.
 	restartPause = 300 * time.Millisecond
 	soakHost     = "h.example"
+	// recentVersions is the number of the last versions whose routes are requested.
+	recentVersions = 4
 )
 
 // ciConfigSeeds are the seeds that CI runs.
@@ -121,7 +125,8 @@
 	changes  map[int]*change
 	failures []string
 	reads    int
-	probes   int
+	// probes counts the requests on routes of one version, served all successes.
+	probes, served int
 	// departures and pauses count what the upstreams have told.
 	departures, pauses int
 }
@@ -271,7 +276,8 @@
 				s.fail("an invalid change is acknowledged")
 			}
 		}
-		time.Sleep(time.Duration(random.IntN(3500)) * time.Millisecond)
+		// Some changes stay the newest for longer than they may take to be in force.
+		time.Sleep(time.Duration(random.IntN(6000)) * time.Millisecond)
 	}
 }
 
@@ -349,22 +355,23 @@
 			newest, incarnation = 0, current
 		}
 		want := s.floor(time.Now().Add(-applyTime))
-		version := want
-		if version == 0 {
+		if want == 0 {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		if random.IntN(2) == 0 {
-			version = 1 + random.IntN(want)
+		if random.IntN(3) == 0 {
+			s.send(client, i, "/always/x", n)
+			time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+			continue
 		}
+		version := s.recentVersion(random)
 		sent := time.Now()
-		status := s.probe(client, i, version, n)
+		status := s.send(client, i, markerPath(version)+"x", n)
 		inTouch := i.calm(sent.Add(-contactTime)) && s.coreCalm(sent.Add(-contactTime))
 		i.mu.Lock()
 		same := i.incarnation == incarnation
 		i.mu.Unlock()
 		s.mu.Lock()
-		_, exists := s.changes[version]
 		overtaken := false
 		for _, c := range s.changes {
 			overtaken = overtaken || c.version > want
@@ -372,7 +379,6 @@
 		s.probes++
 		s.mu.Unlock()
 		switch {
-		case !exists:
 		case status == http.StatusNotFound && version == want && !overtaken && inTouch:
 			s.fail("%s does not serve the route of version %d, which was acknowledged over %s before", i.id, want, applyTime)
 		case status == http.StatusOK && version < want && inTouch:
@@ -386,8 +392,18 @@
 	}
 }
 
-func (s *configSoak) probe(client *http.Client, i *soakInstance, version, n int) int {
-	req, err := http.NewRequest(http.MethodGet, "http://"+s.address(i, "caller")+markerPath(version)+"x", nil)
+// recentVersion returns one of the last versions that were sent.
+func (s *configSoak) recentVersion(random *rand.Rand) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	versions := slices.Sorted(maps.Keys(s.changes))
+	versions = versions[max(0, len(versions)-recentVersions):]
+	return versions[random.IntN(len(versions))]
+}
+
+// send sends a request of a caller and returns the status, 0 without an answer.
+func (s *configSoak) send(client *http.Client, i *soakInstance, path string, n int) int {
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.address(i, "caller")+path, nil)
 	if err != nil {
 		return 0
 	}
@@ -401,6 +417,11 @@
 	}
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
+	if resp.StatusCode == http.StatusOK {
+		s.mu.Lock()
+		s.served++
+		s.mu.Unlock()
+	}
 	return resp.StatusCode
 }
 
@@ -528,7 +549,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.Logf("%d changes, %d reads, %d requests; %d departures and %d pauses told", len(s.changes), s.reads, s.probes, s.departures, s.pauses)
+	t.Logf("%d changes, %d reads, %d requests on their routes, %d requests served; %d departures and %d pauses told",
+		len(s.changes), s.reads, s.probes, s.served, s.departures, s.pauses)
 	if len(s.failures) > 0 {
 		keep, _ := os.MkdirTemp("", fmt.Sprintf("config-soak-%d-", seed))
 		_ = os.CopyFS(keep, os.DirFS(s.dir))
@@ -537,4 +559,5 @@
 	require.Empty(t, s.failures)
 	require.Positive(t, want)
 	require.Greater(t, s.probes, 100)
+	require.Greater(t, s.served, 300)
 }
