--- a/internal/daemon/pick.go
+++ b/internal/daemon/pick.go
@@ -573,14 +573,19 @@
 // FirstByte implements caller.Choice.
 func (c *choice) FirstByte() { c.firstByte = time.Since(c.startedAt) }
 
+// process identifies the process of the upstream for what it says in its answers.
+func (c *choice) process() upstreamlimit.Target {
+	return upstreamlimit.Target{Upstream: c.target.Upstream, Incarnation: c.target.Incarnation}
+}
+
 // NamedLimit implements caller.Choice.
 func (c *choice) NamedLimit(rate float64, named bool) {
-	c.picker.limits.Observe(upstreamlimit.Target{Upstream: c.target.Upstream, Incarnation: c.target.Incarnation}, rate, named)
+	c.picker.limits.Observe(c.process(), rate, named)
 }
 
 // Leaving implements caller.Choice.
 func (c *choice) Leaving() {
-	if c.picker.limits.Leave(upstreamlimit.Target{Upstream: c.target.Upstream, Incarnation: c.target.Incarnation}) {
+	if c.picker.limits.Leave(c.process()) {
 		c.picker.logger.Info("upstream says that it is leaving", zap.String("upstream", c.target.Upstream), zap.Uint64("incarnation", c.target.Incarnation))
 	}
 }
@@ -588,7 +593,7 @@
 // Pause implements caller.Choice.
 func (c *choice) Pause(pause time.Duration) {
 	c.paused = true
-	if c.picker.limits.Pause(upstreamlimit.Target{Upstream: c.target.Upstream, Incarnation: c.target.Incarnation}, pause) {
+	if c.picker.limits.Pause(c.process(), pause) {
 		c.picker.logger.Info("upstream asks for a pause", zap.String("upstream", c.target.Upstream), zap.Uint64("incarnation", c.target.Incarnation), zap.Duration("pause", pause))
 	}
 }
