--- a/internal/edge/callerconn/listener.go
+++ b/internal/edge/callerconn/listener.go
@@ -1,5 +1,6 @@
-// Package callerconn applies the limits of caller connections that are in force,
-// also to connections that are already open.
+// Package callerconn manages the connections of callers: it applies the limits in
+// force, also to connections that are already open, and ends requests in a planned
+// stop.
 package callerconn
 
 import (
