--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -179,9 +179,8 @@
 }
 
 // AddControl starts another control process with an empty disk.
-func (l *Lab) AddControl(zone string, seeds []string) (string, error) {
-	host := l.Host()
-	return host, l.add(host, zone, true, seeds, false)
+func (l *Lab) AddControl(host, zone string, seeds []string) error {
+	return l.add(host, zone, true, seeds, false)
 }
 
 func (l *Lab) add(host, zone string, control bool, seeds []string, bootstrap bool) error {
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -52,6 +52,7 @@
 	ended    bool
 	quiet    bool
 	leaving  bool
+	cut      bool
 	seq      uint64
 	orders   uint64
 	maxEpoch uint64
@@ -87,6 +88,9 @@
 	f.mu.Unlock()
 	f.lab.Log("worker %s of %s runs at %s, born %d", id, service, host, w.born)
 	go w.beat()
+	if engine {
+		go w.watchMembers()
+	}
 	return w, nil
 }
 
@@ -107,12 +111,35 @@
 	w.quiet = true
 }
 
+// SetCut partitions a worker from the control processes, or ends the partition: its
+// heartbeats get lost, and calls to it get no answer and have no effect.
+func (w *Worker) SetCut(cut bool) {
+	w.mu.Lock()
+	w.cut = cut
+	w.mu.Unlock()
+	w.fleet.lab.Log("worker %s partitioned from the core: %v", w.ID, cut)
+	w.changed()
+}
+
+// lost reports whether a call of a control process gets lost. It then returns when
+// the caller has given up.
+func (w *Worker) lost(r *http.Request) bool {
+	w.mu.Lock()
+	cut := w.cut
+	w.mu.Unlock()
+	if cut {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	return cut
+}
+
 // Deregister says that the worker leaves. It serves on. It returns the time of the
 // acknowledgement.
 func (w *Worker) Deregister() (time.Time, error) {
 	w.mu.Lock()
 	w.quiet, w.leaving = true, true
-	body := map[string]any{"service": w.Service, "address": w.address(), "zone": w.Zone, "version": "v1", "born": w.born}
+	body := map[string]any{"service": w.Service, "address": w.Address(), "zone": w.Zone, "version": "v1", "born": w.born}
 	w.mu.Unlock()
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -130,14 +157,15 @@
 	return time.Time{}, fmt.Errorf("the departure of %s was not acknowledged", w.ID)
 }
 
-func (w *Worker) address() string { return fmt.Sprintf("%s:%d", w.Host, workerPort) }
+// Address returns the address at which a worker serves.
+func (w *Worker) Address() string { return fmt.Sprintf("%s:%d", w.Host, workerPort) }
 
 // Heartbeat returns the next heartbeat.
 func (w *Worker) Heartbeat() []byte {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seq++
-	body := map[string]any{"service": w.Service, "address": w.address(), "zone": w.Zone, "version": "v1", "slots": 26, "state": "ready",
+	body := map[string]any{"service": w.Service, "address": w.Address(), "zone": w.Zone, "version": "v1", "slots": 26, "state": "ready",
 		"cold_remaining_ms": 0, "seq": w.seq, "born": w.born}
 	if w.Engine {
 		w.describe(body)
@@ -166,7 +194,7 @@
 func (w *Worker) beat() {
 	for turn := 0; ; {
 		w.mu.Lock()
-		quiet := w.quiet
+		quiet := w.quiet || w.cut
 		w.mu.Unlock()
 		if !quiet {
 			body := w.Heartbeat()
@@ -209,11 +237,11 @@
 }
 
 func (w *Worker) report(rw http.ResponseWriter, r *http.Request) {
-	if w.misdirected(rw, r) {
+	if w.lost(r) || w.misdirected(rw, r) {
 		return
 	}
 	w.mu.Lock()
-	body := map[string]any{"service": w.Service, "address": w.address(), "zone": w.Zone, "version": "v1", "slots": 26, "born": w.born, "busy": w.state == "joining",
+	body := map[string]any{"service": w.Service, "address": w.Address(), "zone": w.Zone, "version": "v1", "slots": 26, "born": w.born, "busy": w.state == "joining",
 		"seq": w.orders, "queue_depth": 0, "active_requests": 0, "kv_used": 0, "kv_total": 2470000, "handles": 0, "pace": 1}
 	w.describe(body)
 	w.mu.Unlock()
@@ -231,7 +259,7 @@
 }
 
 func (w *Worker) order(rw http.ResponseWriter, r *http.Request) {
-	if w.misdirected(rw, r) {
+	if w.lost(r) || w.misdirected(rw, r) {
 		return
 	}
 	var o order
@@ -375,6 +403,66 @@
 	}
 }
 
+const (
+	// stallTime is the time for which the head of a group that has lost a member
+	// stands still before it is broken.
+	stallTime  = 6 * time.Second
+	watchPause = 50 * time.Millisecond
+)
+
+// watchMembers makes an open head stand still, and later broken, once a member has
+// ended or is in another group.
+func (w *Worker) watchMembers() {
+	var since time.Time
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(watchPause):
+		}
+		if w.whole() {
+			since = time.Time{}
+			continue
+		}
+		if since.IsZero() {
+			since = time.Now()
+			w.fleet.lab.Log("worker %s stands still: its group has lost a member", w.ID)
+		}
+		if time.Since(since) < stallTime {
+			continue
+		}
+		w.mu.Lock()
+		if w.state == "open" {
+			w.state = "broken"
+			w.fleet.lab.Log("worker %s is broken", w.ID)
+		}
+		w.mu.Unlock()
+		w.changed()
+	}
+}
+
+// whole reports whether a worker is no open head, or all members of its group are
+// still in it.
+func (w *Worker) whole() bool {
+	w.mu.Lock()
+	group, epoch, members := w.group, w.epoch, w.members
+	serves := w.state == "open" && w.rank == 0
+	w.mu.Unlock()
+	if !serves {
+		return true
+	}
+	for _, id := range members {
+		m := w.fleet.Get(id)
+		m.mu.Lock()
+		in := !m.ended && m.group == group && m.epoch == epoch
+		m.mu.Unlock()
+		if !in {
+			return false
+		}
+	}
+	return true
+}
+
 // Get returns the latest process of a worker.
 func (f *Fleet) Get(id string) *Worker {
 	f.mu.Lock()
@@ -438,6 +526,14 @@
 	}
 	h.Set("Content-Type", "text/event-stream")
 	for i := range 4 {
+		for !w.whole() {
+			select {
+			case <-r.Context().Done():
+				w.fleet.lab.Log("worker %s: request %s cancelled while the group stands still", w.ID, id)
+				return
+			case <-time.After(watchPause):
+			}
+		}
 		_, _ = fmt.Fprintf(rw, "id: %d\ndata: piece %d of %s\n\n", i, i, id)
 		_ = http.NewResponseController(rw).Flush()
 		time.Sleep(50 * time.Millisecond)
