--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,21 +1,22 @@
-// Command 7 shows that the members of an open group are ordered into another group
-// after the whole group was out of the leader's reach for some time.
+// Command 7 shows that the heartbeats of another system break up an open group after a
+// machine of the core was replaced.
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
-	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/review/lab"
 )
 
 const (
-	engines   = 14
+	engines   = 8
 	groupSize = 3
-	// cutTime is the length of one partition.
-	cutTime = 9 * time.Second
+	// foreign is the number of workers of the other system.
+	foreign = 8
 )
 
 func main() { os.Exit(run()) }
@@ -47,51 +48,56 @@
 	if err := l.AwaitReady(entries); err != nil {
 		return err
 	}
-	if err := fleet.AwaitOpen(engines / groupSize); err != nil {
+	if err := fleet.AwaitOpen(2); err != nil {
 		return err
 	}
 	stop := make(chan struct{})
+	defer close(stop)
 	go lab.Traffic(l, entries, "m1", stop)
 	time.Sleep(lab.ContactTime + time.Second)
-	// The model has no requests for a while.
-	close(stop)
-	time.Sleep(2 * time.Second)
 
-	members := openGroup(fleet)
-	l.Log("members of an open group: %v", members)
-	if l.Trouble {
-		for _, id := range members {
-			fleet.Get(id).SetCut(true)
-		}
+	// The workers of another system report to the last machine of the core: their
+	// service isn't named by any configuration, and their addresses are those that our
+	// workers have.
+	var target atomic.Value
+	target.Store(controls[2])
+	for i := range foreign {
+		go beat(l, fleet, i, &target, stop)
 	}
-	// Two partitions of cutTime, one after the other.
-	time.Sleep(2 * cutTime)
+	time.Sleep(4 * time.Second)
+
 	if l.Trouble {
-		for _, id := range members {
-			fleet.Get(id).SetCut(false)
+		l.Kill(controls[2])
+		replacement := l.Host()
+		target.Store(replacement)
+		time.Sleep(time.Second)
+		if err := l.AddControl(replacement, "zone-3", controls); err != nil {
+			return err
 		}
 	}
-	time.Sleep(6 * time.Second)
+	time.Sleep(10 * time.Second)
 	return nil
 }
 
-func engineID(i int) string { return fmt.Sprintf("w%02d", i+1) }
+func engineID(i int) string { return fmt.Sprintf("w%d", i+1) }
 
-// openGroup returns the members of an open group.
-func openGroup(fleet *lab.Fleet) []string {
-	for i := range engines {
-		group, rank, state := fleet.Get(engineID(i)).State()
-		if rank != 0 || state != "open" {
-			continue
+// beat sends the heartbeats of a worker of the other system.
+func beat(l *lab.Lab, fleet *lab.Fleet, i int, target *atomic.Value, stop chan struct{}) {
+	born := time.Now().UnixMilli()
+	time.Sleep(time.Duration(i) * lab.HeartbeatInterval / foreign)
+	for seq := 1; ; seq++ {
+		body, err := json.Marshal(map[string]any{"service": "other", "address": fleet.Get(engineID(i)).Address(), "zone": "zone-1", "version": "v1", "slots": 4,
+			"state": "ready", "cold_remaining_ms": 0, "seq": seq, "born": born})
+		if err != nil {
+			panic(err)
 		}
-		var members []string
-		for j := range engines {
-			if other, _, _ := fleet.Get(engineID(j)).State(); other == group {
-				members = append(members, engineID(j))
-			}
+		control := target.Load().(string)
+		status := lab.Post(control, fmt.Sprintf("/v1/Instances.Heartbeat/other-%d", i+1), body, time.Second)
+		l.Log("heartbeat of other-%d to %s answered %d", i+1, control, status)
+		select {
+		case <-stop:
+			return
+		case <-time.After(lab.HeartbeatInterval):
 		}
-		slices.Sort(members)
-		return members
 	}
-	return nil
 }
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,22 +1,21 @@
-// Command 8 shows that the heartbeats of another system break up an open group after a
-// machine of the core was replaced.
+// Command 8 shows that the members of an open group are ordered into another group
+// after the whole group was out of the leader's reach for some time.
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
-	"sync/atomic"
+	"slices"
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/review/lab"
 )
 
 const (
-	engines   = 8
+	engines   = 14
 	groupSize = 3
-	// foreign is the number of workers of the other system.
-	foreign = 8
+	// cutTime is the length of one partition.
+	cutTime = 9 * time.Second
 )
 
 func main() { os.Exit(run()) }
@@ -48,56 +47,51 @@
 	if err := l.AwaitReady(entries); err != nil {
 		return err
 	}
-	if err := fleet.AwaitOpen(2); err != nil {
+	if err := fleet.AwaitOpen(engines / groupSize); err != nil {
 		return err
 	}
 	stop := make(chan struct{})
-	defer close(stop)
 	go lab.Traffic(l, entries, "m1", stop)
 	time.Sleep(lab.ContactTime + time.Second)
+	// The model has no requests for a while.
+	close(stop)
+	time.Sleep(2 * time.Second)
 
-	// The workers of another system report to the last machine of the core: their
-	// service isn't named by any configuration, and their addresses are those that our
-	// workers have.
-	var target atomic.Value
-	target.Store(controls[2])
-	for i := range foreign {
-		go beat(l, fleet, i, &target, stop)
+	members := openGroup(fleet)
+	l.Log("members of an open group: %v", members)
+	if l.Trouble {
+		for _, id := range members {
+			fleet.Get(id).SetCut(true)
+		}
 	}
-	time.Sleep(4 * time.Second)
-
+	// Two partitions of cutTime, one after the other.
+	time.Sleep(2 * cutTime)
 	if l.Trouble {
-		l.Kill(controls[2])
-		replacement := l.Host()
-		target.Store(replacement)
-		time.Sleep(time.Second)
-		if err := l.AddControl(replacement, "zone-3", controls); err != nil {
-			return err
+		for _, id := range members {
+			fleet.Get(id).SetCut(false)
 		}
 	}
-	time.Sleep(10 * time.Second)
+	time.Sleep(6 * time.Second)
 	return nil
 }
 
-func engineID(i int) string { return fmt.Sprintf("w%d", i+1) }
+func engineID(i int) string { return fmt.Sprintf("w%02d", i+1) }
 
-// beat sends the heartbeats of a worker of the other system.
-func beat(l *lab.Lab, fleet *lab.Fleet, i int, target *atomic.Value, stop chan struct{}) {
-	born := time.Now().UnixMilli()
-	time.Sleep(time.Duration(i) * lab.HeartbeatInterval / foreign)
-	for seq := 1; ; seq++ {
-		body, err := json.Marshal(map[string]any{"service": "other", "address": fleet.Get(engineID(i)).Address(), "zone": "zone-1", "version": "v1", "slots": 4,
-			"state": "ready", "cold_remaining_ms": 0, "seq": seq, "born": born})
-		if err != nil {
-			panic(err)
+// openGroup returns the members of an open group.
+func openGroup(fleet *lab.Fleet) []string {
+	for i := range engines {
+		group, rank, state := fleet.Get(engineID(i)).State()
+		if rank != 0 || state != "open" {
+			continue
 		}
-		control := target.Load().(string)
-		status := lab.Post(control, fmt.Sprintf("/v1/Instances.Heartbeat/other-%d", i+1), body, time.Second)
-		l.Log("heartbeat of other-%d to %s answered %d", i+1, control, status)
-		select {
-		case <-stop:
-			return
-		case <-time.After(lab.HeartbeatInterval):
+		var members []string
+		for j := range engines {
+			if other, _, _ := fleet.Get(engineID(j)).State(); other == group {
+				members = append(members, engineID(j))
+			}
 		}
+		slices.Sort(members)
+		return members
 	}
+	return nil
 }
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -26,13 +26,8 @@
 	NotRun = 2
 )
 
-// Ports of the deployment, the same on every address.
-const (
-	callerPort  = 18227
-	readyPort   = 18220
-	controlPort = 18229
-	peerPort    = 17340
-)
+// Ports of the deployment, the same on every address. New chooses free ones.
+var callerPort, readyPort, controlPort, peerPort, metricsPort, workerPort int
 
 // Bounds of the users' pages.
 const (
@@ -82,35 +77,28 @@
 	if err != nil {
 		return nil, err
 	}
-	network, err := freeNetwork()
-	if err != nil {
+	if err := choosePorts(); err != nil {
 		return nil, err
 	}
+	network := fmt.Sprintf("127.%d.%d", 80+rand.IntN(100), 1+rand.IntN(250))
 	l := &Lab{Trouble: os.Getenv("TROUBLE") != "0", started: time.Now(), folder: folder, network: network, binary: binary,
 		record: record, processes: map[string]*process{}}
 	l.Log("trouble: %v", l.Trouble)
 	return l, nil
 }
 
-// freeNetwork returns the first three bytes of loopback addresses on which the ports
-// of the deployment are free.
-func freeNetwork() (string, error) {
-	for range 20 {
-		network := fmt.Sprintf("127.%d.%d", 80+rand.IntN(100), 1+rand.IntN(250))
-		free := true
-		for _, port := range []int{callerPort, readyPort, controlPort, peerPort} {
-			listener, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", network, port))
-			if err != nil {
-				free = false
-				break
-			}
-			_ = listener.Close()
-		}
-		if free {
-			return network, nil
+// choosePorts sets the ports to free ones. They are open together until all are known,
+// so that they differ.
+func choosePorts() error {
+	for _, port := range []*int{&callerPort, &readyPort, &controlPort, &peerPort, &metricsPort, &workerPort} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
 		}
+		defer listener.Close()
+		*port = listener.Addr().(*net.TCPAddr).Port
 	}
-	return "", fmt.Errorf("no free ports")
+	return nil
 }
 
 // Log adds a line to the record.
@@ -198,7 +186,7 @@
 
 // writeSettings writes what the template of the deploy file gives.
 func (l *Lab) writeSettings(p *process, zone string, seeds []string, bootstrap bool) error {
-	listen := map[string]any{"metrics": fmt.Sprintf("%s:9464", p.host)}
+	listen := map[string]any{"metrics": fmt.Sprintf("%s:%d", p.host, metricsPort)}
 	if p.control {
 		listen["control"] = fmt.Sprintf("%s:%d", p.host, controlPort)
 	} else {
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -12,8 +12,6 @@
 	"time"
 )
 
-const workerPort = 8080
-
 // Model is a model of an engine service.
 type Model struct {
 	Name       string
