--- a/review/7/main.go
+++ b/review/7/main.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -16,7 +17,10 @@
 	engines   = 8
 	groupSize = 3
 	// foreign is the number of workers of the other system.
-	foreign = 8
+	foreign = 2
+	// retryPause is the time after which a worker of the other system repeats a
+	// heartbeat that was not answered.
+	retryPause = 100 * time.Millisecond
 )
 
 func main() { os.Exit(run()) }
@@ -57,8 +61,8 @@
 	time.Sleep(lab.ContactTime + time.Second)
 
 	// The workers of another system report to the last machine of the core: their
-	// service isn't named by any configuration, and their addresses are those that our
-	// workers have.
+	// service isn't named by any configuration, and their addresses are those that two
+	// of our workers have.
 	var target atomic.Value
 	target.Store(controls[2])
 	for i := range foreign {
@@ -86,7 +90,7 @@
 	born := time.Now().UnixMilli()
 	time.Sleep(time.Duration(i) * lab.HeartbeatInterval / foreign)
 	for seq := 1; ; seq++ {
-		body, err := json.Marshal(map[string]any{"service": "other", "address": fleet.Get(engineID(i)).Address(), "zone": "zone-1", "version": "v1", "slots": 4,
+		body, err := json.Marshal(map[string]any{"service": "other", "address": fleet.Get(engineID(i * groupSize)).Address(), "zone": "zone-1", "version": "v1", "slots": 4,
 			"state": "ready", "cold_remaining_ms": 0, "seq": seq, "born": born})
 		if err != nil {
 			panic(err)
@@ -94,10 +98,14 @@
 		control := target.Load().(string)
 		status := lab.Post(control, fmt.Sprintf("/v1/Instances.Heartbeat/other-%d", i+1), body, time.Second)
 		l.Log("heartbeat of other-%d to %s answered %d", i+1, control, status)
+		pause := lab.HeartbeatInterval
+		if status != http.StatusOK {
+			pause = retryPause
+		}
 		select {
 		case <-stop:
 			return
-		case <-time.After(lab.HeartbeatInterval):
+		case <-time.After(pause):
 		}
 	}
 }
