--- a/review/6/main.go
+++ b/review/6/main.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	engines   = 8
-	groupSize = 3
+	// A domain has 11 workers, that is three groups and two spares.
+	domainSize = 11
+	engines    = 2 * domainSize
+	groups     = 6
+	groupSize  = 3
 )
 
 func main() { os.Exit(run()) }
@@ -38,11 +41,11 @@
 	for i := range engines {
 		id := engineID(i)
 		hosts[id] = l.Host()
-		if _, err := fleet.StartWorker(id, "model", "zone-1", hosts[id], true, nil); err != nil {
+		if _, err := fleet.StartWorker(id, "model", "zone-1", hosts[id], domainOf(i), nil); err != nil {
 			return err
 		}
 	}
-	if _, err := fleet.StartWorker("a1", "app", "zone-1", l.Host(), false, nil); err != nil {
+	if _, err := fleet.StartWorker("a1", "app", "zone-1", l.Host(), "", nil); err != nil {
 		return err
 	}
 	if err := l.PutConfiguration(controls, lab.EngineConfiguration("m1", groupSize)); err != nil {
@@ -51,7 +54,7 @@
 	if err := l.AwaitReady(entries); err != nil {
 		return err
 	}
-	if err := fleet.AwaitOpen(2); err != nil {
+	if err := fleet.AwaitOpen(groups); err != nil {
 		return err
 	}
 	stop := make(chan struct{})
@@ -63,18 +66,18 @@
 	// at other addresses.
 	former := maps.Clone(hosts)
 	if l.Trouble {
-		for i := range engines {
+		for i := range domainSize {
 			fleet.Get(engineID(i)).Crash()
 		}
 		time.Sleep(4 * time.Second)
-		for i := range engines {
+		for i := range domainSize {
 			id := engineID(i)
 			hosts[id] = l.Host()
-			if _, err := fleet.StartWorker(id, "model", "zone-1", hosts[id], true, []string{"m1"}); err != nil {
+			if _, err := fleet.StartWorker(id, "model", "zone-1", hosts[id], domainOf(i), []string{"m1"}); err != nil {
 				return err
 			}
 		}
-		if err := fleet.AwaitOpen(2); err != nil {
+		if err := fleet.AwaitOpen(groups); err != nil {
 			return err
 		}
 	}
@@ -88,18 +91,20 @@
 	if l.Trouble {
 		address = former[head]
 	}
-	if _, err := fleet.StartWorker("a2", "app", "zone-1", address, false, nil); err != nil {
+	if _, err := fleet.StartWorker("a2", "app", "zone-1", address, "", nil); err != nil {
 		return err
 	}
 	time.Sleep(8 * time.Second)
 	return nil
 }
 
-func engineID(i int) string { return fmt.Sprintf("w%d", i+1) }
+func domainOf(i int) string { return fmt.Sprintf("fabric-%d", i/domainSize+1) }
+
+func engineID(i int) string { return fmt.Sprintf("w%02d", i+1) }
 
 // openHead returns the head of an open group.
 func openHead(fleet *lab.Fleet) string {
-	for i := range engines {
+	for i := range domainSize {
 		if _, rank, state := fleet.Get(engineID(i)).State(); rank == 0 && state == "open" {
 			return engineID(i)
 		}
--- a/review/7/main.go
+++ b/review/7/main.go
@@ -42,7 +42,7 @@
 	models := []lab.Model{{Name: "m1", Size: groupSize, Load: 1200 * time.Millisecond, Warm: time.Second}}
 	fleet := lab.NewFleet(l, controls, models)
 	for i := range engines {
-		if _, err := fleet.StartWorker(engineID(i), "model", "zone-1", l.Host(), true, nil); err != nil {
+		if _, err := fleet.StartWorker(engineID(i), "model", "zone-1", l.Host(), "fabric-1", nil); err != nil {
 			return err
 		}
 	}
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -14,8 +14,10 @@
 const (
 	engines   = 14
 	groupSize = 3
-	// cutTime is the length of one partition.
-	cutTime = 9 * time.Second
+	// cutTime is the length of one partition, secondCut the time from the start of the
+	// first one to that of the second.
+	cutTime   = 10 * time.Second
+	secondCut = 8 * time.Second
 )
 
 func main() { os.Exit(run()) }
@@ -37,7 +39,7 @@
 	models := []lab.Model{{Name: "m1", Size: groupSize, Load: 1200 * time.Millisecond, Warm: time.Second}}
 	fleet := lab.NewFleet(l, controls, models)
 	for i := range engines {
-		if _, err := fleet.StartWorker(engineID(i), "model", "zone-1", l.Host(), true, nil); err != nil {
+		if _, err := fleet.StartWorker(engineID(i), "model", "zone-1", l.Host(), "fabric-1", nil); err != nil {
 			return err
 		}
 	}
@@ -60,21 +62,23 @@
 	members := openGroup(fleet)
 	l.Log("members of an open group: %v", members)
 	if l.Trouble {
-		for _, id := range members {
-			fleet.Get(id).SetCut(true)
-		}
+		cut(fleet, members)
 	}
-	// Two partitions of cutTime, one after the other.
-	time.Sleep(2 * cutTime)
+	time.Sleep(secondCut)
 	if l.Trouble {
-		for _, id := range members {
-			fleet.Get(id).SetCut(false)
-		}
+		cut(fleet, members)
 	}
+	time.Sleep(cutTime)
 	time.Sleep(6 * time.Second)
 	return nil
 }
 
+func cut(fleet *lab.Fleet, members []string) {
+	for _, id := range members {
+		fleet.Get(id).Cut(cutTime)
+	}
+}
+
 func engineID(i int) string { return fmt.Sprintf("w%02d", i+1) }
 
 // openGroup returns the members of an open group.
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -32,11 +32,11 @@
 		return err
 	}
 	fleet := lab.NewFleet(l, controls, nil)
-	leaving, err := fleet.StartWorker("a1", "app", "zone-1", l.Host(), false, nil)
+	leaving, err := fleet.StartWorker("a1", "app", "zone-1", l.Host(), "", nil)
 	if err != nil {
 		return err
 	}
-	if _, err := fleet.StartWorker("a2", "app", "zone-2", l.Host(), false, nil); err != nil {
+	if _, err := fleet.StartWorker("a2", "app", "zone-2", l.Host(), "", nil); err != nil {
 		return err
 	}
 	if err := l.PutConfiguration(controls, configuration()); err != nil {
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -50,7 +50,7 @@
 	ended    bool
 	quiet    bool
 	leaving  bool
-	cut      bool
+	cuts     int
 	seq      uint64
 	orders   uint64
 	maxEpoch uint64
@@ -62,13 +62,14 @@
 	model    string
 	staged   []string
 	runs     int
+	active   int
 	onRun    func(id string, sent time.Time)
 }
 
-// StartWorker starts a worker on a host. An earlier process with the same id must
-// have ended.
-func (f *Fleet) StartWorker(id, service, zone, host string, engine bool, staged []string) (*Worker, error) {
-	w := &Worker{fleet: f, ID: id, Service: service, Zone: zone, Domain: "fabric-1", Host: host, Engine: engine,
+// StartWorker starts a worker on a host: an engine of a fabric domain, or a plain worker
+// without a domain. An earlier process with the same id must have ended.
+func (f *Fleet) StartWorker(id, service, zone, host, domain string, staged []string) (*Worker, error) {
+	w := &Worker{fleet: f, ID: id, Service: service, Zone: zone, Domain: domain, Host: host, Engine: domain != "",
 		born: time.Now().UnixMilli(), stop: make(chan struct{}), wake: make(chan struct{}, 1), staged: staged}
 	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, workerPort))
 	if err != nil {
@@ -86,7 +87,7 @@
 	f.mu.Unlock()
 	f.lab.Log("worker %s of %s runs at %s, born %d", id, service, host, w.born)
 	go w.beat()
-	if engine {
+	if w.Engine {
 		go w.watchMembers()
 	}
 	return w, nil
@@ -109,21 +110,28 @@
 	w.quiet = true
 }
 
-// SetCut partitions a worker from the control processes, or ends the partition: its
-// heartbeats get lost, and calls to it get no answer and have no effect.
-func (w *Worker) SetCut(cut bool) {
+// Cut partitions a worker from the control processes for a time: its heartbeats get
+// lost, and calls to it get no answer and have no effect. Partitions may overlap.
+func (w *Worker) Cut(d time.Duration) {
+	w.fleet.lab.Log("worker %s is partitioned from the core for %v", w.ID, d)
 	w.mu.Lock()
-	w.cut = cut
+	w.cuts++
 	w.mu.Unlock()
-	w.fleet.lab.Log("worker %s partitioned from the core: %v", w.ID, cut)
-	w.changed()
+	time.AfterFunc(d, func() {
+		w.mu.Lock()
+		w.cuts--
+		left := w.cuts
+		w.mu.Unlock()
+		w.fleet.lab.Log("worker %s: end of a partition, %d left", w.ID, left)
+		w.changed()
+	})
 }
 
 // lost reports whether a call of a control process gets lost. It then returns when
 // the caller has given up.
 func (w *Worker) lost(r *http.Request) bool {
 	w.mu.Lock()
-	cut := w.cut
+	cut := w.cuts > 0
 	w.mu.Unlock()
 	if cut {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -137,7 +145,7 @@
 func (w *Worker) Deregister() (time.Time, error) {
 	w.mu.Lock()
 	w.quiet, w.leaving = true, true
-	body := map[string]any{"service": w.Service, "address": w.Address(), "zone": w.Zone, "version": "v1", "born": w.born}
+	body := map[string]any{"born": w.born}
 	w.mu.Unlock()
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -192,7 +200,7 @@
 func (w *Worker) beat() {
 	for turn := 0; ; {
 		w.mu.Lock()
-		quiet := w.quiet || w.cut
+		quiet := w.quiet || w.cuts > 0
 		w.mu.Unlock()
 		if !quiet {
 			body := w.Heartbeat()
@@ -231,7 +239,14 @@
 }
 
 func (w *Worker) health(rw http.ResponseWriter, _ *http.Request) {
+	w.mu.Lock()
+	leaving := w.leaving
+	w.mu.Unlock()
 	rw.Header().Set("Bluebellfield-Instance-Id", w.ID)
+	if leaving {
+		rw.Header().Set("Server-Leaving", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
 }
 
 func (w *Worker) report(rw http.ResponseWriter, r *http.Request) {
@@ -309,12 +324,18 @@
 		if !mine || w.rank != 0 {
 			return http.StatusConflict
 		}
-		if w.state == "open" {
-			w.orders++
+		switch {
+		case w.state == "ready":
+			return http.StatusOK
+		case w.state != "open" && w.state != "closing":
+			return http.StatusConflict
+		}
+		w.orders++
+		w.state = "closing"
+		if o.Mode == "truncate" || w.active == 0 {
 			w.state = "ready"
-			return http.StatusAccepted
 		}
-		return http.StatusOK
+		return http.StatusAccepted
 	case "leave":
 		if !mine {
 			return http.StatusConflict
@@ -392,10 +413,8 @@
 	if h == nil {
 		return
 	}
-	if h != w {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if !h.ended && h.group == group && h.epoch == epoch && (h.state == "open" || h.state == "closing") {
 		f.lab.Break("worker %s takes a join of group %s while the head %s of its group %s is %s", w.ID, o.Group, head, group, h.state)
 	}
@@ -430,7 +449,7 @@
 			continue
 		}
 		w.mu.Lock()
-		if w.state == "open" {
+		if w.state == "open" || w.state == "closing" {
 			w.state = "broken"
 			w.fleet.lab.Log("worker %s is broken", w.ID)
 		}
@@ -444,7 +463,7 @@
 func (w *Worker) whole() bool {
 	w.mu.Lock()
 	group, epoch, members := w.group, w.epoch, w.members
-	serves := w.state == "open" && w.rank == 0
+	serves := (w.state == "open" || w.state == "closing") && w.rank == 0
 	w.mu.Unlock()
 	if !serves {
 		return true
@@ -503,15 +522,23 @@
 		h.Set("Server-Leaving", "1")
 	}
 	serves := !w.Engine || w.state == "open" && w.rank == 0
+	broken := w.Engine && w.state == "broken"
 	if serves {
 		w.runs++
+		w.active++
 	}
 	onRun := w.onRun
 	w.mu.Unlock()
-	if !serves {
+	switch {
+	case broken:
+		h.Set("Bluebellfield-Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case !serves:
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	defer w.finished()
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.fleet.lab.Log("worker %s runs request %s", w.ID, id)
 	if sent, err := strconv.ParseInt(r.Header.Get(sentHeader), 10, 64); err == nil && onRun != nil {
@@ -522,8 +549,35 @@
 		_, _ = io.WriteString(rw, "done\n")
 		return
 	}
-	h.Set("Content-Type", "text/event-stream")
-	for i := range 4 {
+	w.stream(rw, r, id)
+}
+
+// finished records the end of a request. A head that closes is ready after the last one.
+func (w *Worker) finished() {
+	w.mu.Lock()
+	w.active--
+	if w.state == "closing" && w.active == 0 {
+		w.state = "ready"
+		defer w.changed()
+	}
+	w.mu.Unlock()
+}
+
+const (
+	events     = 4
+	eventPause = 50 * time.Millisecond
+)
+
+// stream sends the events of an answer, after the last one that the client has. It
+// stands still while the group lacks a member, and is cut off if the head no longer
+// serves.
+func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, id string) {
+	rw.Header().Set("Content-Type", "text/event-stream")
+	first := 0
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	for i := first; i < events; i++ {
 		for !w.whole() {
 			select {
 			case <-r.Context().Done():
@@ -532,8 +586,16 @@
 			case <-time.After(watchPause):
 			}
 		}
+		if _, _, state := w.State(); state != "open" && state != "closing" {
+			w.fleet.lab.Log("worker %s: request %s cut off", w.ID, id)
+			panic(http.ErrAbortHandler)
+		}
 		_, _ = fmt.Fprintf(rw, "id: %d\ndata: piece %d of %s\n\n", i, i, id)
 		_ = http.NewResponseController(rw).Flush()
-		time.Sleep(50 * time.Millisecond)
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(eventPause):
+		}
 	}
 }
