placement: silence does not prove that a head has stopped

Cause: advanceIsolating dissolved a group after twice the stall time if no member could be reached. The group then counted as one that can no longer serve, so that its members were free with their first reports after the partition.

Change: the branch is gone. A group without proof stays isolated until a member can be reached. A group none of whose members has a record anymore is forgotten, not retired, so that it is adopted when they report again.

TestUnreachableGroupIsNotDissolved failed before at 18 s and 40 s, and passes; all tests of placement pass.

--- a/placement/advance.go
+++ b/placement/advance.go
@@ -350,12 +350,9 @@
 		g.memberRemovedAt = now
 	}
 	p.orderLeave(now, g)
-	removed := !g.memberRemovedAt.IsZero()
-	switch {
-	case removed && now.Sub(g.memberRemovedAt) > p.cfg.StallTime+stallMargin:
-		p.dissolve(now, g)
-	case !removed && now.Sub(g.stageSince) > 2*p.cfg.StallTime+stallMargin:
-		// No member is reachable, so none can be used in another group either.
+	// Without a removed member, the head may be serving for any length of time. The
+	// group is kept until a member can be reached, or until no member has a record.
+	if !g.memberRemovedAt.IsZero() && now.Sub(g.memberRemovedAt) > p.cfg.StallTime+stallMargin {
 		p.dissolve(now, g)
 	}
 }
--- a/placement/commands.go
+++ b/placement/commands.go
@@ -55,6 +55,7 @@
 		seen[u.ID] = true
 		p.observeEngine(now, u)
 	}
+	p.forgetUnknown(seen)
 	for id, e := range p.engines {
 		if !seen[id] && e.group == nil {
 			delete(p.engines, id)
@@ -63,6 +64,23 @@
 	p.adopt(now)
 }
 
+// forgetUnknown removes the groups none of whose members has a record anymore. They
+// are not retired: nothing shows that their heads have stopped serving, so they are
+// adopted again if their members report again.
+func (p *Planner) forgetUnknown(seen map[string]bool) {
+	for name, g := range p.groups {
+		if slices.ContainsFunc(g.members, func(id string) bool { return seen[id] }) {
+			continue
+		}
+		for _, id := range g.members {
+			if e := p.engines[id]; e != nil && e.group == g {
+				e.group = nil
+			}
+		}
+		delete(p.groups, name)
+	}
+}
+
 func (p *Planner) observeEngine(now time.Time, u fleet.Upstream) {
 	e := p.engines[u.ID]
 	if e == nil {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -8,7 +8,8 @@
 //   - A group is opened only after every member has reported that it joined with
 //     the name and epoch of the group.
 //   - A member is ordered into another group only after the head of its current
-//     group has reported that it does not serve, or can no longer serve.
+//     group has reported that it does not serve, or can no longer serve. Silence
+//     does not prove that, however long it lasts.
 //   - Epochs increase across all groups and leaders. An engine that has accepted
 //     a newer order refuses delayed orders of older epochs.
 package placement
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -59,6 +59,34 @@
 	require.Equal(t, map[string]int{"large": 1, "small": 1}, s.open())
 }
 
+// Guards against using the members of a group elsewhere because nobody has heard from
+// any of them for a long time: behind a partition the group may serve all the time.
+func TestUnreachableGroupIsNotDissolved(t *testing.T) {
+	for _, cut := range []time.Duration{10 * time.Second, 18 * time.Second, 40 * time.Second, 2 * time.Minute} {
+		t.Run(cut.String(), func(t *testing.T) {
+			s := newSimulation(t, 30, 2, 11)
+			s.run(120 * time.Second)
+			s.traffic = true
+			before := s.open()
+			// The group has no requests, so that no entry reports progress.
+			s.progressReportsLost = true
+			head := s.pickEngine(func(e *simEngine) bool { return e.model == "large" && e.member.State == fleet.Open })
+			setPartitioned := func(partitioned bool) {
+				for _, id := range head.members {
+					s.byID[id].partitioned = partitioned
+				}
+			}
+			group := head.member
+			setPartitioned(true)
+			s.run(cut)
+			setPartitioned(false)
+			s.run(20 * time.Second)
+			require.Empty(t, s.violation, s.traceLines(group.Group))
+			require.GreaterOrEqual(t, s.open()["large"], before["large"], "its engines are in use again")
+		})
+	}
+}
+
 // Guards against the members of a group with a lost head staying idle until the
 // head must have given up. They can leave the group at once.
 func TestMembersOfLostHeadAreUsedAtOnce(t *testing.T) {
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -80,6 +80,8 @@
 	simStep      = 50 * time.Millisecond
 	simStallTime = 6 * time.Second
 	simHeartbeat = 1200 * time.Millisecond
+	// recordRetention is how long control instances keep a record without reports.
+	recordRetention = 60 * time.Second
 )
 
 func testEngine() *enginemodel.Engine {
@@ -296,6 +298,7 @@
 			s.planner.SetDemand(m.Name, copies)
 		}
 	}
+	s.table.RemoveOlderThan(s.now.Add(-recordRetention))
 	s.planner.Observe(s.now, s.table.All())
 	for _, o := range s.planner.Plan(s.now) {
 		s.orders[o.Kind]++
