fleet: an upstream holds its current address only

Cause: Table.byAddress kept the former address of an upstream. The next process at that address counted as its successor and marked it as replaced, which the planner takes as proof that its process has ended.

Change: the index entry goes when an upstream reports another address. Control instances and entries use the same table.

--- a/fleet/commands.go
+++ b/fleet/commands.go
@@ -28,6 +28,9 @@
 			return false, false
 		}
 	}
+	if old != nil && old.Address != u.Address {
+		t.releaseAddress(old)
+	}
 	u.ReceivedAt = now
 	changed = old == nil || !sameContent(old, &u)
 	t.upstreams[u.ID] = &u
@@ -37,6 +40,14 @@
 	return true, changed
 }
 
+// releaseAddress removes an upstream from the index of addresses, so that the next
+// process there is not taken for its successor.
+func (t *Table) releaseAddress(u *Upstream) {
+	if t.byAddress[u.Address] == u.ID {
+		delete(t.byAddress, u.Address)
+	}
+}
+
 // Supersedes reports whether u replaces old. An incarnation that has left does
 // not come back.
 func (u *Upstream) Supersedes(old *Upstream) bool {
@@ -119,9 +130,7 @@
 	for id, u := range t.upstreams {
 		if u.ReceivedAt.Before(before) {
 			delete(t.upstreams, id)
-			if t.byAddress[u.Address] == id {
-				delete(t.byAddress, u.Address)
-			}
+			t.releaseAddress(u)
 		}
 	}
 }
@@ -133,7 +142,5 @@
 		return
 	}
 	delete(t.upstreams, id)
-	if t.byAddress[u.Address] == id {
-		delete(t.byAddress, u.Address)
-	}
+	t.releaseAddress(u)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -82,6 +82,8 @@
 // Table holds the latest report of each upstream.
 type Table struct {
 	upstreams map[string]*Upstream
+	// byAddress holds the id of the upstream that last reported an address. An
+	// upstream is listed with its current address only.
 	byAddress map[string]string
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -68,6 +69,60 @@
 	}
 }
 
+// Guards against taking an upstream for ended because a process uses an address that
+// it had before it restarted elsewhere. Its replica group would be dissolved.
+func TestFormerAddressIsNotHeld(t *testing.T) {
+	before := Upstream{ID: "head", Address: "1", StartMillis: 10, Sequence: 7}
+	restarted := Upstream{ID: "head", Address: "2", StartMillis: 20, Sequence: 1}
+	moved := Upstream{ID: "head", Address: "2", StartMillis: 10, Sequence: 8}
+	other := Upstream{ID: "other", Address: "1", StartMillis: 30, Sequence: 1}
+	for _, test := range []struct {
+		name    string
+		reports []Upstream
+	}{
+		{"restarted", []Upstream{before, restarted, other}},
+		{"restarted, reported last", []Upstream{before, other, restarted}},
+		{"moved without a restart", []Upstream{before, moved, other}},
+		{"an old report in between", []Upstream{before, restarted, before, other}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table := NewTable()
+			for _, u := range test.reports {
+				observe(table, u)
+			}
+			u, _ := table.Get("head")
+			require.Equal(t, "2", u.Address)
+			require.Equal(t, Ready, u.Phase)
+			require.False(t, u.Replaced)
+			u, _ = table.Get("other")
+			require.Equal(t, Ready, u.Phase)
+		})
+	}
+}
+
+// Guards against taking an upstream for ended without a later process at the address
+// that it reports itself, whatever reports arrive and in whichever order.
+func TestReplacedNeedsLaterProcessAtAddress(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable()
+		var seen []Upstream
+		for range rapid.IntRange(1, 12).Draw(t, "reports") {
+			u := Upstream{
+				ID: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"), Address: rapid.SampledFrom([]string{"1", "2"}).Draw(t, "address"),
+				StartMillis: rapid.Int64Range(1, 4).Draw(t, "start"), Sequence: rapid.Uint64Range(1, 4).Draw(t, "sequence"),
+			}
+			observe(table, u)
+			seen = append(seen, u)
+			for _, known := range table.All() {
+				replaced := slices.ContainsFunc(seen, func(u Upstream) bool {
+					return u.ID != known.ID && u.Address == known.Address && u.StartMillis >= known.StartMillis
+				})
+				require.True(t, replaced || !known.Replaced, "%+v after %+v", known, seen)
+			}
+		}
+	})
+}
+
 // Guards against instances with different tables after receiving the same
 // reports in a different order.
 func TestOrderOfReportsDoesNotMatter(t *testing.T) {
