control: without a catalog, no service is listed

Cause: an instance without a catalog recorded every report. One that replaces another has no catalog for up to a second, and hands on what it recorded; the others mark the upstreams at the reported addresses as replaced.

Change: without a catalog, reports are kept back like those of unlisted services, and the newest of each upstream takes effect with the first catalog. A report that an unknown upstream drains is refused with 503 then, because nobody would act on it. HandleReport returns an error for that. Four tests that reported without a catalog, and are about something else, now list the service first.

TestReportBeforeTheCatalogTakesNoAddress and TestDrainingBeforeTheCatalogIsNotAcknowledged failed before and pass.

--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -77,6 +77,7 @@
 // single change.
 func TestBurstOfChangesIsSentTogether(t *testing.T) {
 	c := startControl(t, "127.0.0.1")
+	listServices(t, c, 1, "s")
 	const subscribers, changes = 70, 160
 	for n := range subscribers {
 		subscribe(t, c, fmt.Sprint("10.0.0.", n))
@@ -92,13 +93,13 @@
 	}
 	idle := func() bool { _, waiting := sent(); return waiting == 0 }
 	before, _ := sent()
-	c.HandleReport(fleet.Upstream{ID: "first", Service: "s", Address: "10.1.0.1:1", StartMillis: 1, Sequence: 1})
+	require.NoError(t, c.HandleReport(fleet.Upstream{ID: "first", Service: "s", Address: "10.1.0.1:1", StartMillis: 1, Sequence: 1}))
 	require.Eventually(t, idle, UpdateInterval/4, time.Millisecond, "a single change is sent immediately")
 	after, _ := sent()
 	require.GreaterOrEqual(t, after-before, uint64(subscribers))
 	before = after
 	for n := range changes {
-		c.HandleReport(fleet.Upstream{ID: fmt.Sprint("u", n), Service: "s", Address: fmt.Sprintf("10.2.0.%d:1", n), StartMillis: 1, Sequence: 1})
+		require.NoError(t, c.HandleReport(fleet.Upstream{ID: fmt.Sprint("u", n), Service: "s", Address: fmt.Sprintf("10.2.0.%d:1", n), StartMillis: 1, Sequence: 1}))
 	}
 	require.Eventually(t, idle, time.Second, time.Millisecond)
 	after, _ = sent()
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -17,6 +17,9 @@
 // compared with the record of the upstream's successor.
 const recordRetention = 60 * time.Second
 
+// stepReport is the step of errors about the report of an upstream.
+const stepReport = "record report"
+
 // maxStartAhead is how far ahead of this instance's time the start of an upstream's
 // process may lie. It is far above any difference between clocks. A report with a
 // later start is of no process, and would outdate all reports of the upstream.
@@ -29,21 +32,27 @@
 
 // HandleReport handles a report that an upstream sent to this instance. A
 // change is sent to all subscribers immediately, or together with other changes
-// in a burst.
-func (c *Control) HandleReport(u fleet.Upstream) {
+// in a burst. After an error, the report must not be acknowledged, so that the
+// upstream sends it to another instance.
+func (c *Control) HandleReport(u fleet.Upstream) error {
 	now := time.Now()
 	if startsAhead(now, u.StartMillis) {
 		c.opts.Logger.Warn("report ignored: it starts in the future", zap.String("upstream", u.ID), zap.Int64("startMillis", u.StartMillis))
-		return
+		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isUnlisted(&u) {
+		if u.Phase != fleet.Ready && !c.unlisted.hasCatalog() {
+			// Other instances may know the upstream and must be told that it leaves.
+			return fault.New(fault.Unavailable, fault.Location{Step: stepReport, Peer: u.ID}, fault.NotRun, "no catalog is known yet")
+		}
 		c.opts.Logger.Debug("report kept back: the catalog does not list its service", zap.String("upstream", u.ID), zap.String("service", u.Service))
 		c.unlisted.keep(now, u)
-		return
+		return nil
 	}
 	c.recordReport(now, u)
+	return nil
 }
 
 // recordReport records a report that was received at a time, and relays it. The
--- a/internal/control/registrar_test.go
+++ b/internal/control/registrar_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/fleet"
+	"github.com/bluebellfield/bluebellfield/internal/fault"
 	"github.com/bluebellfield/bluebellfield/internal/mesh"
 )
 
@@ -19,9 +20,10 @@
 // outdates all reports of an upstream for good.
 func TestReportFromTheFutureIsIgnored(t *testing.T) {
 	c := startControl(t, "127.0.0.1")
+	listServices(t, c, 1, "s")
 	started := time.Now().UnixMilli()
 	report := func(start int64, sequence uint64, address string) {
-		c.HandleReport(fleet.Upstream{ID: "u", Service: "s", Address: address, FailureDomain: "z", StartMillis: start, Sequence: sequence})
+		require.NoError(t, c.HandleReport(fleet.Upstream{ID: "u", Service: "s", Address: address, FailureDomain: "z", StartMillis: start, Sequence: sequence}))
 	}
 	known := func() fleet.Upstream {
 		c.mu.Lock()
@@ -49,8 +51,8 @@
 	started := time.Now().UnixMilli()
 	head := fleet.Upstream{ID: "head", Service: "model", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: started, Sequence: 1}
 	listServices(t, c, 1, "model")
-	c.HandleReport(head)
-	c.HandleReport(fleet.Upstream{ID: "web", Service: "elsewhere", Address: head.Address, FailureDomain: "z", StartMillis: started + 1, Sequence: 1})
+	require.NoError(t, c.HandleReport(head))
+	require.NoError(t, c.HandleReport(fleet.Upstream{ID: "web", Service: "elsewhere", Address: head.Address, FailureDomain: "z", StartMillis: started + 1, Sequence: 1}))
 	u, known := registered(c, "head")
 	require.True(t, known)
 	require.Equal(t, fleet.Ready, u.Phase)
@@ -59,18 +61,56 @@
 	require.False(t, known)
 
 	// A process of a listed service that started later does take the address.
-	c.HandleReport(fleet.Upstream{ID: "next", Service: "model", Address: head.Address, FailureDomain: "z", StartMillis: started + 2, Sequence: 1})
+	require.NoError(t, c.HandleReport(fleet.Upstream{ID: "next", Service: "model", Address: head.Address, FailureDomain: "z", StartMillis: started + 2, Sequence: 1}))
 	u, _ = registered(c, "head")
 	require.True(t, u.Replaced)
 }
 
+// Guards against a report of another system that takes the address of an upstream in
+// use at an instance that has no catalog yet, as after the replacement of another
+// instance. It must not be handed on either.
+func TestReportBeforeTheCatalogTakesNoAddress(t *testing.T) {
+	c := startControl(t, "127.0.0.1")
+	subscribe(t, c, "10.0.0.9")
+	started := time.Now().UnixMilli()
+	head := fleet.Upstream{ID: "head", Service: "model", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: started, Sequence: 1}
+	foreign := fleet.Upstream{ID: "web", Service: "elsewhere", Address: head.Address, FailureDomain: "z", StartMillis: started + 1, Sequence: 1}
+	require.NoError(t, c.HandleReport(foreign))
+	_, known := registered(c, "web")
+	require.False(t, known)
+	c.mu.Lock()
+	require.Empty(t, c.subscribers["10.0.0.9"].pending)
+	c.mu.Unlock()
+
+	require.NoError(t, c.HandleReport(head))
+	listServices(t, c, 1, "model")
+	u, known := registered(c, "head")
+	require.True(t, known, "its report takes effect with the catalog")
+	require.Equal(t, fleet.Ready, u.Phase)
+	_, known = registered(c, "web")
+	require.False(t, known)
+}
+
+// Guards against acknowledging that an upstream drains at an instance that cannot tell
+// yet whether it is one of the deployment, and tells nobody.
+func TestDrainingBeforeTheCatalogIsNotAcknowledged(t *testing.T) {
+	c := startControl(t, "127.0.0.1")
+	u := fleet.Upstream{ID: "u", Service: "model", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: time.Now().UnixMilli(), Sequence: 2, Phase: fleet.Draining}
+	err := c.HandleReport(u)
+	require.Equal(t, fault.Unavailable, fault.CodeOf(err))
+	listServices(t, c, 1, "model")
+	require.NoError(t, c.HandleReport(u))
+	known, _ := registered(c, "u")
+	require.Equal(t, fleet.Draining, known.Phase)
+}
+
 // Guards against upstreams that are used late, or after they left, because their
 // reports arrived before the catalog that lists their service.
 func TestReportsTakeEffectWithTheCatalogThatListsTheirService(t *testing.T) {
 	c := startControl(t, "127.0.0.1")
 	started := time.Now().UnixMilli()
 	report := func(id string, sequence uint64, phase fleet.Phase) {
-		c.HandleReport(fleet.Upstream{ID: id, Service: "new", Address: id + ":80", FailureDomain: "z", StartMillis: started, Sequence: sequence, Phase: phase})
+		require.NoError(t, c.HandleReport(fleet.Upstream{ID: id, Service: "new", Address: id + ":80", FailureDomain: "z", StartMillis: started, Sequence: sequence, Phase: phase}))
 	}
 	listServices(t, c, 1, "model")
 	report("10.0.0.1", 2, fleet.Draining)
@@ -133,10 +173,11 @@
 // take it back.
 func TestDepartureToldByAnEntry(t *testing.T) {
 	c := startControl(t, "127.0.0.1")
+	listServices(t, c, 1, "s")
 	subscribe(t, c, "10.0.0.9")
 	started := time.Now().UnixMilli()
 	report := fleet.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: started, Sequence: 1}
-	c.HandleReport(report)
+	require.NoError(t, c.HandleReport(report))
 	tell := func(id string, start int64) {
 		record := report
 		record.ID, record.StartMillis, record.Phase = id, start, fleet.Draining
@@ -152,7 +193,7 @@
 	u, _ = registered(c, "u")
 	require.Equal(t, fleet.Draining, u.Phase)
 	report.Sequence = 2
-	c.HandleReport(report)
+	require.NoError(t, c.HandleReport(report))
 	u, _ = registered(c, "u")
 	require.Equal(t, fleet.Draining, u.Phase)
 }
@@ -161,13 +202,15 @@
 // has just started and does not know the upstream yet.
 func TestDepartureOfUnknownUpstreamIsPassedOn(t *testing.T) {
 	started, other := startControl(t, "127.0.0.1"), startControl(t, "127.0.0.1")
+	listServices(t, started, 1, "s")
+	listServices(t, other, 1, "s")
 	subscribe(t, started, "10.0.0.9")
 	born := time.Now().UnixMilli()
 	report := fleet.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: born, Sequence: 1}
-	other.HandleReport(report)
+	require.NoError(t, other.HandleReport(report))
 	started.HandleDeparture("u", born)
 	report.Sequence = 2
-	started.HandleReport(report)
+	require.NoError(t, started.HandleReport(report))
 	u, known := registered(started, "u")
 	require.True(t, known)
 	require.Equal(t, fleet.Gone, u.Phase, "a report that was sent before the departure")
@@ -181,7 +224,7 @@
 	require.Equal(t, "s", u.Service, "what was known of it is kept")
 
 	report.StartMillis, report.Sequence = born+1, 1
-	started.HandleReport(report)
+	require.NoError(t, started.HandleReport(report))
 	u, _ = registered(started, "u")
 	require.Equal(t, fleet.Ready, u.Phase, "a new incarnation")
 }
--- a/internal/control/unlisted.go
+++ b/internal/control/unlisted.go
@@ -17,16 +17,18 @@
 // not list. Such a report may come from another system and may name the address
 // of an upstream in use, so it must not change any record. The upstreams of a
 // service that is about to be added report in the same way; their reports take
-// effect together with the catalog that lists the service.
+// effect together with the catalog that lists the service. Without a catalog no
+// service is listed: an instance that replaces another one joins a deployment whose
+// upstreams are in use before it knows any of them.
 type unlistedReports struct {
 	// listed holds the names of the services in the catalog, nil before the first
-	// catalog. Every report is then accepted, because nothing is in use yet.
+	// catalog.
 	listed  map[string]bool
 	reports map[string]fleet.Upstream // by id
 }
 
-// lists reports whether the catalog lists a service.
-func (r *unlistedReports) lists(service string) bool { return r.listed == nil || r.listed[service] }
+// hasCatalog reports whether a catalog is in force.
+func (r *unlistedReports) hasCatalog() bool { return r.listed != nil }
 
 // keep keeps the newest report of an upstream. A report is dropped while there are
 // too many; the upstream sends another one.
@@ -80,7 +82,7 @@
 // are registered keep reporting after their service was removed, so that entries
 // with an earlier catalog hear of their departure. The caller holds mu.
 func (c *Control) isUnlisted(u *fleet.Upstream) bool {
-	if c.unlisted.lists(u.Service) {
+	if c.unlisted.listed[u.Service] {
 		return false
 	}
 	old, known := c.table.Get(u.ID)
