control: an acknowledged departure is in the deployment's log

Cause: departures were kept in memory only. Entries tell control instances that have started, which does not help when all processes end at once.

Change: Deregister and a report that says draining are acknowledged once the departure is committed to the deployment's log, where it is kept for a minute. Departures that arrive together are written by one command. Without a majority they take effect as before and are answered with 503. After a restart the departures in the log are put into effect before reports that were kept back are released. Departures that entries learn from answers are written by the leader in the background. Records of departures without an address claim none in fleet.Table.

--- a/deploymentstate/deploymentstate.go
+++ b/deploymentstate/deploymentstate.go
@@ -1,6 +1,7 @@
 // Package deploymentstate is the state machine of the deployment log. Its state
 // is the current catalog, stored as the document that the operator sent, the
-// latest leader generation, and the verdicts on requests that crash upstreams.
+// latest leader generation, the verdicts on requests that crash upstreams, and the
+// recent departures of upstreams.
 package deploymentstate
 
 import (
@@ -14,13 +15,14 @@
 )
 
 // Machine is the replicated state machine. Apply, Snapshot and Restore must be
-// called from a single goroutine; Catalog and Verdicts are safe for concurrent
-// use.
+// called from a single goroutine; the queries are safe for concurrent use.
 type Machine struct {
 	mu    sync.RWMutex
 	state *State
 	// verdictChanges counts the changes of the verdicts.
 	verdictChanges uint64
+	// departures is part of the state only in snapshots.
+	departures departures
 }
 
 // New returns a state machine without a catalog, at version 0.
@@ -43,6 +45,8 @@
 		m.state = &State{Version: m.state.Version, Document: m.state.Document, Generation: m.state.Generation + 1, Verdicts: m.state.Verdicts}
 	case *Command_AddVerdicts:
 		m.addVerdicts(body.AddVerdicts)
+	case *Command_RecordDepartures:
+		m.departures.record(body.RecordDepartures)
 	}
 	result.Version, result.Generation = m.state.Version, m.state.Generation
 	encoded, err := proto.Marshal(result)
@@ -75,7 +79,8 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return proto.Marshal(m.state)
+	snapshot := &State{Version: m.state.Version, Document: m.state.Document, Generation: m.state.Generation, Verdicts: m.state.Verdicts, Departures: m.departures.list(0)}
+	return proto.Marshal(snapshot)
 }
 
 // Restore implements replica.StateMachine.
@@ -86,6 +91,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.departures.byUpstream = nil
+	for _, d := range s.Departures {
+		m.departures.put(d)
+	}
+	s.Departures = nil
 	m.state = &s
 	m.verdictChanges++
 	return nil
--- a/deploymentstate/deploymentstate_test.go
+++ b/deploymentstate/deploymentstate_test.go
@@ -56,7 +56,7 @@
 		one, two := New(), New()
 		for range rapid.IntRange(1, 20).Draw(t, "commands") {
 			var command []byte
-			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
 			case 0:
 				command, _ = EncodeStartGeneration()
 			case 4:
@@ -65,6 +65,13 @@
 					verdicts = append(verdicts, &Verdict{Digest: []byte{rapid.Byte().Draw(t, "digest")}, UntilUnixMillis: rapid.Int64Range(0, 9).Draw(t, "until")})
 				}
 				command, _ = EncodeAddVerdicts(time.UnixMilli(rapid.Int64Range(0, 9).Draw(t, "now")), verdicts)
+			case 5:
+				var departures []*Departure
+				for range rapid.IntRange(0, 3).Draw(t, "departures") {
+					departures = append(departures, &Departure{Upstream: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "upstream"),
+						StartUnixMillis: rapid.Int64Range(1, 3).Draw(t, "start"), Gone: rapid.Bool().Draw(t, "gone"), UntilUnixMillis: rapid.Int64Range(0, 9).Draw(t, "until")})
+				}
+				command, _ = EncodeRecordDepartures(time.UnixMilli(rapid.Int64Range(0, 9).Draw(t, "now")), departures)
 			case 1:
 				command = rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(t, "bytes")
 			default:
--- a/fleet/commands.go
+++ b/fleet/commands.go
@@ -19,7 +19,8 @@
 			u.Phase = Gone
 		}
 	}
-	if holder := t.upstreams[t.byAddress[u.Address]]; holder != nil && holder.ID != u.ID && u.Phase != Gone {
+	// Records of departures may have no address.
+	if holder := t.upstreams[t.byAddress[u.Address]]; u.Address != "" && holder != nil && holder.ID != u.ID && u.Phase != Gone {
 		switch {
 		case holder.StartMillis <= u.StartMillis:
 			holder.Phase, holder.Replaced = Gone, true
@@ -34,7 +35,7 @@
 	u.ReceivedAt = now
 	changed = old == nil || !sameContent(old, &u)
 	t.upstreams[u.ID] = &u
-	if u.Phase != Gone {
+	if u.Phase != Gone && u.Address != "" {
 		t.byAddress[u.Address] = u.ID
 	}
 	return true, changed
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -179,3 +179,23 @@
 	require.True(t, accepted && changed, "a departure that is reported late")
 	require.Equal(t, Draining, phase())
 }
+
+// Guards against taking one of two upstreams for ended because the records of their
+// departures have no address. What is known of an upstream is kept.
+func TestDeparturesWithoutAddress(t *testing.T) {
+	table := NewTable()
+	observe(table, Upstream{ID: "known", Address: "1", Service: "s", StartMillis: 10, Sequence: 5})
+	for _, id := range []string{"a", "b", "known"} {
+		require.True(t, observe(table, Upstream{ID: id, StartMillis: 10, Phase: Draining}))
+	}
+	for _, u := range table.All() {
+		require.Equal(t, Draining, u.Phase, u.ID)
+		require.False(t, u.Replaced, u.ID)
+	}
+	u, _ := table.Get("known")
+	require.Equal(t, "1", u.Address)
+	require.True(t, observe(table, Upstream{ID: "a", Address: "2", Service: "s", StartMillis: 10, Sequence: 4}))
+	u, _ = table.Get("a")
+	require.Equal(t, Draining, u.Phase, "a report that was sent before")
+	require.Equal(t, "2", u.Address)
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -113,6 +113,11 @@
 	// storingVerdicts is set while verdicts are being stored.
 	storingVerdicts atomic.Bool
 
+	departures *departureQueue
+	// departuresApplied is the number of changes of the log's departures that the
+	// table has. Only the publisher uses it.
+	departuresApplied uint64
+
 	// listedVersion is the version of the catalog whose services unlisted knows.
 	// Only the publisher uses it.
 	listedVersion uint64
@@ -136,7 +141,7 @@
 func Start(o Options) (*Control, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Control{opts: o, machine: deploymentstate.New(), runID: rand.Uint64() | 1, table: fleet.NewTable(),
-		subscribers: map[string]*subscriber{}, sources: map[string]sourceState{}, flushRequested: make(chan struct{}, 1), ctx: ctx, cancel: cancel}
+		subscribers: map[string]*subscriber{}, sources: map[string]sourceState{}, departures: newDepartureQueue(), flushRequested: make(chan struct{}, 1), ctx: ctx, cancel: cancel}
 	if err := c.openLog(); err != nil {
 		cancel()
 		return nil, fmt.Errorf("open log: %w", err)
@@ -150,6 +155,7 @@
 	o.Network.Handle(mesh.ChannelLoads, c.serveLoads)
 	o.Network.Handle(mesh.ChannelVerdicts, c.serveVerdicts)
 	c.wg.Go(c.runPublisher)
+	c.wg.Go(c.runDepartures)
 	c.wg.Go(c.runTicks)
 	c.wg.Go(c.runVoterChanges)
 	return c, nil
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -192,6 +192,8 @@
 	var flush <-chan time.Time
 	for {
 		applied := c.replica.Watch()
+		// Departures go first: a catalog releases reports that were kept back.
+		c.applyDepartures()
 		c.listServices()
 		select {
 		case <-c.ctx.Done():
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -41,17 +41,25 @@
 // startControl starts a control instance that cannot reach any other. It
 // becomes the leader if it is the only seed.
 func startControl(t *testing.T, seeds ...string) *Control {
+	c, stop := startControlAt(t, t.TempDir(), seeds...)
+	t.Cleanup(stop)
+	return c
+}
+
+// startControlAt starts such an instance on a data folder, and returns the function
+// that stops it.
+func startControlAt(t *testing.T, folder string, seeds ...string) (c *Control, stop func()) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	network := peer.Listen(listener, peer.Options{ID: "127.0.0.1", Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
 		Resolve: func(string) (string, bool) { return "", false }})
-	dir, err := storage.OpenDir(storage.OS{}, t.TempDir())
+	dir, err := storage.OpenDir(storage.OS{}, folder)
 	require.NoError(t, err)
-	c, err := Start(Options{ID: "127.0.0.1", FailureDomain: "z", Seeds: seeds, Bootstrap: true, Dir: dir, Network: network,
+	c, err = Start(Options{ID: "127.0.0.1", FailureDomain: "z", Seeds: seeds, Bootstrap: true, Dir: dir, Network: network,
 		System: actor.NewActorSystem(), Decode: decodeServices,
 		Orders: acceptOrders{}, HeartbeatInterval: time.Second, StallTime: time.Second, Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
 	require.NoError(t, err)
-	t.Cleanup(func() {
+	return c, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		// The only voter cannot transfer its leadership, which is not a failure
@@ -61,8 +69,7 @@
 		}
 		require.NoError(t, network.Close())
 		require.NoError(t, dir.Close())
-	})
-	return c
+	}
 }
 
 func subscribe(t *testing.T, c *Control, id string) {
@@ -93,13 +100,13 @@
 	}
 	idle := func() bool { _, waiting := sent(); return waiting == 0 }
 	before, _ := sent()
-	require.NoError(t, c.HandleReport(fleet.Upstream{ID: "first", Service: "s", Address: "10.1.0.1:1", StartMillis: 1, Sequence: 1}))
+	require.NoError(t, c.HandleReport(t.Context(), fleet.Upstream{ID: "first", Service: "s", Address: "10.1.0.1:1", StartMillis: 1, Sequence: 1}))
 	require.Eventually(t, idle, UpdateInterval/4, time.Millisecond, "a single change is sent immediately")
 	after, _ := sent()
 	require.GreaterOrEqual(t, after-before, uint64(subscribers))
 	before = after
 	for n := range changes {
-		require.NoError(t, c.HandleReport(fleet.Upstream{ID: fmt.Sprint("u", n), Service: "s", Address: fmt.Sprintf("10.2.0.%d:1", n), StartMillis: 1, Sequence: 1}))
+		require.NoError(t, c.HandleReport(t.Context(), fleet.Upstream{ID: fmt.Sprint("u", n), Service: "s", Address: fmt.Sprintf("10.2.0.%d:1", n), StartMillis: 1, Sequence: 1}))
 	}
 	require.Eventually(t, idle, time.Second, time.Millisecond)
 	after, _ = sent()
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -33,26 +33,37 @@
 // HandleReport handles a report that an upstream sent to this instance. A
 // change is sent to all subscribers immediately, or together with other changes
 // in a burst. After an error, the report must not be acknowledged, so that the
-// upstream sends it to another instance.
-func (c *Control) HandleReport(u fleet.Upstream) error {
+// upstream sends it to another instance. It returns nil for an upstream that drains
+// only once that is kept by a majority of the log's members.
+func (c *Control) HandleReport(ctx context.Context, u fleet.Upstream) error {
+	recorded, err := c.receiveReport(u)
+	if err != nil || !recorded || u.Phase != fleet.Draining {
+		return err
+	}
+	return c.storeDeparture(ctx, u.ID, u.StartMillis, false)
+}
+
+// receiveReport records a report, or keeps it back until the catalog lists its
+// service. Recorded tells which.
+func (c *Control) receiveReport(u fleet.Upstream) (recorded bool, err error) {
 	now := time.Now()
 	if startsAhead(now, u.StartMillis) {
 		c.opts.Logger.Warn("report ignored: it starts in the future", zap.String("upstream", u.ID), zap.Int64("startMillis", u.StartMillis))
-		return nil
+		return false, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isUnlisted(&u) {
 		if u.Phase != fleet.Ready && !c.unlisted.hasCatalog() {
 			// Other instances may know the upstream and must be told that it leaves.
-			return fault.New(fault.Unavailable, fault.Location{Step: stepReport, Peer: u.ID}, fault.NotRun, "no catalog is known yet")
+			return false, fault.New(fault.Unavailable, fault.Location{Step: stepReport, Peer: u.ID}, fault.NotRun, "no catalog is known yet")
 		}
 		c.opts.Logger.Debug("report kept back: the catalog does not list its service", zap.String("upstream", u.ID), zap.String("service", u.Service))
 		c.unlisted.keep(now, u)
-		return nil
+		return false, nil
 	}
 	c.recordReport(now, u)
-	return nil
+	return true, nil
 }
 
 // recordReport records a report that was received at a time, and relays it. The
@@ -73,60 +84,6 @@
 	}
 }
 
-// HandleDeparture handles the departure of an upstream. startMillis is zero if
-// the upstream did not report it.
-func (c *Control) HandleDeparture(id string, startMillis int64) {
-	if startsAhead(time.Now(), startMillis) {
-		c.opts.Logger.Warn("departure ignored: it starts in the future", zap.String("upstream", id), zap.Int64("startMillis", startMillis))
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.unlisted.leave(id, startMillis)
-	u, ok := c.table.Leave(time.Now(), id, startMillis)
-	if !ok {
-		// An instance that has just started may not know an upstream that others do.
-		u, ok = c.table.LeaveUnknown(time.Now(), id, startMillis)
-	}
-	if !ok {
-		return
-	}
-	c.opts.Logger.Info("upstream left", zap.String("upstream", id), zap.String("service", u.Service))
-	c.relay(&u, true)
-}
-
-// serveDepartures handles the departures that an entry knows: those that answers of
-// upstreams have told it, and, after this instance has started, all others. The
-// entries remember them when all control instances restart at once; a report that
-// was sent before the departure may still arrive then.
-func (c *Control) serveDepartures(_ context.Context, from string, payload []byte) ([]byte, error) {
-	var update mesh.Update
-	if err := proto.Unmarshal(payload, &update); err != nil {
-		return nil, fault.Wrap(err, fault.BadRequest, fault.Location{Step: mesh.ChannelDepartures, Peer: from}, fault.NotRun)
-	}
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, encoded := range update.Upstreams {
-		c.recordDeparture(now, from, mesh.DecodeUpstream(encoded))
-	}
-	return nil, nil
-}
-
-// recordDeparture records that an upstream is draining or gone. The caller holds mu.
-func (c *Control) recordDeparture(now time.Time, from string, u fleet.Upstream) {
-	if u.Phase == fleet.Ready || startsAhead(now, u.StartMillis) {
-		return
-	}
-	if _, changed := c.table.Observe(now, u); !changed {
-		return
-	}
-	known, _ := c.table.Get(u.ID)
-	c.opts.Logger.Info("departure reported by an entry", zap.String("upstream", u.ID), zap.Stringer("phase", known.Phase), zap.String("peer", from))
-	c.relay(&known, true)
-	c.wakeController()
-}
-
 // relay queues a report for the subscribers. Control instances receive every
 // report, because they need to know which upstreams still send reports; entries
 // receive only changes. The caller holds mu.
--- a/internal/control/registrar_test.go
+++ b/internal/control/registrar_test.go
@@ -23,7 +23,7 @@
 	listServices(t, c, 1, "s")
 	started := time.Now().UnixMilli()
 	report := func(start int64, sequence uint64, address string) {
-		require.NoError(t, c.HandleReport(fleet.Upstream{ID: "u", Service: "s", Address: address, FailureDomain: "z", StartMillis: start, Sequence: sequence}))
+		require.NoError(t, c.HandleReport(t.Context(), fleet.Upstream{ID: "u", Service: "s", Address: address, FailureDomain: "z", StartMillis: start, Sequence: sequence}))
 	}
 	known := func() fleet.Upstream {
 		c.mu.Lock()
@@ -35,7 +35,7 @@
 	report(started, 1, "10.0.0.1:80")
 	for _, future := range []int64{math.MaxInt64, started + 24*time.Hour.Milliseconds()} {
 		report(future, 1, "10.0.0.2:80")
-		c.HandleDeparture("u", future)
+		require.NoError(t, c.HandleDeparture(t.Context(), "u", future))
 	}
 	report(started, 2, "10.0.0.3:80")
 	require.Equal(t, "10.0.0.3:80", known().Address)
@@ -51,8 +51,8 @@
 	started := time.Now().UnixMilli()
 	head := fleet.Upstream{ID: "head", Service: "model", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: started, Sequence: 1}
 	listServices(t, c, 1, "model")
-	require.NoError(t, c.HandleReport(head))
-	require.NoError(t, c.HandleReport(fleet.Upstream{ID: "web", Service: "elsewhere", Address: head.Address, FailureDomain: "z", StartMillis: started + 1, Sequence: 1}))
+	require.NoError(t, c.HandleReport(t.Context(), head))
+	require.NoError(t, c.HandleReport(t.Context(), fleet.Upstream{ID: "web", Service: "elsewhere", Address: head.Address, FailureDomain: "z", StartMillis: started + 1, Sequence: 1}))
 	u, known := registered(c, "head")
 	require.True(t, known)
 	require.Equal(t, fleet.Ready, u.Phase)
@@ -61,7 +61,7 @@
 	require.False(t, known)
 
 	// A process of a listed service that started later does take the address.
-	require.NoError(t, c.HandleReport(fleet.Upstream{ID: "next", Service: "model", Address: head.Address, FailureDomain: "z", StartMillis: started + 2, Sequence: 1}))
+	require.NoError(t, c.HandleReport(t.Context(), fleet.Upstream{ID: "next", Service: "model", Address: head.Address, FailureDomain: "z", StartMillis: started + 2, Sequence: 1}))
 	u, _ = registered(c, "head")
 	require.True(t, u.Replaced)
 }
@@ -75,14 +75,14 @@
 	started := time.Now().UnixMilli()
 	head := fleet.Upstream{ID: "head", Service: "model", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: started, Sequence: 1}
 	foreign := fleet.Upstream{ID: "web", Service: "elsewhere", Address: head.Address, FailureDomain: "z", StartMillis: started + 1, Sequence: 1}
-	require.NoError(t, c.HandleReport(foreign))
+	require.NoError(t, c.HandleReport(t.Context(), foreign))
 	_, known := registered(c, "web")
 	require.False(t, known)
 	c.mu.Lock()
 	require.Empty(t, c.subscribers["10.0.0.9"].pending)
 	c.mu.Unlock()
 
-	require.NoError(t, c.HandleReport(head))
+	require.NoError(t, c.HandleReport(t.Context(), head))
 	listServices(t, c, 1, "model")
 	u, known := registered(c, "head")
 	require.True(t, known, "its report takes effect with the catalog")
@@ -96,10 +96,10 @@
 func TestDrainingBeforeTheCatalogIsNotAcknowledged(t *testing.T) {
 	c := startControl(t, "127.0.0.1")
 	u := fleet.Upstream{ID: "u", Service: "model", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: time.Now().UnixMilli(), Sequence: 2, Phase: fleet.Draining}
-	err := c.HandleReport(u)
+	err := c.HandleReport(t.Context(), u)
 	require.Equal(t, fault.Unavailable, fault.CodeOf(err))
 	listServices(t, c, 1, "model")
-	require.NoError(t, c.HandleReport(u))
+	require.NoError(t, c.HandleReport(t.Context(), u))
 	known, _ := registered(c, "u")
 	require.Equal(t, fleet.Draining, known.Phase)
 }
@@ -110,13 +110,13 @@
 	c := startControl(t, "127.0.0.1")
 	started := time.Now().UnixMilli()
 	report := func(id string, sequence uint64, phase fleet.Phase) {
-		require.NoError(t, c.HandleReport(fleet.Upstream{ID: id, Service: "new", Address: id + ":80", FailureDomain: "z", StartMillis: started, Sequence: sequence, Phase: phase}))
+		require.NoError(t, c.HandleReport(t.Context(), fleet.Upstream{ID: id, Service: "new", Address: id + ":80", FailureDomain: "z", StartMillis: started, Sequence: sequence, Phase: phase}))
 	}
 	listServices(t, c, 1, "model")
 	report("10.0.0.1", 2, fleet.Draining)
 	report("10.0.0.1", 1, fleet.Ready)
 	report("10.0.0.2", 1, fleet.Ready)
-	c.HandleDeparture("10.0.0.2", started)
+	require.NoError(t, c.HandleDeparture(t.Context(), "10.0.0.2", started))
 	_, known := registered(c, "10.0.0.1")
 	require.False(t, known)
 
@@ -177,7 +177,7 @@
 	subscribe(t, c, "10.0.0.9")
 	started := time.Now().UnixMilli()
 	report := fleet.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: started, Sequence: 1}
-	require.NoError(t, c.HandleReport(report))
+	require.NoError(t, c.HandleReport(t.Context(), report))
 	tell := func(id string, start int64) {
 		record := report
 		record.ID, record.StartMillis, record.Phase = id, start, fleet.Draining
@@ -192,8 +192,9 @@
 	tell("u", started)
 	u, _ = registered(c, "u")
 	require.Equal(t, fleet.Draining, u.Phase)
+	require.Eventually(t, func() bool { return c.machine.HasDeparture("u", started, false) }, 10*time.Second, time.Millisecond)
 	report.Sequence = 2
-	require.NoError(t, c.HandleReport(report))
+	require.NoError(t, c.HandleReport(t.Context(), report))
 	u, _ = registered(c, "u")
 	require.Equal(t, fleet.Draining, u.Phase)
 }
@@ -207,10 +208,10 @@
 	subscribe(t, started, "10.0.0.9")
 	born := time.Now().UnixMilli()
 	report := fleet.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: born, Sequence: 1}
-	require.NoError(t, other.HandleReport(report))
-	started.HandleDeparture("u", born)
+	require.NoError(t, other.HandleReport(t.Context(), report))
+	require.NoError(t, started.HandleDeparture(t.Context(), "u", born))
 	report.Sequence = 2
-	require.NoError(t, started.HandleReport(report))
+	require.NoError(t, started.HandleReport(t.Context(), report))
 	u, known := registered(started, "u")
 	require.True(t, known)
 	require.Equal(t, fleet.Gone, u.Phase, "a report that was sent before the departure")
@@ -224,7 +225,7 @@
 	require.Equal(t, "s", u.Service, "what was known of it is kept")
 
 	report.StartMillis, report.Sequence = born+1, 1
-	require.NoError(t, started.HandleReport(report))
+	require.NoError(t, started.HandleReport(t.Context(), report))
 	u, _ = registered(started, "u")
 	require.Equal(t, fleet.Ready, u.Phase, "a new incarnation")
 }
--- a/internal/instance/cluster_test.go
+++ b/internal/instance/cluster_test.go
@@ -505,16 +505,21 @@
 }
 
 // Guards against an upstream that is used again after its departure was acknowledged:
-// all control instances and an entry restart, and a heartbeat that was sent before
-// the departure arrives late.
+// all control instances and an entry, or all instances, restart, and a heartbeat that
+// was sent before the departure arrives late.
 func TestDepartureOutlivesRestartOfControlInstances(t *testing.T) {
-	c := newCluster(t, 10)
+	t.Run("and an entry", func(t *testing.T) { testDepartureOutlivesRestart(t, 10, false) })
+	t.Run("and all entries", func(t *testing.T) { testDepartureOutlivesRestart(t, 24, true) })
+}
+
+func testDepartureOutlivesRestart(t *testing.T, subnet int, restartAll bool) {
+	c := newCluster(t, subnet)
 	var controls []string
 	for n, seed := range c.seeds {
 		controls = append(controls, seedHost(seed))
 		c.start(controls[n], true, false, fmt.Sprint("n-", n))
 	}
-	restarted, other := hostID(10, 4), hostID(10, 5)
+	restarted, other := hostID(subnet, 4), hostID(subnet, 5)
 	c.start(restarted, true, true, "")
 	c.start(other, true, true, "")
 	var arrived atomic.Int32
@@ -536,13 +541,19 @@
 	for _, id := range []string{restarted, other} {
 		c.eventually("not served", func() bool { status, _ := request(id, "/x"); return status == 503 })
 	}
-	for _, id := range append(slices.Clone(controls), restarted) {
+	entries := []string{restarted}
+	if restartAll {
+		entries = append(entries, other)
+	}
+	for _, id := range append(slices.Clone(controls), entries...) {
 		c.stop(id)
 	}
 	for n, id := range controls {
 		c.start(id, false, false, fmt.Sprint("n-", n))
 	}
-	c.start(restarted, false, true, "")
+	for _, id := range entries {
+		c.start(id, false, true, "")
+	}
 	time.Sleep(2 * time.Second)
 	c.sendHeartbeat(controls[0], workerAddress)
 	c.sendHeartbeat(controls[2], workerAddress)
