--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -9,6 +9,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -310,9 +311,16 @@
 
 // submit queues a request for the replica's goroutine. It returns false if the
 // replica is closed or the queue is full.
-func (r *Replica) submit(f request) bool {
+func (r *Replica) submit(f request) bool { return r.enqueue(f, maxQueuedRequests) }
+
+// submitResult queues the result of work that the replica itself started, which must
+// not be lost: no snapshot is taken, and failed storage is not used again, while
+// the replica waits for it.
+func (r *Replica) submitResult(f request) { r.enqueue(f, math.MaxInt) }
+
+func (r *Replica) enqueue(f request, limit int) bool {
 	r.mu.Lock()
-	ok := !r.closed && len(r.requests) < maxQueuedRequests
+	ok := !r.closed && len(r.requests) < limit
 	if ok {
 		r.requests = append(r.requests, f)
 	}
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -76,7 +76,7 @@
 	if err == nil {
 		err = r.store.SaveSnapshot(consensus.Snapshot{Meta: meta, Data: data})
 	}
-	r.submit(func(_ time.Time, closing bool) {
+	r.submitResult(func(_ time.Time, closing bool) {
 		r.snapshots.running = false
 		switch {
 		case closing:
