placement: one place states what proves that a head has stopped

Change: proofOfEnd lists the proofs, and dissolve does nothing without one; the branches decide only when. A head that never reported to this leader leaves the stage settling for isolating, in place of counting as stopped.

TestNoMemberIsTakenWithoutProof plays partitions of whole groups that overlap, engines that start again at other addresses, processes of other services at former addresses, late and reordered reports, delayed orders and new leaders. The oracle is the engines' own state; at the end 17 of 22 engines must serve.

--- a/placement/advance.go
+++ b/placement/advance.go
@@ -9,8 +9,7 @@
 // advance moves a group through its lifecycle according to the reports of its
 // members.
 func (p *Planner) advance(now time.Time, g *group) {
-	if g.stage >= serving && p.headEnded(g) {
-		p.dissolve(now, g)
+	if p.proofOfEnd(now, g) == processEnded && p.dissolve(now, g) {
 		return
 	}
 	switch g.stage {
@@ -31,14 +30,6 @@
 	}
 }
 
-// headEnded reports whether the process of a group's head is known to have
-// ended, so that the group cannot serve anymore. A head that only left or does
-// not answer may still be serving.
-func (p *Planner) headEnded(g *group) bool {
-	head := p.engines[g.head()]
-	return head != nil && head.Replaced
-}
-
 // reportsGroup reports whether the engine's last report names the group.
 func (e *engine) reportsGroup(g *group) bool {
 	return e.Member.Group == g.name && e.Member.Epoch == g.epoch
@@ -125,8 +116,7 @@
 // release dissolves a group whose head does not serve. If the head may still
 // execute an Open order, the group is settled first.
 func (p *Planner) release(now time.Time, g *group) {
-	if !g.openPending && now.Sub(g.openUnanswered) > maxOrderDelay {
-		p.dissolve(now, g)
+	if p.dissolve(now, g) {
 		return
 	}
 	g.setStage(now, settling)
@@ -138,14 +128,13 @@
 func (p *Planner) advanceSettling(now time.Time, g *group) {
 	head := p.engines[g.head()]
 	switch {
-	case head == nil || !head.reportsGroup(g) || head.Member.State == fleet.Broken:
-		p.dissolve(now, g)
+	case p.dissolve(now, g):
+	case head == nil:
+		g.setStage(now, isolating)
 	case head.Member.State == fleet.Open || head.Member.State == fleet.Closing:
 		p.startClosing(now, g, true)
 	case !head.unreachable.IsZero() && head.unreachable.After(g.stageSince):
 		g.setStage(now, isolating)
-	case now.Sub(g.openUnanswered) > maxOrderDelay && !g.openPending:
-		p.dissolve(now, g)
 	case now.Sub(g.openUnanswered) <= maxOrderDelay && now.Sub(g.joinUnanswered) <= maxOrderDelay:
 		// Do not send a Leave order: delayed Join and Open orders could make the
 		// head join and open the group after it.
@@ -350,11 +339,9 @@
 		g.memberRemovedAt = now
 	}
 	p.orderLeave(now, g)
-	// Without a removed member, the head may be serving for any length of time. The
-	// group is kept until a member can be reached, or until no member has a record.
-	if !g.memberRemovedAt.IsZero() && now.Sub(g.memberRemovedAt) > p.cfg.StallTime+stallMargin {
-		p.dissolve(now, g)
-	}
+	// Without a proof, the head may be serving for any length of time. The group is
+	// kept until a member can be reached, or until no member has a record.
+	p.dissolve(now, g)
 }
 
 // orderLeave orders the reachable members out of a group whose head is
--- a/placement/commands.go
+++ b/placement/commands.go
@@ -278,8 +278,12 @@
 	clear(g.lastOrders)
 }
 
-// dissolve removes a group and frees its engines.
-func (p *Planner) dissolve(now time.Time, g *group) {
+// dissolve removes a group and frees its engines, if there is a proof that its head
+// does not serve it. It reports whether it did.
+func (p *Planner) dissolve(now time.Time, g *group) bool {
+	if p.proofOfEnd(now, g) == noProof {
+		return false
+	}
 	g.setStage(now, dissolved)
 	p.retired[g.name] = true
 	for _, id := range g.members {
@@ -288,4 +292,5 @@
 		}
 	}
 	delete(p.groups, g.name)
+	return true
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -326,6 +328,54 @@
 	}
 }
 
+// Guards against taking anything for a proof that a head has stopped that is none:
+// silence of whole groups, processes at former addresses of restarted engines, late
+// reports, and what earlier leaders have forgotten. The oracle is the engines' own
+// state. Afterwards every engine must be in use again.
+func TestNoMemberIsTakenWithoutProof(t *testing.T) {
+	seeds := uint64(100)
+	if n, err := strconv.ParseUint(os.Getenv("BLUEBELLFIELD_SOAK_SEEDS"), 10, 64); err == nil {
+		seeds = n
+	}
+	for seed := range seeds {
+		s := newSimulation(t, 5000+seed, 2, 11)
+		s.run(40 * time.Second)
+		s.traffic = true
+		s.delayedOrderFraction = []float64{0, 0.15}[seed%2]
+		s.lateReportFraction = []float64{0, 0.1, 0.3}[seed%3]
+		for range 30 {
+			s.progressReportsLost = s.random.IntN(2) == 0
+			switch s.random.IntN(6) {
+			case 0, 1:
+				s.partitionGroup()
+			case 2:
+				if e := s.pickEngine(func(e *simEngine) bool { return !e.alive }); e != nil {
+					s.move(e)
+				}
+			case 3:
+				s.reuseAddress()
+			default:
+				s.injectFault()
+			}
+			s.run(time.Duration(200+s.random.IntN(5000)) * time.Millisecond)
+		}
+		s.delayedOrderFraction, s.lateReportFraction, s.progressReportsLost = 0, 0, false
+		for _, e := range s.engines {
+			e.partitioned = false
+			if !e.alive {
+				s.move(e)
+			}
+		}
+		s.run(90 * time.Second)
+		require.Empty(t, s.violation, "seed %d\n%s", seed, s.traceLines(strings.Fields(s.violation)...))
+		total := s.open()
+		for end := s.now.Add(transferTimeout); 6*total["large"]+3*total["small"] < 17 && s.now.Before(end); total = s.open() {
+			s.run(simStep)
+		}
+		require.GreaterOrEqual(t, 6*total["large"]+3*total["small"], 17, "seed %d: engines stay idle: %v", seed, total)
+	}
+}
+
 // injectFault injects one random fault.
 func (s *simulation) injectFault() {
 	switch s.random.IntN(6) {
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -37,9 +37,13 @@
 	// progressReportsLost is set while the progress reports of the entries do not
 	// reach the leader.
 	progressReportsLost bool
-	violation           string
-	trace               []string
-	orders              map[OrderKind]int
+	// lateReportFraction is the fraction of reports that arrive seconds late.
+	lateReportFraction float64
+	// formerAddresses are addresses whose processes have ended.
+	formerAddresses []string
+	violation       string
+	trace           []string
+	orders          map[OrderKind]int
 	// loads counts the loads that were ordered by engine and model.
 	loads map[[2]string]int
 }
@@ -53,13 +57,15 @@
 	// partitioned is set while a network partition separates the engine from the
 	// leader.
 	partitioned bool
-	draining    bool
-	member      fleet.Membership
-	members     []string
-	model       string
-	lastModel   string
-	staged      []string
-	epoch       uint64
+	// partitionedUntil is the end of the last partition of its whole group.
+	partitionedUntil time.Time
+	draining         bool
+	member           fleet.Membership
+	members          []string
+	model            string
+	lastModel        string
+	staged           []string
+	epoch            uint64
 	// joinedGroups holds the groups that the engine has joined in any incarnation.
 	// A group may open after the undetected loss of a member that had joined.
 	joinedGroups map[string]bool
@@ -79,6 +85,7 @@
 const (
 	simStep      = 50 * time.Millisecond
 	simStallTime = 6 * time.Second
+	simService   = "s"
 	simHeartbeat = 1200 * time.Millisecond
 	// recordRetention is how long control instances keep a record without reports.
 	recordRetention = 60 * time.Second
@@ -271,12 +278,15 @@
 	if e.partitioned {
 		return
 	}
-	u := fleet.Upstream{ID: e.id, Service: "s", Address: e.address, FailureDomain: e.domain, FabricDomain: e.domain, StartMillis: e.startMillis, Sequence: e.seq,
+	u := fleet.Upstream{ID: e.id, Service: simService, Address: e.address, FailureDomain: e.domain, FabricDomain: e.domain, StartMillis: e.startMillis, Sequence: e.seq,
 		Model: e.model, Staged: slices.Clone(e.staged), Member: e.member}
 	if e.draining {
 		u.Phase = fleet.Draining
 	}
 	delay := time.Duration(s.random.IntN(20)) * time.Millisecond
+	if s.lateReportFraction > 0 && s.random.Float64() < s.lateReportFraction {
+		delay = time.Duration(s.random.IntN(8000)) * time.Millisecond
+	}
 	table := s.table
 	s.after(delay, func() { table.Observe(s.now, u) })
 }
@@ -299,7 +309,7 @@
 		}
 	}
 	s.table.RemoveOlderThan(s.now.Add(-recordRetention))
-	s.planner.Observe(s.now, s.table.All())
+	s.planner.Observe(s.now, slices.DeleteFunc(s.table.All(), func(u fleet.Upstream) bool { return u.Service != simService }))
 	for _, o := range s.planner.Plan(s.now) {
 		s.orders[o.Kind]++
 		if o.Kind == Stage {
@@ -442,6 +452,54 @@
 	s.report(e)
 }
 
+// move starts an engine that has ended again with the same ID at another address.
+func (s *simulation) move(e *simEngine) {
+	s.formerAddresses = append(s.formerAddresses, e.address)
+	e.address = fmt.Sprintf("%s@%d", e.id, s.now.UnixMilli())
+	s.tracef("moved %s to %s", e.id, e.address)
+	s.restart(e)
+}
+
+// reuseAddress starts a process of another service at a former address of an engine.
+func (s *simulation) reuseAddress() {
+	if len(s.formerAddresses) == 0 {
+		return
+	}
+	n := s.random.IntN(len(s.formerAddresses))
+	u := fleet.Upstream{ID: fmt.Sprint("other-", s.now.UnixMilli()), Service: "other", Address: s.formerAddresses[n], StartMillis: s.now.UnixMilli(), Sequence: 1}
+	s.formerAddresses = slices.Delete(s.formerAddresses, n, n+1)
+	s.tracef("%s uses %s", u.ID, u.Address)
+	s.table.Observe(s.now, u)
+}
+
+// partitionGroup separates all members of an open group from the leader for a while.
+// Partitions may overlap.
+func (s *simulation) partitionGroup() {
+	head := s.pickEngine(func(e *simEngine) bool { return e.alive && e.member.State == fleet.Open })
+	if head == nil {
+		return
+	}
+	until := s.now.Add(time.Duration(1+s.random.IntN(25)) * time.Second)
+	for _, id := range head.members {
+		e := s.byID[id]
+		e.partitioned = true
+		e.partitionedUntil = later(e.partitionedUntil, until)
+		s.after(until.Sub(s.now), func() {
+			if !s.now.Before(e.partitionedUntil) {
+				e.partitioned = false
+			}
+		})
+	}
+	s.tracef("partitioned %v until %v", head.members, until.Sub(time.UnixMilli(1_000_000)))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // replace starts an engine under a new ID on the host of one that has ended.
 func (s *simulation) replace(e *simEngine) {
 	successor := &simEngine{id: e.id + "'", address: e.address, domain: e.domain, staged: e.staged, joinedGroups: map[string]bool{}}
