entry, caller: the memory of request bodies is bounded

Cause: both paths read each body whole, and nothing bounded the sum.

Change: bodies are read through a budget of 0.55 of the memory of the process, which is reserved in chunks before bytes are read (internal/edge/bodybudget). What does not fit is refused with 503, not run, and Retry-After; a body that has begun waits for a second at most. Small bodies keep a part for themselves, and no client account gets more than half beside others. A large body that does not arrive before the deadline is answered with 408. Daemons take the memory from the new setting memoryMb. The soft limit of the Go runtime goes from 0.6 to 0.75 of the memory, to leave the collector room beside the bodies.

TestBodiesThatDoNotFitAreRefused fails without a budget.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,9 @@
 	TLS               TLS        `json:"tls"`
 	Drain             Drain      `json:"drain"`
 	LogLevel          string     `json:"logLevel"`
+	// MemoryMB is the memory that the process may use, in megabytes; 0 means no
+	// limit. Request bodies get a part of it.
+	MemoryMB float64 `json:"memoryMb"`
 	// OrderToken is the bearer token sent with orders to engines that
 	// authenticate them.
 	OrderToken string `json:"orderToken"`
@@ -205,6 +208,7 @@
 	c.require("/tls", files == 0 || files == 3, "all of certFile, keyFile and caFile, or none")
 	c.require("/drain/balancerWaitMs", d.Drain.BalancerWaitMS >= 0 && d.Drain.BalancerWaitMS <= 60_000, "0 to 60000 ms")
 	c.require("/drain/timeoutMs", d.Drain.TimeoutMS >= 0 && d.Drain.TimeoutMS <= 3_600_000, "0 to 3600000 ms")
+	c.require("/memoryMb", d.MemoryMB >= 0, "a number of megabytes, or 0")
 	c.require("/logLevel", validLevel(d.LogLevel), `"debug", "info", "warn" or "error"`)
 	return c.err
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellfield/bluebellfield/internal/config"
+	"github.com/bluebellfield/bluebellfield/internal/edge/bodybudget"
 	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
 	"github.com/bluebellfield/bluebellfield/internal/edge/operator"
 	"github.com/bluebellfield/bluebellfield/internal/edge/platform"
@@ -179,6 +180,7 @@
 			Quarantine: d.crashes, Claimer: d.claimer, Client: d.client,
 		},
 		Logger: d.logger, Tracer: d.recorder.Provider().Tracer("bluebellfield"), Observe: d.stats.observe,
+		Bodies: bodybudget.ForMemory(d.cfg.MemoryMB, d.registry),
 	})
 }
 
--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -12,8 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/bluebellfield/bluebellfield/internal/edge/bodybudget"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fake"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
@@ -481,6 +483,20 @@
 	require.Eventually(t, func() bool { return h.handler.InFlight() == 0 }, 10*time.Second, time.Millisecond)
 }
 
+// Guards against bodies that together take the daemon over its memory. One that does not
+// fit is refused truthfully, and its memory is given back after the others.
+func TestBodiesThatDoNotFitAreRefused(t *testing.T) {
+	h := newHarness(t, 1)
+	registry := metrics.NewRegistry()
+	h.handler.Bodies = bodybudget.New(300, registry)
+	refused := h.stream(strings.Repeat("r", 400), 1)
+	require.Equal(t, 503, refused.status)
+	require.Equal(t, string(fault.NotRun), refused.header.Get(HeaderOutcome))
+	require.NotEmpty(t, refused.header.Get("Retry-After"))
+	require.Equal(t, 200, h.stream("rug", 1).status)
+	require.Eventually(t, func() bool { return registry.Get("bodies.bytes").(metrics.Gauge).Value() == 0 }, 10*time.Second, time.Millisecond)
+}
+
 // A drain must let running streams finish and reject new requests.
 func TestDrainFinishesStreams(t *testing.T) {
 	h := newHarness(t, 0)
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -23,6 +22,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"github.com/bluebellfield/bluebellfield/internal/edge/bodybudget"
 	"github.com/bluebellfield/bluebellfield/internal/edge/callerconn"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
 	"github.com/bluebellfield/bluebellfield/membership"
@@ -45,6 +45,8 @@
 	// BodyTimeout limits how long reading a request body may take. Zero means
 	// defaultBodyTimeout.
 	BodyTimeout time.Duration
+	// Bodies bounds the memory of request bodies. Nil means no limit.
+	Bodies *bodybudget.Budget
 }
 
 // defaultBodyTimeout is enough for the largest body, 16 MiB, at 280 KB/s.
@@ -229,9 +231,11 @@
 	if err := x.authenticate(); err != nil {
 		return err
 	}
-	if err := x.readBody(); err != nil {
+	held, err := x.readBody(ctx)
+	if err != nil {
 		return err
 	}
+	defer held.Release()
 	if err := x.resolveRoute(); err != nil {
 		return err
 	}
@@ -280,27 +284,45 @@
 	return nil
 }
 
-func (x *exchange) readBody() error {
+// noBodyMemoryRetryAfter is the delay after which a caller may send a body again that
+// did not fit into the memory for bodies. Large bodies take some seconds to arrive.
+const noBodyMemoryRetryAfter = time.Second
+
+// readBody reads the body of the request. The caller releases its memory.
+func (x *exchange) readBody(ctx context.Context) (*bodybudget.Body, error) {
 	limit := x.Policy.MaxBodyBytes()
 	in := http.NewResponseController(x.w)
-	_ = in.SetReadDeadline(time.Now().Add(x.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	at := fault.Location{Step: StepRead}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return fault.New(fault.BodyTooLarge, at, fault.NotRun, fmt.Sprintf("the body exceeds %d bytes", limit))
-	}
+	end := time.Now().Add(x.BodyTimeout)
+	_ = in.SetReadDeadline(end)
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	body, err := x.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: limit, Account: x.info.Account.ID})
 	if err != nil {
 		// The read deadline stays in place because the server drains the rest
 		// of the body before it closes the connection.
-		return fault.Wrap(err, fault.BadRequest, at, fault.NotRun)
+		x.w.Header().Set("Connection", "close")
+		return nil, bodyError(err, limit)
 	}
 	_ = in.SetReadDeadline(time.Time{})
-	x.body = body
+	x.body = body.Bytes()
 	if x.r.URL.Path == chatPath {
-		return x.parseChat()
+		if err := x.parseChat(); err != nil {
+			body.Release()
+			return nil, err
+		}
 	}
-	return nil
+	return body, nil
+}
+
+func bodyError(err error, limit int64) error {
+	at := fault.Location{Step: StepRead}
+	switch {
+	case errors.Is(err, bodybudget.ErrTooLarge):
+		return fault.New(fault.BodyTooLarge, at, fault.NotRun, fmt.Sprintf("the body exceeds %d bytes", limit))
+	case errors.Is(err, bodybudget.ErrFull):
+		return fault.WithRetryAfter(fault.Wrap(err, fault.Unavailable, at, fault.NotRun), noBodyMemoryRetryAfter)
+	}
+	return fault.Wrap(err, fault.BadRequest, at, fault.NotRun)
 }
 
 func (x *exchange) parseChat() error {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -235,14 +235,15 @@
 
 func (x *exchange) buildRequest(ctx context.Context, a *upstreamAttempt) (*http.Request, error) {
 	t := a.target
-	req, err := http.NewRequestWithContext(ctx, x.r.Method, "http://"+t.upstream.Address+x.r.URL.RequestURI(), bytes.NewReader(x.body))
+	req, err := http.NewRequestWithContext(ctx, x.r.Method, "http://"+t.upstream.Address+x.r.URL.RequestURI(), x.body.Reader())
 	if err != nil {
 		return nil, err
 	}
 	upstream.KeepRequestURI(req.URL, x.r.RequestURI)
 	// Without GetBody the transport cannot replay the body on its own.
 	req.GetBody = nil
-	if len(x.body) == 0 {
+	req.ContentLength = x.body.Size()
+	if req.ContentLength == 0 {
 		req.Body = http.NoBody
 	}
 	req.Host = x.r.Host
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -51,11 +51,7 @@
 // requestDigest identifies the request by its account, method, host, URI and body.
 // A copy has the same digest whichever entry and service it is sent to.
 func (x *exchange) requestDigest() quarantine.Digest {
-	account := ""
-	if x.account != nil {
-		account = x.account.Name
-	}
-	return quarantine.DigestOf(account, x.r.Method+" "+hostOf(x.r.Host)+x.r.URL.RequestURI(), x.body)
+	return quarantine.DigestOf(x.accountName(), x.r.Method+" "+hostOf(x.r.Host)+x.r.URL.RequestURI(), x.body.Chunks()...)
 }
 
 // sharedParts identifies the parts of the prompt that other requests may share:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/fleet"
 	"github.com/bluebellfield/bluebellfield/internal/crashreport"
+	"github.com/bluebellfield/bluebellfield/internal/edge/bodybudget"
 	"github.com/bluebellfield/bluebellfield/internal/edge/callerconn"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/limitreport"
@@ -42,8 +43,10 @@
 	Protocol    Protocol
 	Client      *upstream.Client
 	RetryBudget RetryBudget
-	Logger      *zap.Logger
-	Registry    metrics.Registry
+	// Bodies bounds the memory of request bodies. Nil means no limit.
+	Bodies   *bodybudget.Budget
+	Logger   *zap.Logger
+	Registry metrics.Registry
 }
 
 // Entry is a running entry instance.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 
 	"github.com/bluebellfield/bluebellfield/balance"
 	"github.com/bluebellfield/bluebellfield/catalog"
+	"github.com/bluebellfield/bluebellfield/internal/edge/bodybudget"
 	"github.com/bluebellfield/bluebellfield/internal/edge/callerconn"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
 	"github.com/bluebellfield/bluebellfield/quarantine"
@@ -55,7 +57,7 @@
 	account  *catalog.Account
 	service  *catalog.Service
 	priority int
-	body     []byte
+	body     *bodybudget.Body
 	digest   quarantine.Digest
 	// parts identifies the parts of the prompt that other requests may share.
 	parts    []quarantine.Digest
@@ -150,13 +152,17 @@
 )
 
 func (x *exchange) serve() {
-	if !x.resolve() || !x.readBody() {
+	if !x.resolve() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	ctx, unbind := x.e.stop.Bind(ctx)
 	defer unbind()
+	if !x.readBody(ctx) {
+		return
+	}
+	defer x.body.Release()
 	if model := x.knownModel(); model != "" {
 		x.e.demand.add(x.service.Name, model, &x.request)
 	}
@@ -224,25 +230,53 @@
 	return host
 }
 
-func (x *exchange) readBody() bool {
+// noBodyMemoryRetryAfter is the Retry-After of a request whose body does not fit into
+// the memory for bodies. Large bodies take some seconds to arrive.
+const noBodyMemoryRetryAfter = time.Second
+
+func (x *exchange) readBody(ctx context.Context) bool {
 	limit := x.view.catalog.Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	if x.r.ContentLength > int64(limit) {
-		return x.reject(http.StatusRequestEntityTooLarge, "body over the limit")
+	connection := http.NewResponseController(x.w)
+	limitTime := x.r.ContentLength < 0 || x.r.ContentLength > bodybudget.SmallBytes
+	if limitTime {
+		// A body that never arrives must not hold its memory for longer than its
+		// caller waits. An error means that the connection is closed. After a failure
+		// the deadline stays, because the server drains the rest of the body.
+		_ = connection.SetReadDeadline(x.deadline)
+	}
+	body, err := x.e.opts.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: int64(limit), Account: x.accountName()})
+	if err == nil {
+		if limitTime {
+			_ = connection.SetReadDeadline(time.Time{})
+		}
+		x.body = body
+		return true
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, int64(limit)))
-	var tooLarge *http.MaxBytesError
+	// The rest of the body may still be under way on the connection.
+	x.w.Header().Set("Connection", "close")
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, bodybudget.ErrTooLarge):
 		return x.reject(http.StatusRequestEntityTooLarge, "body over the limit")
-	case err != nil:
-		x.outcome, x.reason = outcomeAbandoned, fmt.Sprintf("body not read: %v", err)
-		panic(http.ErrAbortHandler)
+	case errors.Is(err, bodybudget.ErrFull):
+		return x.refuse(http.StatusServiceUnavailable, noBodyMemoryRetryAfter, err.Error())
+	case x.e.stop.Refusing() && ctx.Err() != nil && x.r.Context().Err() == nil:
+		return x.refuse(http.StatusServiceUnavailable, stoppingRetryAfter, "the instance is stopping")
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+		return x.refuse(http.StatusRequestTimeout, 0, "the body did not arrive in time")
 	}
-	x.body = body
-	return true
+	x.outcome, x.reason = outcomeAbandoned, fmt.Sprintf("body not read: %v", err)
+	panic(http.ErrAbortHandler)
+}
+
+// accountName returns the name of the client account, or an empty string.
+func (x *exchange) accountName() string {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.Name
 }
 
 // runAttempts sends the request to upstreams until it is answered or cannot be
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -18,6 +18,7 @@
 
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/internal/control"
+	"github.com/bluebellfield/bluebellfield/internal/edge/bodybudget"
 	"github.com/bluebellfield/bluebellfield/internal/edge/callerconn"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/entry"
@@ -69,9 +70,10 @@
 	// cancelled at its end are answered.
 	answerReserve = 200 * time.Millisecond
 	// memoryLimitFraction is the fraction of the allowed memory that is set as the
-	// soft limit of the Go runtime. The rest is for memory that the runtime does
-	// not manage, such as kernel buffers.
-	memoryLimitFraction = 0.6
+	// soft limit of the Go runtime. The bodies of requests may take 0.55 of the memory,
+	// and the collector needs room beside them. The rest is for memory that the
+	// runtime does not manage, such as kernel buffers.
+	memoryLimitFraction = 0.75
 )
 
 // Instance is a running process of a deployment.
@@ -166,6 +168,7 @@
 	}
 	i.entry = entry.Start(entry.Options{ID: s.ID, FailureDomain: s.FailureDomain, Seeds: s.seedIDs(), Network: i.network,
 		Decode: i.adapter.Decode, OnLimits: setLimits, Protocol: i.adapter.Protocol, Client: i.client, Logger: i.logger, Registry: i.registry,
+		Bodies:      bodybudget.ForMemory(s.MemoryMB, i.registry),
 		RetryBudget: entry.RetryBudget{Ratio: s.RetryBudget.Ratio, Allowance: int(s.RetryBudget.Allowance), Window: milliseconds(s.RetryBudget.WindowMS)}})
 	if err := i.serve(s.Listen.Ready, i.adapter.Ready(i.entry.Ready)); err != nil {
 		return errors.Join(err, listener.Close())
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -52,7 +52,7 @@
 
 // DigestOf returns the digest of a request of an account. The resource is what
 // the request addresses: a service, or a method and URI.
-func DigestOf(account, resource string, body []byte) Digest {
+func DigestOf(account, resource string, body ...[]byte) Digest {
 	h := sha256.New()
 	var length [8]byte
 	for _, part := range []string{account, resource} {
@@ -60,7 +60,9 @@
 		_, _ = h.Write(length[:])
 		_, _ = h.Write([]byte(part))
 	}
-	_, _ = h.Write(body)
+	for _, part := range body {
+		_, _ = h.Write(part)
+	}
 	var sum [sha256.Size]byte
 	return Digest(h.Sum(sum[:0])[:16])
 }
