sse: lines longer than the buffer, blank lines at the end

Callers saw: a stream with an event line of more than 4,095 bytes (16 KiB on the daemons' path) was broken off at every upstream, although an event may have 1 MiB. A second blank line at the end made a complete stream count as cut off.

Cause: ReadSlice reports a full buffer, which was taken for an event over the limit. The raw reader counted blank lines as the beginning of an event.

Change: both readers collect a line over several buffers, up to the limit of an event. Blank lines alone at the end are the end. Lines that end with CR alone are still not accepted.

--- a/internal/sse/block.go
+++ b/internal/sse/block.go
@@ -28,15 +28,14 @@
 	r.block = r.block[:0]
 	position = -1
 	for {
-		line, err := r.in.ReadSlice('\n')
-		r.block = append(r.block, line...)
+		start := len(r.block)
+		var err error
+		r.block, err = appendLine(r.block, r.in, r.maxBytes-start)
 		if err != nil {
-			return nil, -1, readError(err, len(r.block) > 0)
+			// Blank lines after the last event are no part of another one.
+			return nil, -1, readError(err, len(bytes.TrimRight(r.block, "\r\n")) > 0)
 		}
-		if len(r.block) > r.maxBytes {
-			return nil, -1, ErrEventTooLarge
-		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(r.block[start:], "\r\n")
 		if len(line) == 0 && len(r.block) > len("\r\n") {
 			return r.block, position, nil
 		}
--- a/internal/sse/block_test.go
+++ b/internal/sse/block_test.go
@@ -63,6 +63,11 @@
 	f.Add("id: 1\ndata: a\n\n")
 	f.Add("\n\n\r\n:x\n\n")
 	f.Add("id: 99999999999999999999\n\n")
+	f.Add("data: x\n\n\n")
+	f.Add("data: x\r\n\r\n\r\n\r\n")
+	for _, length := range []int{4095, 4096, 65_536} {
+		f.Add("data: " + strings.Repeat("x", length) + "\n\n")
+	}
 	f.Fuzz(func(t *testing.T, stream string) {
 		r := NewRawReader(strings.NewReader(stream), 1<<20)
 		var all strings.Builder
@@ -81,3 +86,55 @@
 		}
 	})
 }
+
+// Guards against events that are cut off because a line is longer than a buffer, and
+// against a limit that does not hold. Both readers are checked.
+func TestLongLines(t *testing.T) {
+	const limit = 1 << 20
+	for _, end := range []string{"\n", "\r\n"} {
+		for _, length := range []int{10, 4094, 4095, 4096, 4097, 16<<10 - 1, 16 << 10, 16<<10 + 1, 65_536, limit - 2*len(end), limit - 2*len(end) + 1} {
+			line := "data: " + strings.Repeat("x", length-len("data: "))
+			event := line + end + end
+			whole := event + "id: 2" + end + "data: y" + end + end
+			raw, parsed := NewRawReader(strings.NewReader(whole), limit), NewReader(strings.NewReader(whole), limit)
+			block, _, err := raw.Read()
+			var e Event
+			parsedErr := parsed.Read(&e)
+			if len(event) > limit {
+				require.ErrorIs(t, err, ErrEventTooLarge, "%d bytes", length)
+				require.ErrorIs(t, parsedErr, ErrEventTooLarge, "%d bytes", length)
+				continue
+			}
+			require.NoError(t, err, "%d bytes", length)
+			require.Equal(t, event, string(block))
+			require.NoError(t, parsedErr, "%d bytes", length)
+			require.Equal(t, line, "data: "+string(e.Data))
+			_, position, err := raw.Read()
+			require.NoError(t, err)
+			require.EqualValues(t, 2, position)
+			require.NoError(t, parsed.Read(&e))
+			require.Equal(t, "y", string(e.Data))
+		}
+	}
+}
+
+// Guards against a complete stream that counts as cut off because blank lines follow its
+// last event.
+func TestBlankLinesAtTheEnd(t *testing.T) {
+	for _, rest := range []string{"", "\n", "\r\n", "\n\n", "\r\n\r\n"} {
+		raw, parsed := NewRawReader(strings.NewReader("data: x\n\n"+rest), 100), NewReader(strings.NewReader("data: x\n\n"+rest), 100)
+		_, _, err := raw.Read()
+		require.NoError(t, err)
+		for err == nil {
+			var block []byte
+			block, _, err = raw.Read()
+			require.False(t, HasData(block))
+		}
+		require.Equal(t, io.EOF, err, "%q", rest)
+		var e Event
+		require.NoError(t, parsed.Read(&e))
+		require.Equal(t, io.EOF, parsed.Read(&e), "%q", rest)
+	}
+	_, _, err := NewRawReader(strings.NewReader("\n: comment\n"), 100).Read()
+	require.Equal(t, io.ErrUnexpectedEOF, err)
+}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -32,6 +32,7 @@
 type Reader struct {
 	in       *bufio.Reader
 	maxBytes int
+	line     []byte
 	data     []byte
 }
 
@@ -47,15 +48,13 @@
 	r.data = r.data[:0]
 	size, fields := 0, 0
 	for {
-		line, err := r.in.ReadSlice('\n')
+		var err error
+		r.line, err = appendLine(r.line[:0], r.in, r.maxBytes-size)
+		size += len(r.line)
 		if err != nil {
-			return readError(err, size+len(line) > 0)
+			return readError(err, size > 0)
 		}
-		size += len(line)
-		if size > r.maxBytes {
-			return ErrEventTooLarge
-		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(r.line, "\r\n")
 		if len(line) > 0 {
 			fields += r.parse(e, line)
 			continue
@@ -80,13 +79,26 @@
 	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
 }
 
+// appendLine appends the next line with its end to buf, which may be longer than the
+// reader's buffer. It returns ErrEventTooLarge if the line exceeds maxBytes.
+func appendLine(buf []byte, in *bufio.Reader, maxBytes int) ([]byte, error) {
+	for length := 0; ; {
+		part, err := in.ReadSlice('\n')
+		length += len(part)
+		if length > maxBytes {
+			return buf, ErrEventTooLarge
+		}
+		buf = append(buf, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return buf, err
+		}
+	}
+}
+
 // readError converts an error of the buffered reader. Partial means that part of
 // an event has been read.
 func readError(err error, partial bool) error {
-	switch {
-	case errors.Is(err, bufio.ErrBufferFull):
-		return ErrEventTooLarge
-	case errors.Is(err, io.EOF) && partial:
+	if errors.Is(err, io.EOF) && partial {
 		return io.ErrUnexpectedEOF
 	}
 	return err
