catalog: engines with which no group can be planned are refused

Cause: a configuration with a model of size 0 was accepted, with which formGroups goes on without end; a negative size ends the process.

Change: catalog.New checks the engines of each service: sizes of groups from 1 on, names, and numbers, times and rates that are not negative.

Measured: the new rows of TestRefusesInvalidCatalogs failed before and pass.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -1,10 +1,13 @@
 package catalog
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellfield/bluebellfield/enginemodel"
 )
 
 func valid() Content {
@@ -20,6 +23,11 @@
 	}
 }
 
+// engines sets the engines of a service.
+func engines(e enginemodel.Engine) func(*Content) {
+	return func(c *Content) { c.Services[0].Engine = &e }
+}
+
 // Guards against routing a request by a shorter prefix, to another host's
 // route, or by a prefix that does not end at a path segment.
 func TestLongestPrefixOfTheHost(t *testing.T) {
@@ -58,6 +66,15 @@
 		"no trailing slash":  func(c *Content) { c.Routes[0].PathPrefix = "/x" },
 		"service twice":      func(c *Content) { c.Services[1].Name = "s1" },
 		"service not named":  func(c *Content) { c.Services[0].Name = "" },
+		"group of none":      engines(enginemodel.Engine{Models: []enginemodel.Model{{Name: "m"}}}),
+		"group below none":   engines(enginemodel.Engine{Models: []enginemodel.Model{{Name: "m", GroupSize: -1}}}),
+		"model not named":    engines(enginemodel.Engine{Models: []enginemodel.Model{{GroupSize: 1}}}),
+		"model twice":        engines(enginemodel.Engine{Models: []enginemodel.Model{{Name: "m", GroupSize: 1}, {Name: "m", GroupSize: 2}}}),
+		"negative load time": engines(enginemodel.Engine{Models: []enginemodel.Model{{Name: "m", GroupSize: 1, LoadTime: -1}}}),
+		"infinite factor":    engines(enginemodel.Engine{Models: []enginemodel.Model{{Name: "m", GroupSize: 1, TimeFactor: math.Inf(1)}}}),
+		"negative slots":     engines(enginemodel.Engine{Slots: -1}),
+		"negative step":      engines(enginemodel.Engine{Step: -1}),
+		"no rate":            engines(enginemodel.Engine{ReadRate: math.NaN()}),
 		"route without host": func(c *Content) { c.Routes[0].Host = "" },
 	} {
 		content := valid()
--- a/catalog/validate.go
+++ b/catalog/validate.go
@@ -29,6 +29,11 @@
 		if c.services[s.Name] != nil {
 			return fmt.Errorf("service %q is listed twice", s.Name)
 		}
+		if s.Engine != nil {
+			if err := s.Engine.Validate(); err != nil {
+				return fmt.Errorf("service %q: %w", s.Name, err)
+			}
+		}
 		c.services[s.Name] = s
 	}
 	return nil
