upstreamlimit: a late announcement does not restore a lifted limit

Cause: entries tell each other of limits and of their lift without an order. A limit announced by an entry that had not heard of the lift, and that arrives after it, was taken for news; a lift is announced once.

Change: each change carries a version above those that the entry has heard of, and older ones are ignored. A lift is remembered by entries that did not know the limit. An entry whose own answers say otherwise than a newer message asserts them with its next answer. Messages without a version are handled as before.

--- a/upstreamlimit/tracker.go
+++ b/upstreamlimit/tracker.go
@@ -29,6 +29,10 @@
 type limit struct {
 	id   share.LimitID
 	rate float64
+	// version orders the changes that entries have learned, so that a message that
+	// arrives late does not revert a later one. heard is the highest version of a
+	// message that this entry did not apply, because it knew better.
+	version, heard uint64
 	// units is the number of units, and unitRate the rate of each.
 	units    int
 	unitRate float64
@@ -72,7 +76,7 @@
 func (t *Tracker) Observe(now time.Time, target Target, rate float64, named bool) bool {
 	l := t.limits[target]
 	if !named {
-		if l == nil || l.rate < 0 {
+		if l == nil || l.rate < 0 && l.heard <= l.version {
 			return false
 		}
 		rate = -1
@@ -80,6 +84,9 @@
 	changed := l == nil || l.rate != rate
 	if changed {
 		l = t.set(now, target, rate)
+	}
+	if changed || l.heard > l.version {
+		l.version = max(l.version, l.heard) + 1
 		l.due = true
 	}
 	l.observed = now
@@ -235,7 +242,7 @@
 	var m Message
 	for target, l := range t.limits {
 		if matches(l) {
-			m.Named = append(m.Named, Named{Target: target, Rate: l.rate})
+			m.Named = append(m.Named, Named{Target: target, Rate: l.rate, Version: l.version})
 		}
 	}
 	slices.SortFunc(m.Named, func(a, b Named) int { return strings.Compare(a.Target.Upstream, b.Target.Upstream) })
@@ -248,12 +255,17 @@
 		l := t.limits[n.Target]
 		switch {
 		case n.Rate >= 0 && !Valid(n.Rate):
-		case l == nil && n.Rate < 0:
+		case l == nil && n.Rate < 0 && n.Version == 0:
+		case l != nil && n.Version != 0 && n.Version < l.version:
+			// The sender had not heard of the latest change.
 		case l != nil && l.rate == n.Rate:
-			l.due = false
+			l.due, l.version = false, max(l.version, n.Version)
 		case l != nil && !l.observed.IsZero() && now.Sub(l.observed) < ownValidity:
+			// What this entry has seen itself is newer than what it is told.
+			l.heard = max(l.heard, n.Version)
 		default:
-			t.set(now, n.Target, n.Rate).due = false
+			l = t.set(now, n.Target, n.Rate)
+			l.due, l.version = false, max(l.version, n.Version)
 		}
 	}
 	if m.Share == nil {
--- a/upstreamlimit/types.go
+++ b/upstreamlimit/types.go
@@ -29,6 +29,9 @@
 	// Rate is in requests per second. It is negative if the upstream no longer
 	// names a limit.
 	Rate float64
+	// Version is higher than those of all changes that the entry knew of when it
+	// learned this one. It is zero from entries of an earlier version.
+	Version uint64
 }
 
 // Message is exchanged between entries. It holds either limits that the sender
--- a/upstreamlimit/upstreamlimitpb/codec.go
+++ b/upstreamlimit/upstreamlimitpb/codec.go
@@ -15,7 +15,7 @@
 func Encode(m upstreamlimit.Message) ([]byte, error) {
 	out := &Message{}
 	for _, n := range m.Named {
-		out.Named = append(out.Named, &Named{Upstream: n.Target.Upstream, Incarnation: n.Target.Incarnation, Rate: n.Rate})
+		out.Named = append(out.Named, &Named{Upstream: n.Target.Upstream, Incarnation: n.Target.Incarnation, Rate: n.Rate, Version: n.Version})
 	}
 	if m.Share != nil {
 		encoded, err := sharepb.Encode(*m.Share)
@@ -35,7 +35,7 @@
 	}
 	var m upstreamlimit.Message
 	for _, n := range in.Named {
-		m.Named = append(m.Named, upstreamlimit.Named{Target: upstreamlimit.Target{Upstream: n.Upstream, Incarnation: n.Incarnation}, Rate: n.Rate})
+		m.Named = append(m.Named, upstreamlimit.Named{Target: upstreamlimit.Target{Upstream: n.Upstream, Incarnation: n.Incarnation}, Rate: n.Rate, Version: n.Version})
 	}
 	if len(in.Share) > 0 {
 		s, err := sharepb.Decode(in.Share)
--- a/upstreamlimit/upstreamlimitpb/codec_test.go
+++ b/upstreamlimit/upstreamlimitpb/codec_test.go
@@ -14,7 +14,7 @@
 func TestRoundTrip(t *testing.T) {
 	for _, m := range []upstreamlimit.Message{
 		{},
-		{Named: []upstreamlimit.Named{{Target: upstreamlimit.Target{Upstream: "u", Incarnation: 7}, Rate: 6.7}, {Target: upstreamlimit.Target{Upstream: "v", Incarnation: 1}, Rate: -1}}},
+		{Named: []upstreamlimit.Named{{Target: upstreamlimit.Target{Upstream: "u", Incarnation: 7}, Rate: 6.7, Version: 3}, {Target: upstreamlimit.Target{Upstream: "v", Incarnation: 1}, Rate: -1}}},
 		{Share: &share.Message{Grant: &share.Grant{Incarnation: 1, Seq: 2, ReportIncarnation: 3, Report: 4, Shares: []float32{2, share.NoAuthority}}}},
 	} {
 		encoded, err := Encode(m)
