replica: leases and votes count the time of a suspended machine

Cause: time.Now is the steady clock, which stands still while a machine is suspended. A leader that wakes up took its lease for valid for up to the election timeout, although the others could have elected another one; it could answer a read or give orders.

Change: replicas read CLOCK_BOOTTIME (internal/boottime), behind Options.Clock. The check of silent members uses the clock of the replica too. The shares of limits still use the steady clock.

--- a/internal/control/voters.go
+++ b/internal/control/voters.go
@@ -128,8 +128,8 @@
 		select {
 		case <-c.ctx.Done():
 			return
-		case now := <-ticker.C:
-			if change, due := planVoterChange(c.replica.Status(), c.failureDomains(), now); due {
+		case <-ticker.C:
+			if change, due := planVoterChange(c.replica.Status(), c.failureDomains(), c.replica.Now()); due {
 				c.changeVoters(change)
 			}
 		}
--- a/internal/replica/barrier.go
+++ b/internal/replica/barrier.go
@@ -94,7 +94,7 @@
 func (r *Replica) LeaseHeld(ctx context.Context) (bool, error) {
 	held := make(chan bool, 1)
 	if !r.submit(func(_ time.Time, closing bool) {
-		held <- !closing && r.node.LeaseValid(time.Now())
+		held <- !closing && r.node.LeaseValid(r.opts.Clock())
 	}) {
 		return false, ErrClosed
 	}
--- a/internal/replica/loop.go
+++ b/internal/replica/loop.go
@@ -26,7 +26,7 @@
 		// The clock is read after the messages are taken. A contact dated before
 		// the leader sent its message would let this member vote for another
 		// leader while the first one's lease is still valid.
-		now := time.Now()
+		now := r.opts.Clock()
 		if closed {
 			r.shutDown(requests)
 			return
@@ -43,7 +43,7 @@
 		r.recoverStorage(now)
 		r.dropIdleTransfers(now)
 		r.publishStatus()
-		timer.Reset(time.Until(r.nextDeadline()))
+		timer.Reset(r.nextDeadline().Sub(r.opts.Clock()))
 		select {
 		case <-r.wakeups:
 		case <-timer.C:
@@ -138,9 +138,9 @@
 		return
 	}
 	r.storageErr = err
-	r.scheduleRecovery(time.Now())
+	r.scheduleRecovery(r.opts.Clock())
 	r.opts.Logger.Error("log storage failed; this instance stops voting", zap.Error(err))
-	r.node.StopVoting(time.Now())
+	r.node.StopVoting(r.opts.Clock())
 }
 
 func (r *Replica) sendAll(messages []consensus.Message) {
@@ -308,7 +308,7 @@
 func (r *Replica) publishStatus() {
 	s := &Status{Status: r.node.Status(), StorageError: r.storageErr}
 	for instance, other := range r.nonMembers {
-		if time.Since(other.reportedAt) > nonMemberExpiry {
+		if r.opts.Clock().Sub(other.reportedAt) > nonMemberExpiry {
 			delete(r.nonMembers, instance)
 			continue
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bluebellfield/bluebellfield/consensus"
+	"github.com/bluebellfield/bluebellfield/internal/boottime"
 	"github.com/bluebellfield/bluebellfield/internal/storage"
 )
 
@@ -81,6 +82,10 @@
 	SnapshotEntries, SnapshotBytes int
 	// LeaderWait is the time for which a command waits for a leader.
 	LeaderWait time.Duration
+	// Clock measures leases and votes, which the clocks of other members limit too.
+	// It must count the time in which the machine is suspended. The default is
+	// boottime.Now.
+	Clock func() time.Time
 	// OnApplied is called on the replica's goroutine after entries have been
 	// applied. It must return quickly.
 	OnApplied func(index uint64)
@@ -120,6 +125,9 @@
 	if o.LeaderWait == 0 {
 		o.LeaderWait = DefaultLeaderWait
 	}
+	if o.Clock == nil {
+		o.Clock = boottime.Now
+	}
 	if o.HeartbeatInterval == 0 {
 		o.HeartbeatInterval = consensus.DefaultHeartbeatInterval
 	}
@@ -223,7 +231,7 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	now := r.opts.Clock()
 	r.node, err = consensus.New(r.cfg, st, now)
 	if err != nil {
 		return nil, err
@@ -248,7 +256,7 @@
 		r.id.Storage = r.store.StorageID()
 	}
 	if r.storageErr != nil {
-		r.scheduleRecovery(time.Now())
+		r.scheduleRecovery(r.opts.Clock())
 		r.opts.Logger.Error("log storage failed; this instance does not vote", zap.Error(r.storageErr))
 	}
 	if r.id.Storage == 0 {
@@ -289,6 +297,9 @@
 // Status returns the state as of the last iteration of the replica's loop.
 func (r *Replica) Status() Status { return *r.status.Load() }
 
+// Now returns the time on the clock by which Status gives times.
+func (r *Replica) Now() time.Time { return r.opts.Clock() }
+
 // Applied returns the index of the last entry applied to the state machine.
 func (r *Replica) Applied() uint64 { return r.applied.Load() }
 
