--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -264,6 +264,10 @@
 		errs = append(errs, i.callerServer.Close())
 	}
 	i.mu.Unlock()
+	if i.callerListener != nil {
+		// The server has it only after the first catalog.
+		errs = append(errs, i.callerListener.Close())
+	}
 	if i.entry != nil {
 		i.entry.Close()
 	}
