tests: an address that refuses connections stays bound

Cause: tests took the port of a closed listener for unreachable.

Change: nettest.RefusingAddress binds a port and does not listen. Used where a test needs a refused connection in internal/entry and internal/edge/upstream; what the tests check stays the same.

--- a/internal/edge/upstream/client_test.go
+++ b/internal/edge/upstream/client_test.go
@@ -19,6 +19,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/bluebellfield/bluebellfield/internal/fault"
+	"github.com/bluebellfield/bluebellfield/internal/nettest"
 	"github.com/bluebellfield/bluebellfield/membership"
 )
 
@@ -200,11 +201,8 @@
 	client, writes := newTestClient(t)
 	expired, cancel := context.WithDeadline(t.Context(), time.Unix(0, 0))
 	defer cancel()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	refused := postTo(s, true)
-	refused.Target.Address = listener.Addr().String()
-	require.NoError(t, listener.Close())
+	refused.Target.Address = nettest.RefusingAddress(t)
 	malformed := postTo(s, true)
 	malformed.Method = "BAD METHOD"
 	cases := []struct {
@@ -481,10 +479,7 @@
 		})
 	}
 	client, _ := newTestClient(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, listener.Close())
-	_, err = client.Order(t.Context(), Target{ID: "u", Address: listener.Addr().String()}, "", Order{})
+	_, err = client.Order(t.Context(), Target{ID: "u", Address: nettest.RefusingAddress(t)}, "", Order{})
 	require.Equal(t, fault.NotRun, fault.OutcomeOf(err), "an order that was not sent must be reported as not-run")
 }
 
@@ -498,7 +493,7 @@
 	require.NoError(t, err)
 	require.True(t, listening)
 	require.NoError(t, listener.Close())
-	listening, err = client.Listening(t.Context(), listener.Addr().String())
+	listening, err = client.Listening(t.Context(), nettest.RefusingAddress(t))
 	require.NoError(t, err)
 	require.False(t, listening)
 	silent := NewClient(func(ctx context.Context, _ string) (net.Conn, error) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/fleet"
 	"github.com/bluebellfield/bluebellfield/internal/mesh"
+	"github.com/bluebellfield/bluebellfield/internal/nettest"
 )
 
 // Guards against requests and responses that are modified in transit, and
@@ -327,11 +328,8 @@
 
 // Guards against streams that wait for an upstream that does not listen.
 func TestUnreachableHeadIsSkipped(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	gone := fleet.Upstream{ID: "gone", Service: "model", Address: listener.Addr().String(), FailureDomain: "z", StartMillis: 1, Sequence: 1, Model: "m",
+	gone := fleet.Upstream{ID: "gone", Service: "model", Address: nettest.RefusingAddress(t), FailureDomain: "z", StartMillis: 1, Sequence: 1, Model: "m",
 		Member: fleet.Membership{Group: "g", Epoch: 1, State: fleet.Open}}
-	require.NoError(t, listener.Close())
 	good := newUpstream(t, "good", stream(3, nil))
 	_, server := newEntry(t, gone, good.record("model", "m"))
 	for range 10 {
@@ -344,10 +342,7 @@
 func TestUnreachableUpstreamUsesNoRetryBudget(t *testing.T) {
 	var gone [3]fleet.Upstream
 	for n := range gone {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		gone[n] = fleet.Upstream{ID: fmt.Sprint("gone-", n), Service: "app", Address: listener.Addr().String(), FailureDomain: "z", StartMillis: 1, Sequence: 1, Slots: 6}
-		require.NoError(t, listener.Close())
+		gone[n] = fleet.Upstream{ID: fmt.Sprint("gone-", n), Service: "app", Address: nettest.RefusingAddress(t), FailureDomain: "z", StartMillis: 1, Sequence: 1, Slots: 6}
 	}
 	good := newUpstream(t, "good", answer("served"))
 	e, server := newEntry(t, gone[0], gone[1], gone[2], good.record("app", ""))
