daemon: the answer of an at-most-once request is recorded before it is delivered

Cause, read from the code: the answer was delivered while its record was proposed in the background. An entry that is killed in between, as when it leads the global log itself, leaves a claim whose outcome nobody knows.

Change: Complete returns when the record is committed, or after 1 s: a ready answer is not held back for long while the log cannot be reached. The users' platform names no keys, so its path has no records.

--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -26,6 +26,9 @@
 	// recordTimeout limits the attempts to record the result of a claimed
 	// request.
 	recordTimeout = time.Minute
+	// recordWait is how long an answer waits for its record. The answer is delivered
+	// even if the log cannot be reached.
+	recordWait = time.Second
 )
 
 // serveLookup returns the claim record of a key. While the claimed request is
@@ -190,13 +193,24 @@
 	return &reply, proto.Unmarshal(answer, &reply)
 }
 
-// Complete implements caller.Claimer.
+// Complete implements caller.Claimer. It returns once the answer is recorded, or after
+// recordWait: if the entry ended before, a resend would not get the answer that the
+// first request got.
 func (c *claimer) Complete(id caller.ClaimID, answer *caller.RecordedAnswer) {
 	command := claim.Complete{Key: claimKey(id), Holder: c.holder(id), Lost: answer == nil, At: time.Now()}
 	if answer != nil {
 		command.Answer = claimAnswer(answer)
 	}
-	c.recordAsync(command)
+	recorded := c.recordAsync(command)
+	if answer == nil {
+		return
+	}
+	timer := time.NewTimer(recordWait)
+	defer timer.Stop()
+	select {
+	case <-recorded:
+	case <-timer.C:
+	}
 }
 
 func claimAnswer(a *caller.RecordedAnswer) claim.Answer {
@@ -221,9 +235,11 @@
 
 // recordAsync proposes a command in the background until the log confirms it
 // or recordTimeout passes. A resent request that arrives earlier finds the
-// claim running and waits.
-func (c *claimer) recordAsync(command claim.Command) {
+// claim running and waits. The returned channel is closed at the end.
+func (c *claimer) recordAsync(command claim.Command) <-chan struct{} {
+	ended := make(chan struct{})
 	c.pendingRecords.Go(func() {
+		defer close(ended)
 		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 		defer cancel()
 		for ctx.Err() == nil {
@@ -234,6 +250,7 @@
 		}
 		c.logger.Warn("recording the result of a claimed request timed out; its outcome will be unknown")
 	})
+	return ended
 }
 
 // abandonPreviousClaims marks the claims of earlier incarnations of this
--- a/internal/daemon/claims_test.go
+++ b/internal/daemon/claims_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -184,6 +185,39 @@
 	}
 }
 
+// Guards against an answer that its caller gets before it is recorded: if the entry
+// ends then, a resend is told that the outcome is unknown. An answer is not held back
+// for long while the log cannot be reached.
+func TestAnswerIsRecordedFirst(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		failures int
+		recorded bool
+	}{
+		{"at once", 0, true},
+		{"after two failures", 2, true},
+		{"log out of reach", 1000, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newFakeGlobal()
+				entry := g.newClaimer("e1", 1)
+				state, _, err := entry.Claim(withDeadline(t), claimID("r1"), orderBody)
+				require.NoError(t, err)
+				require.Equal(t, caller.ClaimGranted, state)
+				g.nextResult = resultSequence(slices.Repeat([]proposalResult{notProposed}, test.failures)...)
+				started := time.Now()
+				entry.Complete(claimID("r1"), &caller.RecordedAnswer{Status: 200})
+				require.LessOrEqual(t, time.Since(started), recordWait)
+				record, found := g.record()
+				require.True(t, found)
+				require.Equal(t, test.recorded, record == claim.StateDone)
+				entry.pendingRecords.Wait()
+			})
+		})
+	}
+}
+
 // Guards against a resent request that gets a different answer than the first
 // one, or that runs a second time.
 func TestResend(t *testing.T) {
