--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -25,9 +23,6 @@
 )
 
 const (
-	// defaultMaxBodyBytes limits request bodies while the catalog sets no
-	// limit.
-	defaultMaxBodyBytes = 4 << 20
 	// extraAttempts is the number of attempts beyond the route's maximum that a
 	// request may make when upstreams refuse to run it.
 	extraAttempts = 1
@@ -230,55 +225,6 @@
 	return host
 }
 
-// noBodyMemoryRetryAfter is the Retry-After of a request whose body does not fit into
-// the memory for bodies. Large bodies take some seconds to arrive.
-const noBodyMemoryRetryAfter = time.Second
-
-func (x *exchange) readBody(ctx context.Context) bool {
-	limit := x.view.catalog.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	connection := http.NewResponseController(x.w)
-	limitTime := x.r.ContentLength < 0 || x.r.ContentLength > bodybudget.SmallBytes
-	if limitTime {
-		// A body that never arrives must not hold its memory for longer than its
-		// caller waits. An error means that the connection is closed. After a failure
-		// the deadline stays, because the server drains the rest of the body.
-		_ = connection.SetReadDeadline(x.deadline)
-	}
-	body, err := x.e.opts.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: int64(limit), Account: x.accountName()})
-	if err == nil {
-		if limitTime {
-			_ = connection.SetReadDeadline(time.Time{})
-		}
-		x.body = body
-		return true
-	}
-	// The rest of the body may still be under way on the connection.
-	x.w.Header().Set("Connection", "close")
-	switch {
-	case errors.Is(err, bodybudget.ErrTooLarge):
-		return x.reject(http.StatusRequestEntityTooLarge, "body over the limit")
-	case errors.Is(err, bodybudget.ErrFull):
-		return x.refuse(http.StatusServiceUnavailable, noBodyMemoryRetryAfter, err.Error())
-	case x.e.stop.Refusing() && ctx.Err() != nil && x.r.Context().Err() == nil:
-		return x.refuse(http.StatusServiceUnavailable, stoppingRetryAfter, "the instance is stopping")
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
-		return x.refuse(http.StatusRequestTimeout, 0, "the body did not arrive in time")
-	}
-	x.outcome, x.reason = outcomeAbandoned, fmt.Sprintf("body not read: %v", err)
-	panic(http.ErrAbortHandler)
-}
-
-// accountName returns the name of the client account, or an empty string.
-func (x *exchange) accountName() string {
-	if x.account == nil {
-		return ""
-	}
-	return x.account.Name
-}
-
 // runAttempts sends the request to upstreams until it is answered or cannot be
 // retried.
 func (x *exchange) runAttempts(ctx context.Context) {
