control: an instance that joins lets unknown upstreams report elsewhere

The upstreams went on reporting there, and the leader took them for silent.

Change: only at the first start of a deployment are such reports kept back. Otherwise they are refused with 503, so that the upstream tells another instance at once.

TestJoiningInstanceLetsUpstreamsReportElsewhere failed before and passes, as do the tests of internal/control and internal/instance.

--- a/internal/control/departures_test.go
+++ b/internal/control/departures_test.go
@@ -37,14 +37,14 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			folder := t.TempDir()
-			c, stop := startControlAt(t, folder, "127.0.0.1")
+			c, stop := startControlAt(t, folder, nil, "127.0.0.1")
 			listServices(t, c, 1, "s")
 			report := fleet.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: time.Now().UnixMilli(), Sequence: 1}
 			require.NoError(t, c.HandleReport(t.Context(), report))
 			require.NoError(t, test.depart(t, c, report))
 			stop()
 
-			c, stop = startControlAt(t, folder, "127.0.0.1")
+			c, stop = startControlAt(t, folder, nil, "127.0.0.1")
 			defer stop()
 			report.Sequence++
 			require.NoError(t, c.HandleReport(t.Context(), report))
--- a/internal/control/publish_test.go
+++ b/internal/control/publish_test.go
@@ -41,23 +41,27 @@
 // startControl starts a control instance that cannot reach any other. It
 // becomes the leader if it is the only seed.
 func startControl(t *testing.T, seeds ...string) *Control {
-	c, stop := startControlAt(t, t.TempDir(), seeds...)
+	c, stop := startControlAt(t, t.TempDir(), nil, seeds...)
 	t.Cleanup(stop)
 	return c
 }
 
 // startControlAt starts such an instance on a data folder, and returns the function
-// that stops it.
-func startControlAt(t *testing.T, folder string, seeds ...string) (c *Control, stop func()) {
+// that stops it. Adjust may change its options.
+func startControlAt(t *testing.T, folder string, adjust func(*Options), seeds ...string) (c *Control, stop func()) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	network := peer.Listen(listener, peer.Options{ID: "127.0.0.1", Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
 		Resolve: func(string) (string, bool) { return "", false }})
 	dir, err := storage.OpenDir(storage.OS{}, folder)
 	require.NoError(t, err)
-	c, err = Start(Options{ID: "127.0.0.1", FailureDomain: "z", Seeds: seeds, Bootstrap: true, Dir: dir, Network: network,
+	options := Options{ID: "127.0.0.1", FailureDomain: "z", Seeds: seeds, Bootstrap: true, Dir: dir, Network: network,
 		System: actor.NewActorSystem(), Decode: decodeServices,
-		Orders: acceptOrders{}, HeartbeatInterval: time.Second, StallTime: time.Second, Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
+		Orders: acceptOrders{}, HeartbeatInterval: time.Second, StallTime: time.Second, Logger: zap.NewNop(), Registry: metrics.NewRegistry()}
+	if adjust != nil {
+		adjust(&options)
+	}
+	c, err = Start(options)
 	require.NoError(t, err)
 	return c, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/control/registrar.go
+++ b/internal/control/registrar.go
@@ -54,8 +54,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isUnlisted(&u) {
-		if u.Phase != fleet.Ready && !c.unlisted.hasCatalog() {
-			// Other instances may know the upstream and must be told that it leaves.
+		if !c.unlisted.hasCatalog() && (u.Phase != fleet.Ready || !c.opts.Bootstrap) {
+			// Instances that have the catalog may use the upstream, and must be told
+			// that it is alive or leaves.
 			return false, fault.New(fault.Unavailable, fault.Location{Step: stepReport, Peer: u.ID}, fault.NotRun, "no catalog is known yet")
 		}
 		c.opts.Logger.Debug("report kept back: the catalog does not list its service", zap.String("upstream", u.ID), zap.String("service", u.Service))
--- a/internal/control/registrar_test.go
+++ b/internal/control/registrar_test.go
@@ -91,6 +91,23 @@
 	require.False(t, known)
 }
 
+// Guards against reports that nobody acts on because an instance that has just joined
+// the deployment acknowledges them: the leader would take the upstreams for lost. It
+// lets them report elsewhere, unless the whole deployment starts.
+func TestJoiningInstanceLetsUpstreamsReportElsewhere(t *testing.T) {
+	c, stop := startControlAt(t, t.TempDir(), func(o *Options) { o.Bootstrap = false }, "10.0.0.2")
+	defer stop()
+	report := fleet.Upstream{ID: "u", Service: "model", Address: "10.0.0.1:80", FailureDomain: "z", StartMillis: time.Now().UnixMilli(), Sequence: 1}
+	require.Equal(t, fault.Unavailable, fault.CodeOf(c.HandleReport(t.Context(), report)))
+	// Upstreams that other instances have told it of may report here.
+	payload, err := proto.Marshal(&mesh.Update{Source: 1, Number: 1, Complete: true, Upstreams: []*mesh.Upstream{mesh.EncodeUpstream(&report)}})
+	require.NoError(t, err)
+	_, err = c.serveUpdate(t.Context(), "10.0.0.2", payload)
+	require.NoError(t, err)
+	report.Sequence++
+	require.NoError(t, c.HandleReport(t.Context(), report))
+}
+
 // Guards against acknowledging that an upstream drains at an instance that cannot tell
 // yet whether it is one of the deployment, and tells nobody.
 func TestDrainingBeforeTheCatalogIsNotAcknowledged(t *testing.T) {
