tests: crowds of clients that do not behave, against real processes

Callers saw a process that ran out of memory and its requests lost, in a trial with many large bodies that stopped short of their end.

The tests start the system's processes with memoryMb 96 and 512 descriptors, and let 400 clients connect to each serving path in six ways. They check that the process lives, that resident memory with the unread bytes of its connections stays within memoryMb, that descriptors stay below their limit, and that ordinary requests are served beside the crowd and afterwards.

--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -32,6 +32,8 @@
 	// IgnoreFencing makes the engine accept orders with old epochs and requests
 	// for any group.
 	IgnoreFencing bool
+	// Handler, if set, serves chat completions in place of the engine.
+	Handler http.Handler
 }
 
 // Engine is a fake model engine. Its answers depend on the request only, so that
@@ -52,7 +54,10 @@
 	cfg.Kind = membership.ModelEngine
 	e := &Engine{cfg: cfg}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/chat/completions", e.handleCompletions)
+	if cfg.Handler == nil {
+		cfg.Handler = http.HandlerFunc(e.handleCompletions)
+	}
+	mux.Handle("POST /v1/chat/completions", cfg.Handler)
 	mux.HandleFunc("POST "+upstream.PathOrders, e.handleOrder)
 	server, err := startServer(cfg.Upstream, mux)
 	if err != nil {
--- a/internal/fake/plainservice.go
+++ b/internal/fake/plainservice.go
@@ -15,6 +15,8 @@
 	Upstream
 	// WorkTime is the time to process a call.
 	WorkTime time.Duration
+	// Handler, if set, serves calls in place of the service.
+	Handler http.Handler
 }
 
 // PlainService is a fake plain service. It records each call as a run and responds
@@ -38,7 +40,10 @@
 	cfg.Kind = membership.PlainService
 	p := &PlainService{cfg: cfg}
 	mux := http.NewServeMux()
-	mux.HandleFunc("/", p.handle)
+	if cfg.Handler == nil {
+		cfg.Handler = http.HandlerFunc(p.handle)
+	}
+	mux.Handle("/", cfg.Handler)
 	server, err := startServer(cfg.Upstream, mux)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/processtest/clients_test.go
@@ -0,0 +1,43 @@
+package processtest
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// crowdLimits are the limits of the process that a crowd connects to. They are the
+// bounds of the tests: memory includes the unread bytes of connections.
+var crowdLimits = limits{memoryMB: 96, descriptors: 512, maxBodyBytes: 1 << 20}
+
+const (
+	crowdSize = 400
+	// crowdTime is how long a crowd presses before the ordinary request.
+	crowdTime = 5 * time.Second
+)
+
+// Guards against clients that end a process or keep ordinary callers from being
+// served: crowds that send large bodies and stay connected short of their end, or
+// send more than the limit. The untouched process exceeded its memory, mostly by the
+// bytes that it did not read, and used up its descriptors.
+func TestClientsThatDoNotBehave(t *testing.T) {
+	binary := buildDaemon(t)
+	for _, serving := range servingPaths {
+		for _, w := range ways {
+			t.Run(serving.name+"/"+w.name, func(t *testing.T) {
+				s := serving.start(t, binary, crowdLimits, http.HandlerFunc(serve))
+				require.Equal(t, http.StatusOK, s.request(crowdLimits.maxBodyBytes), "a single request at the limit, in calm")
+				c := startCrowd(s, w.upload(s, crowdLimits), crowdSize)
+				time.Sleep(crowdTime)
+				besideCrowd := s.ordinaryRequest(ordinaryBodyBytes)
+				c.leave()
+				t.Log(c.summary())
+				requireWithin(t, s, crowdLimits)
+				require.True(t, besideCrowd, "an ordinary request beside the crowd is served")
+				require.True(t, s.ordinaryRequest(ordinaryBodyBytes), "an ordinary request afterwards is served")
+			})
+		}
+	}
+}
