callerconn: the receive buffers of callers' connections are bounded

Callers saw processes that ran out of memory while clients sent large bodies and stayed connected.

Cause: a body that waits for memory or was refused is not read, and the kernel lets the receive buffer of its connection grow to several megabytes. These bytes belong to the memory of the process and were in no budget.

Connections of callers inherit a receive buffer of 16 KiB, on both serving paths; a daemon now uses the same listener as an entry.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/config"
 	"github.com/bluebellfield/bluebellfield/internal/edge/bodybudget"
 	"github.com/bluebellfield/bluebellfield/internal/edge/caller"
+	"github.com/bluebellfield/bluebellfield/internal/edge/callerconn"
 	"github.com/bluebellfield/bluebellfield/internal/edge/operator"
 	"github.com/bluebellfield/bluebellfield/internal/edge/platform"
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
@@ -195,12 +196,16 @@
 }
 
 func (d *Daemon) serveAll() error {
+	if d.cfg.Listen.Caller != "" {
+		if err := d.serveCallers(); err != nil {
+			return err
+		}
+	}
 	for _, s := range []struct {
 		address string
 		handler http.Handler
 		tls     *tls.Config
 	}{
-		{d.cfg.Listen.Caller, d.callers, nil},
 		{d.cfg.Listen.Upstream, upstream.NewHandler(d.members), nil},
 		{d.cfg.Listen.Operator, operator.New(d.ops.options()), d.operatorTLS},
 		{d.cfg.Listen.Platform, d.probe.Handler(), nil},
@@ -223,14 +228,30 @@
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	d.runServer(listener, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes})
+	return nil
+}
+
+// serveCallers starts the server for callers.
+func (d *Daemon) serveCallers() error {
+	listener, err := callerconn.Listen(d.cfg.Listen.Caller, callerconn.Limits{Header: readHeaderTimeout})
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: d.callers, MaxHeaderBytes: maxHeaderBytes}
+	callerconn.Configure(server)
+	d.runServer(listener, server)
+	return nil
+}
+
+// runServer serves a listener in the background.
+func (d *Daemon) runServer(listener net.Listener, server *http.Server) {
 	d.servers = append(d.servers, server)
 	d.background.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			d.failures <- err
 		}
 	})
-	return nil
 }
 
 // inFlightMetric names the gauge of caller requests in progress.
--- a/internal/edge/callerconn/listener.go
+++ b/internal/edge/callerconn/listener.go
@@ -4,10 +4,16 @@
 package callerconn
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Limits are the timeouts of a connection. Zero means no timeout.
@@ -32,6 +38,11 @@
 	s.IdleTimeout, s.ReadHeaderTimeout = idlePlaceholder, headerPlaceholder
 }
 
+// receiveBufferBytes is the receive buffer of a connection. The kernel would let it
+// grow to several megabytes, which a client fills whose body is refused or waits. It
+// may hold twice as many bytes.
+const receiveBufferBytes = 16 << 10
+
 // Listener accepts connections of callers.
 type Listener struct {
 	net.Listener
@@ -43,9 +54,20 @@
 	conns  map[*conn]struct{}
 }
 
-// NewListener returns a listener whose connections obey limits until SetLimits.
-func NewListener(l net.Listener, limits Limits) *Listener {
-	return &Listener{Listener: l, limits: limits, conns: map[*conn]struct{}{}}
+// Listen opens a listener whose connections obey limits until SetLimits.
+func Listen(address string, limits Limits) (*Listener, error) {
+	// Connections inherit the buffer, which must be known when a connection is
+	// opened: the window that was offered to a client cannot be taken back.
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) { setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes) })
+		return errors.Join(err, setErr)
+	}}
+	inner, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	return &Listener{Listener: inner, limits: limits, conns: map[*conn]struct{}{}}, nil
 }
 
 // Accept implements net.Listener.
--- a/internal/edge/callerconn/listener_test.go
+++ b/internal/edge/callerconn/listener_test.go
@@ -12,9 +12,8 @@
 )
 
 func serve(t *testing.T, limits Limits) *Listener {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := Listen("127.0.0.1:0", limits)
 	require.NoError(t, err)
-	l := NewListener(inner, limits)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = io.WriteString(w, "ok")
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -158,11 +158,10 @@
 
 func (i *Instance) startEntry() error {
 	s := i.settings
-	inner, err := net.Listen("tcp", s.Listen.Caller)
+	listener, err := callerconn.Listen(s.Listen.Caller, callerconn.Limits{})
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return err
 	}
-	listener := callerconn.NewListener(inner, callerconn.Limits{})
 	setLimits := func(l catalog.Limits) {
 		listener.SetLimits(callerconn.Limits{Header: l.HeaderTimeout, Idle: l.IdleTimeout})
 	}
