callerconn: the connections of callers are bounded

Callers saw processes that ran out of descriptors or memory while many clients stayed connected, short of the end of their bodies.

Cause: nothing bounded the connections of callers. At the limit of descriptors a process could neither accept callers nor connect to upstreams.

At the limit the connection is closed that is missed least: one that is answered, idle, without a whole head, or without a whole body, in this order and the oldest first. A new connection is refused with 503 if all others are served. The descriptors come from maxDescriptors, or from the limit of the system. Idle connections to upstreams have a bound for all upstreams together.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -49,6 +49,9 @@
 	// MemoryMB is the memory that the process may use, in megabytes; 0 means no
 	// limit. Request bodies get a part of it.
 	MemoryMB float64 `json:"memoryMb"`
+	// MaxDescriptors is the number of descriptors that the process may open; 0 means
+	// as many as the system allows.
+	MaxDescriptors int `json:"maxDescriptors"`
 	// OrderToken is the bearer token sent with orders to engines that
 	// authenticate them.
 	OrderToken string `json:"orderToken"`
@@ -209,6 +212,7 @@
 	c.require("/drain/balancerWaitMs", d.Drain.BalancerWaitMS >= 0 && d.Drain.BalancerWaitMS <= 60_000, "0 to 60000 ms")
 	c.require("/drain/timeoutMs", d.Drain.TimeoutMS >= 0 && d.Drain.TimeoutMS <= 3_600_000, "0 to 3600000 ms")
 	c.require("/memoryMb", d.MemoryMB >= 0, "a number of megabytes, or 0")
+	c.require("/maxDescriptors", d.MaxDescriptors >= 0, "a number of descriptors, or 0")
 	c.require("/logLevel", validLevel(d.LogLevel), `"debug", "info", "warn" or "error"`)
 	return c.err
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/limitreport"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
+	"github.com/bluebellfield/bluebellfield/internal/processlimit"
 	"github.com/bluebellfield/bluebellfield/internal/tlsfiles"
 	"github.com/bluebellfield/bluebellfield/internal/tracing"
 	"github.com/bluebellfield/bluebellfield/quarantine"
@@ -53,6 +54,7 @@
 // Daemon is a running daemon.
 type Daemon struct {
 	cfg      *config.Daemon
+	limit    processlimit.Limits
 	logger   *zap.Logger
 	registry metrics.Registry
 	recorder *tracing.Recorder
@@ -89,9 +91,10 @@
 		o.Logger = zap.NewNop()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	limit := processlimit.New(cfg.MemoryMB, cfg.MaxDescriptors)
 	d := &Daemon{
-		cfg: cfg, logger: o.Logger, registry: metrics.NewRegistry(), recorder: tracing.NewRecorder(tracing.DefaultCapacity),
-		system: actor.NewActorSystem(actor.WithLoggerFactory(discardActorLogs)), client: upstream.NewClient(o.Dial),
+		cfg: cfg, limit: limit, logger: o.Logger, registry: metrics.NewRegistry(), recorder: tracing.NewRecorder(tracing.DefaultCapacity),
+		system: actor.NewActorSystem(actor.WithLoggerFactory(discardActorLogs)), client: upstream.NewClientWith(upstream.ClientOptions{Dial: o.Dial, MaxIdle: limit.IdleUpstreamConnections()}),
 		ctx: ctx, cancel: cancel, failures: make(chan error, 8),
 	}
 	d.probe = platform.NewProbe(d.registry)
@@ -234,7 +237,8 @@
 
 // serveCallers starts the server for callers.
 func (d *Daemon) serveCallers() error {
-	listener, err := callerconn.Listen(d.cfg.Listen.Caller, callerconn.Limits{Header: readHeaderTimeout})
+	listener, err := callerconn.Listen(d.cfg.Listen.Caller, callerconn.Options{Limits: callerconn.Limits{Header: readHeaderTimeout},
+		MaxConnections: d.limit.Connections(), Registry: d.registry})
 	if err != nil {
 		return err
 	}
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -296,6 +296,7 @@
 	_ = in.SetReadDeadline(end)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	callerconn.WaitForBody(ctx)
 	body, err := x.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: limit, Account: x.info.Account.ID})
 	if err != nil {
 		// The read deadline stays in place because the server drains the rest
@@ -303,6 +304,7 @@
 		x.w.Header().Set("Connection", "close")
 		return nil, bodyError(err, limit)
 	}
+	callerconn.BodyArrived(ctx)
 	_ = in.SetReadDeadline(time.Time{})
 	x.body = body.Bytes()
 	if x.r.URL.Path == chatPath {
--- a/internal/edge/callerconn/listener.go
+++ b/internal/edge/callerconn/listener.go
@@ -7,12 +7,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
 )
 
@@ -33,9 +35,10 @@
 	headerPlaceholder = 3000 * time.Hour
 )
 
-// Configure sets the timeouts of a server that serves a Listener.
+// Configure prepares a server that serves a Listener.
 func Configure(s *http.Server) {
 	s.IdleTimeout, s.ReadHeaderTimeout = idlePlaceholder, headerPlaceholder
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 }
 
 // receiveBufferBytes is the receive buffer of a connection. The kernel would let it
@@ -48,39 +51,113 @@
 	net.Listener
 	closeOnce sync.Once
 	closeErr  error
+	maxConns  int
+	evicted   metrics.Counter
+	refused   metrics.Counter
 
 	mu     sync.Mutex
 	limits Limits
 	conns  map[*conn]struct{}
 }
 
-// Listen opens a listener whose connections obey limits until SetLimits.
-func Listen(address string, limits Limits) (*Listener, error) {
+// Options configures a Listener.
+type Options struct {
+	// Limits are in force until SetLimits.
+	Limits Limits
+	// MaxConnections is the number of connections that may be open.
+	MaxConnections int
+	Registry       metrics.Registry
+}
+
+// Listen opens a listener.
+func Listen(address string, o Options) (*Listener, error) {
 	// Connections inherit the buffer, which must be known when a connection is
 	// opened: the window that was offered to a client cannot be taken back.
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var setErr error
-		err := raw.Control(func(fd uintptr) { setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes) })
+		err := raw.Control(func(fd uintptr) {
+			setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
+		})
 		return errors.Join(err, setErr)
 	}}
 	inner, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
-	return &Listener{Listener: inner, limits: limits, conns: map[*conn]struct{}{}}, nil
+	l := &Listener{Listener: inner, maxConns: o.MaxConnections, limits: o.Limits, conns: map[*conn]struct{}{},
+		evicted: metrics.GetOrRegisterCounter("connections.evicted", o.Registry), refused: metrics.GetOrRegisterCounter("connections.refused", o.Registry)}
+	metrics.GetOrRegisterGauge("connections.limit", o.Registry).Update(int64(o.MaxConnections))
+	_ = o.Registry.Register("connections.open", metrics.NewFunctionalGauge(func() int64 {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return int64(len(l.conns))
+	}))
+	return l, nil
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. When all connections are taken, it closes the one
+// that is most easily missed. If all of them are served, the new one is refused.
 func (l *Listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: inner, listener: l, waiting: forHeader, since: time.Now()}
+		victim, ok := l.add(c)
+		if victim != nil {
+			l.evicted.Inc(1)
+			// An error means that the connection is closed.
+			_ = victim.Conn.Close()
+		}
+		if ok {
+			return c, nil
+		}
+		l.refused.Inc(1)
+		refuse(inner)
 	}
-	c := &conn{Conn: inner, listener: l}
+}
+
+// refusal is the answer to a connection for which there is no room. Its request has
+// not been read.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// refuse answers and closes a connection. The answer fits into the send buffer.
+func refuse(c net.Conn) {
+	// A client that has left needs no answer.
+	_, _ = io.WriteString(c, refusal)
+	_ = c.Close()
+}
+
+// add records a new connection. At the limit it returns the connection to close, or
+// false if there is none.
+func (l *Listener) add(c *conn) (victim *conn, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.conns) >= l.maxConns {
+		if victim = l.victim(); victim == nil {
+			return nil, false
+		}
+		delete(l.conns, victim)
+	}
 	l.conns[c] = struct{}{}
-	return c, nil
+	return victim, true
+}
+
+// victim returns the connection to close for a new one: one that waits for its client,
+// in the order of waiting, and of these the one that has waited longest. The caller
+// holds mu.
+func (l *Listener) victim() *conn {
+	var found *conn
+	for c := range l.conns {
+		if c.waiting == forNothing {
+			continue
+		}
+		if found == nil || c.waiting < found.waiting || c.waiting == found.waiting && c.since.Before(found.since) {
+			found = c
+		}
+	}
+	return found
 }
 
 // Close implements net.Listener. A planned stop closes the listener before its
@@ -105,13 +182,18 @@
 	}
 }
 
-// waiting is what a connection waits for.
+// waiting is what a connection waits for from its client. The client loses less by the
+// end of a connection that waits for an earlier of these.
 type waiting uint8
 
 const (
+	// forNothing is the state while a request is served.
 	forNothing waiting = iota
+	// forClose: the connection is answered and closes.
+	forClose
 	forRequest
 	forHeader
+	forBody
 )
 
 // conn is a connection of a caller. Its fields are guarded by the listener's mu.
@@ -127,10 +209,14 @@
 	now := time.Now()
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.waiting, c.since = waitingFor(now, t), now
-	if c.waiting == forNothing {
+	next := waitingFor(now, t)
+	if next == forNothing {
+		if c.waiting != forBody && c.waiting != forClose {
+			c.waiting, c.since = forNothing, now
+		}
 		return c.Conn.SetReadDeadline(t)
 	}
+	c.waiting, c.since = next, now
 	return c.applyLimits()
 }
 
@@ -145,11 +231,33 @@
 	return forHeader
 }
 
+// connKey is the key of a connection in the contexts of its requests.
+type connKey struct{}
+
+// WaitForBody marks the connection of a request as waiting for its body. It stays so
+// if the body is refused, since the rest of it may still be under way.
+func WaitForBody(ctx context.Context) { setWaiting(ctx, forBody) }
+
+// BodyArrived marks the connection of a request as waiting for nothing.
+func BodyArrived(ctx context.Context) { setWaiting(ctx, forNothing) }
+
+func setWaiting(ctx context.Context, w waiting) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.setWaiting(w)
+	}
+}
+
+func (c *conn) setWaiting(w waiting) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.waiting, c.since = w, time.Now()
+}
+
 // applyLimits sets the deadline of a connection that waits. The caller holds mu.
 func (c *conn) applyLimits() error {
 	var limit time.Duration
 	switch c.waiting {
-	case forNothing:
+	case forNothing, forBody, forClose:
 		return nil
 	case forRequest:
 		limit = c.listener.limits.Idle
@@ -165,6 +273,7 @@
 // CloseWrite lets the server close a connection without a reset of the last
 // response.
 func (c *conn) CloseWrite() error {
+	c.setWaiting(forClose)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/internal/edge/callerconn/listener_test.go
+++ b/internal/edge/callerconn/listener_test.go
@@ -2,20 +2,30 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 )
 
+const maxTestConnections = 6
+
 func serve(t *testing.T, limits Limits) *Listener {
-	l, err := Listen("127.0.0.1:0", limits)
+	l, err := Listen("127.0.0.1:0", Options{Limits: limits, MaxConnections: maxTestConnections, Registry: metrics.NewRegistry()})
 	require.NoError(t, err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		WaitForBody(r.Context())
 		_, _ = io.Copy(io.Discard, r.Body)
+		BodyArrived(r.Context())
+		if r.URL.Path == "/slow" {
+			<-r.Context().Done()
+		}
 		_, _ = io.WriteString(w, "ok")
 	})}
 	Configure(server)
@@ -107,3 +117,53 @@
 	defer l.mu.Unlock()
 	return len(l.conns)
 }
+
+// Guards against clients that take all connections and keep ordinary ones out, and
+// against the end of a connection whose request is served.
+func TestConnectionLimit(t *testing.T) {
+	l := serve(t, Limits{})
+	send := func(text string) client {
+		c := connect(t, l)
+		_, err := io.WriteString(c, text)
+		require.NoError(t, err)
+		time.Sleep(50 * time.Millisecond)
+		return c
+	}
+	requireClosed := func(c client, reason string) {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+		_, err := c.in.ReadByte()
+		require.Error(t, err)
+		var timeout net.Error
+		require.False(t, errors.As(err, &timeout) && timeout.Timeout(), reason)
+	}
+	served := send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	body := send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx")
+	laterBody := send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx")
+	head := send("POST / HTTP/1.1\r\nHo")
+	idle := connect(t, l)
+	idle.request(t)
+	closing := send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	// The server has answered and waits for the client to close its side.
+	connect(t, l).request(t)
+	_ = closing
+	require.Equal(t, maxTestConnections, l.open())
+	connect(t, l).request(t)
+	requireClosed(idle, "an idle connection is missed least")
+	for range 2 {
+		send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	requireClosed(head, "then one without a whole head")
+	send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	requireClosed(body, "then the oldest without a whole body")
+	send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	requireClosed(laterBody, "then the next one")
+	refused := connect(t, l)
+	resp, err := http.ReadResponse(refused.in, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.NoError(t, served.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = served.in.ReadByte()
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "a request that is served keeps its connection")
+}
--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -92,6 +92,8 @@
 	DialTimeout time.Duration
 	// IdleTimeout is how long an idle connection is kept open.
 	IdleTimeout time.Duration
+	// MaxIdle limits the idle connections to all upstreams; 0 means no limit.
+	MaxIdle int
 }
 
 // NewClient returns a client with its own connection pool. A nil dial means
@@ -109,6 +111,7 @@
 	}
 	pooled := &http.Transport{
 		DialContext:         dialTracked(dial),
+		MaxIdleConns:        o.MaxIdle,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     cmp.Or(o.IdleTimeout, idleConnTimeout),
 		DisableCompression:  true,
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/internal/edge/bodybudget"
+	"github.com/bluebellfield/bluebellfield/internal/edge/callerconn"
 )
 
 // defaultMaxBodyBytes limits request bodies while the catalog sets no limit.
@@ -33,8 +34,10 @@
 		// the deadline stays, because the server drains the rest of the body.
 		_ = connection.SetReadDeadline(x.deadline)
 	}
+	callerconn.WaitForBody(x.r.Context())
 	body, err := x.e.opts.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: int64(limit), Account: x.accountName()})
 	if err == nil {
+		callerconn.BodyArrived(x.r.Context())
 		if limitTime {
 			_ = connection.SetReadDeadline(time.Time{})
 		}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -23,6 +23,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/entry"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
+	"github.com/bluebellfield/bluebellfield/internal/processlimit"
 	"github.com/bluebellfield/bluebellfield/internal/storage"
 )
 
@@ -79,6 +80,7 @@
 // Instance is a running process of a deployment.
 type Instance struct {
 	settings         *Settings
+	limits           processlimit.Limits
 	adapter          Adapter
 	logger           *zap.Logger
 	registry         metrics.Registry
@@ -102,9 +104,10 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * s.MemoryMB * (1 << 20)))
 	}
-	i := &Instance{settings: s, adapter: a, logger: logger.With(zap.String("instance", s.Name)), registry: metrics.NewRegistry(),
+	limits := processlimit.New(s.MemoryMB, s.MaxDescriptors)
+	i := &Instance{settings: s, limits: limits, adapter: a, logger: logger.With(zap.String("instance", s.Name)), registry: metrics.NewRegistry(),
 		system:   actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) })),
-		client:   upstream.NewClientWith(upstream.ClientOptions{DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout}),
+		client:   upstream.NewClientWith(upstream.ClientOptions{DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: limits.IdleUpstreamConnections()}),
 		failures: make(chan error, 8)}
 	if err := i.start(); err != nil {
 		return nil, errors.Join(err, i.Close(context.Background()))
@@ -158,7 +161,7 @@
 
 func (i *Instance) startEntry() error {
 	s := i.settings
-	listener, err := callerconn.Listen(s.Listen.Caller, callerconn.Limits{})
+	listener, err := callerconn.Listen(s.Listen.Caller, callerconn.Options{MaxConnections: i.limits.Connections(), Registry: i.registry})
 	if err != nil {
 		return err
 	}
