processlimit: one place divides the memory of a process

Callers saw daemons that exceeded their memory while clients sent large bodies, and entries that came close to it.

Cause: daemons gave the Go runtime no memory limit, so that the heap grew to twice what was held. Bodies got 0.55 of the memory, whatever the process itself and its connections take.

Bodies get half of what is left beyond 40 MiB, connections a fifth of all, and the collector keeps to 0.75 of it, on both serving paths.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -92,6 +92,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	limit := processlimit.New(cfg.MemoryMB, cfg.MaxDescriptors)
+	limit.LimitRuntime()
 	d := &Daemon{
 		cfg: cfg, limit: limit, logger: o.Logger, registry: metrics.NewRegistry(), recorder: tracing.NewRecorder(tracing.DefaultCapacity),
 		system: actor.NewActorSystem(actor.WithLoggerFactory(discardActorLogs)), client: upstream.NewClientWith(upstream.ClientOptions{Dial: o.Dial, MaxIdle: limit.IdleUpstreamConnections()}),
@@ -184,7 +185,7 @@
 			Quarantine: d.crashes, Claimer: d.claimer, Client: d.client,
 		},
 		Logger: d.logger, Tracer: d.recorder.Provider().Tracer("bluebellfield"), Observe: d.stats.observe,
-		Bodies: bodybudget.ForMemory(d.cfg.MemoryMB, d.registry),
+		Bodies: bodybudget.New(d.limit.BodyBytes(), d.registry),
 	})
 }
 
--- a/internal/edge/bodybudget/bodybudget.go
+++ b/internal/edge/bodybudget/bodybudget.go
@@ -40,9 +40,6 @@
 	// maxWait is how long a body waits for memory. A caller learns more from a refusal
 	// than from a longer wait.
 	maxWait = time.Second
-	// memoryShare is the part of the memory of a process that bodies may take. The
-	// garbage collector and everything else need the rest.
-	memoryShare = 0.55
 )
 
 var (
@@ -72,23 +69,17 @@
 	refused   metrics.Counter
 }
 
-// New returns a budget of a number of bytes.
+// New returns a budget of a number of bytes, or nil for 0, which means no limit.
 func New(limit int64, registry metrics.Registry) *Budget {
+	if limit <= 0 {
+		return nil
+	}
 	b := &Budget{limit: limit, large: int64(float64(limit) * (1 - smallShare)), byAccount: map[string]int64{}, changed: make(chan struct{}),
 		usedGauge: metrics.GetOrRegisterGauge("bodies.bytes", registry), refused: metrics.GetOrRegisterCounter("bodies.refused", registry)}
 	metrics.GetOrRegisterGauge("bodies.limit_bytes", registry).Update(limit)
 	return b
 }
 
-// ForMemory returns the budget of a process that may use a number of megabytes, or nil
-// if it has no limit.
-func ForMemory(megabytes float64, registry metrics.Registry) *Budget {
-	if megabytes <= 0 {
-		return nil
-	}
-	return New(int64(megabytes*memoryShare*(1<<20)), registry)
-}
-
 // Body is the body of one request. Its memory is reserved until Release.
 type Body struct {
 	budget  *Budget
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"path/filepath"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -70,11 +69,6 @@
 	// answerReserve is the part of the grace period in which the requests that are
 	// cancelled at its end are answered.
 	answerReserve = 200 * time.Millisecond
-	// memoryLimitFraction is the fraction of the allowed memory that is set as the
-	// soft limit of the Go runtime. The bodies of requests may take 0.55 of the memory,
-	// and the collector needs room beside them. The rest is for memory that the
-	// runtime does not manage, such as kernel buffers.
-	memoryLimitFraction = 0.75
 )
 
 // Instance is a running process of a deployment.
@@ -101,10 +95,8 @@
 
 // Start starts an instance. The settings must be valid.
 func Start(s *Settings, a Adapter, logger *zap.Logger) (*Instance, error) {
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * s.MemoryMB * (1 << 20)))
-	}
 	limits := processlimit.New(s.MemoryMB, s.MaxDescriptors)
+	limits.LimitRuntime()
 	i := &Instance{settings: s, limits: limits, adapter: a, logger: logger.With(zap.String("instance", s.Name)), registry: metrics.NewRegistry(),
 		system:   actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) })),
 		client:   upstream.NewClientWith(upstream.ClientOptions{DialTimeout: upstreamDialTimeout, IdleTimeout: upstreamIdleTimeout, MaxIdle: limits.IdleUpstreamConnections()}),
@@ -170,7 +162,7 @@
 	}
 	i.entry = entry.Start(entry.Options{ID: s.ID, FailureDomain: s.FailureDomain, Seeds: s.seedIDs(), Network: i.network,
 		Decode: i.adapter.Decode, OnLimits: setLimits, Protocol: i.adapter.Protocol, Client: i.client, Logger: i.logger, Registry: i.registry,
-		Bodies:      bodybudget.ForMemory(s.MemoryMB, i.registry),
+		Bodies:      bodybudget.New(i.limits.BodyBytes(), i.registry),
 		RetryBudget: entry.RetryBudget{Ratio: s.RetryBudget.Ratio, Allowance: int(s.RetryBudget.Allowance), Window: milliseconds(s.RetryBudget.WindowMS)}})
 	if err := i.serve(s.Listen.Ready, i.adapter.Ready(i.entry.Ready)); err != nil {
 		return errors.Join(err, listener.Close())
--- a/internal/processlimit/processlimit.go
+++ b/internal/processlimit/processlimit.go
@@ -4,6 +4,8 @@
 package processlimit
 
 import (
+	"runtime/debug"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -23,6 +25,17 @@
 	// connectionMemoryShare is the part of the memory for connections of callers.
 	connectionMemoryShare = 0.2
 	minConnections        = 16
+	// baseBytes is the memory of a process without requests, with its program and
+	// its connections to others.
+	baseBytes = 40 << 20
+	// bodyShare is the part of the rest for the bodies of requests, and minBodyShare
+	// their least part of all memory. The garbage collector needs room beside them.
+	bodyShare    = 0.5
+	minBodyShare = 0.125
+	// collectorShare is the part of all memory that is the soft limit of the Go
+	// runtime. The rest is for what the runtime does not manage: the program and the
+	// buffers of the kernel.
+	collectorShare = 0.75
 )
 
 // Limits are the limits of a process.
@@ -58,6 +71,18 @@
 // kept open without a request.
 func (l Limits) IdleUpstreamConnections() int { return max(l.share(idleUpstreamShare), 1) }
 
+// BodyBytes returns the memory for the bodies of requests; 0 means no limit.
+func (l Limits) BodyBytes() int64 {
+	return int64(max(bodyShare*float64(l.MemoryBytes-baseBytes), minBodyShare*float64(l.MemoryBytes)))
+}
+
+// LimitRuntime makes the garbage collector keep to the memory.
+func (l Limits) LimitRuntime() {
+	if l.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(collectorShare * float64(l.MemoryBytes)))
+	}
+}
+
 func (l Limits) share(part float64) int {
 	return int(part * float64(max(l.Descriptors-reservedDescriptors, 0)))
 }
--- a/internal/processlimit/processlimit_test.go
+++ b/internal/processlimit/processlimit_test.go
@@ -24,3 +24,15 @@
 	require.Positive(t, New(0, 0).Descriptors)
 	require.LessOrEqual(t, New(0, 64).Descriptors, 64)
 }
+
+// Guards against parts of the memory that exceed it together: bodies, connections and
+// the process itself.
+func TestMemoryAddsUp(t *testing.T) {
+	require.Zero(t, Limits{}.BodyBytes())
+	for _, megabytes := range []int64{96, 128, 284, 1024, 16384} {
+		l := Limits{Descriptors: 1 << 20, MemoryBytes: megabytes << 20}
+		connections := int64(l.Connections()) * connectionBytes
+		require.Less(t, l.BodyBytes()+connections+baseBytes, l.MemoryBytes, "%d MiB", megabytes)
+		require.Greater(t, l.BodyBytes(), l.MemoryBytes/8)
+	}
+}
