caller: a chat takes little more memory than its body

Callers saw daemons that exceeded their memory: chats of many tiny messages took many times the memory of their bodies.

Messages are read one by one; their number of bytes, the start of the text and the hashes of the first ones are kept. Requests to plain services are sent from the pieces of their bodies.

--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -199,7 +199,7 @@
 // released its claim.
 func TestResendAfterRelease(t *testing.T) {
 	h := newHarness(t, 0)
-	body := [32]byte(digest("acc", h.route.Service, http.MethodPost, "/orders", []byte("one")))
+	body := [32]byte(digest("acc", h.route.Service, http.MethodPost, "/orders", [][]byte{[]byte("one")}))
 	h.claims["k"] = &fakeClaim{state: ClaimRunning, body: body, done: make(chan struct{})}
 	time.AfterFunc(20*time.Millisecond, func() { h.Release(ClaimID{Key: "k"}) })
 	r := h.do(t.Context(), http.MethodPost, "/orders", "one", map[string]string{headerIdempotencyKey: "k"})
--- a/internal/edge/caller/deps.go
+++ b/internal/edge/caller/deps.go
@@ -73,7 +73,7 @@
 	Model     string
 	// Tokens is the estimated number of tokens in the prompt and the answer.
 	Tokens int
-	// Prompt is the text whose prefix an engine may have cached.
+	// Prompt is the start of the text whose prefix an engine may have cached.
 	Prompt string
 	// Digest is a hash of account, service, method, URI and body. It does not
 	// depend on the request id.
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -28,13 +27,6 @@
 	"github.com/bluebellfield/bluebellfield/membership"
 )
 
-// chatPath is the OpenAI chat completions route.
-const chatPath = "/v1/chat/completions"
-
-// defaultMaxTokens is the assumed length of an answer whose request does not
-// set max_tokens.
-const defaultMaxTokens = 256
-
 // Options configures a Handler.
 type Options struct {
 	Deps
@@ -81,6 +73,8 @@
 	stop    *callerconn.Stop
 	// echoing holds the plain services that echo request ids.
 	echoing upstreamSet
+	// parsing holds a value for each large chat that is being parsed.
+	parsing chan struct{}
 }
 
 // NewHandler returns a Handler with defaults filled in.
@@ -89,7 +83,7 @@
 		o.Observe = func(Finished) {}
 	}
 	o.BodyTimeout = cmp.Or(o.BodyTimeout, defaultBodyTimeout)
-	return &Handler{Options: o, stop: callerconn.NewStop()}
+	return &Handler{Options: o, stop: callerconn.NewStop(), parsing: make(chan struct{}, maxLargeParses)}
 }
 
 // maxUpstreamSet limits the size of an upstreamSet. A deployment has fewer plain
@@ -130,7 +124,7 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	info     RequestInfo
-	body     []byte
+	body     *bodybudget.Body
 	chat     chatRequest
 	started  time.Time
 	finished Finished
@@ -142,19 +136,6 @@
 	wroteHeader bool
 }
 
-// chatRequest holds the fields of a chat completion request that the entry
-// instance uses.
-type chatRequest struct {
-	Model               string `json:"model"`
-	Stream              bool   `json:"stream"`
-	MaxTokens           int    `json:"max_tokens"`
-	MaxCompletionTokens int    `json:"max_completion_tokens"`
-	Messages            []struct {
-		Role    string          `json:"role"`
-		Content json.RawMessage `json:"content"`
-	} `json:"messages"`
-}
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	requestID := newRequestID()
@@ -231,11 +212,13 @@
 	if err := x.authenticate(); err != nil {
 		return err
 	}
-	held, err := x.readBody(ctx)
-	if err != nil {
+	if err := x.readBody(ctx); err != nil {
+		return err
+	}
+	defer x.body.Release()
+	if err := x.parseChat(ctx); err != nil {
 		return err
 	}
-	defer held.Release()
 	if err := x.resolveRoute(); err != nil {
 		return err
 	}
@@ -288,8 +271,8 @@
 // did not fit into the memory for bodies. Large bodies take some seconds to arrive.
 const noBodyMemoryRetryAfter = time.Second
 
-// readBody reads the body of the request. The caller releases its memory.
-func (x *exchange) readBody(ctx context.Context) (*bodybudget.Body, error) {
+// readBody reads the body of the request.
+func (x *exchange) readBody(ctx context.Context) error {
 	limit := x.Policy.MaxBodyBytes()
 	in := http.NewResponseController(x.w)
 	end := time.Now().Add(x.BodyTimeout)
@@ -302,18 +285,12 @@
 		// The read deadline stays in place because the server drains the rest
 		// of the body before it closes the connection.
 		x.w.Header().Set("Connection", "close")
-		return nil, bodyError(err, limit)
+		return bodyError(err, limit)
 	}
 	callerconn.BodyArrived(ctx)
 	_ = in.SetReadDeadline(time.Time{})
-	x.body = body.Bytes()
-	if x.r.URL.Path == chatPath {
-		if err := x.parseChat(); err != nil {
-			body.Release()
-			return nil, err
-		}
-	}
-	return body, nil
+	x.body = body
+	return nil
 }
 
 func bodyError(err error, limit int64) error {
@@ -327,46 +304,13 @@
 	return fault.Wrap(err, fault.BadRequest, at, fault.NotRun)
 }
 
-func (x *exchange) parseChat() error {
-	if err := json.Unmarshal(x.body, &x.chat); err != nil {
-		return fault.Wrap(err, fault.BadRequest, fault.Location{Step: StepRead}, fault.NotRun)
-	}
-	x.info.Model = x.chat.Model
-	x.info.Tokens = defaultMaxTokens
-	if n := max(x.chat.MaxTokens, x.chat.MaxCompletionTokens); n > 0 {
-		x.info.Tokens = n
-	}
-	var prompt strings.Builder
-	for i, m := range x.chat.Messages {
-		start := prompt.Len()
-		prompt.WriteString(m.Role)
-		prompt.WriteByte('\n')
-		prompt.Write(m.Content)
-		if i < min(len(x.chat.Messages)-1, maxSharedParts) {
-			x.info.Parts = append(x.info.Parts, sha256.Sum256([]byte(prompt.String()[start:])))
-		}
-	}
-	x.info.Prompt = prompt.String()
-	x.info.Tokens += promptTokens(x.info.Prompt)
-	return nil
-}
-
-// maxSharedParts limits the messages of a chat that quarantine tracks. Long chats
-// share the first ones.
-const maxSharedParts = 16
-
-// bytesPerToken is the approximate length of a token in English text.
-const bytesPerToken = 4
-
-func promptTokens(prompt string) int { return len(prompt) / bytesPerToken }
-
 func (x *exchange) resolveRoute() error {
 	at := fault.Location{Step: StepRoute}
 	route, err := x.Policy.Route(x.info.Account, x.r.Method, x.r.URL.Path, x.info.Model)
 	if err != nil {
 		return fault.Wrap(err, fault.NotFound, at, fault.NotRun)
 	}
-	if int64(len(x.body)) > route.MaxBodyBytes {
+	if x.body.Size() > route.MaxBodyBytes {
 		return fault.New(fault.BodyTooLarge, at, fault.NotRun, fmt.Sprintf("the body exceeds %d bytes", route.MaxBodyBytes))
 	}
 	if n := callerconn.HeaderBytes(x.r.Header); n > route.MaxHeaderBytes {
@@ -374,19 +318,21 @@
 	}
 	x.info.Route = route
 	x.info.Deadline = x.started.Add(route.Timeout)
-	x.info.Digest = digest(x.info.Account.ID, route.Service, x.r.Method, x.r.URL.RequestURI(), x.body)
+	x.info.Digest = digest(x.info.Account.ID, route.Service, x.r.Method, x.r.URL.RequestURI(), x.body.Chunks())
 	x.finished.Service = route.Service
 	return nil
 }
 
 // digest hashes the contents of a request: account, service, method, URI and
 // body. It does not depend on the request id.
-func digest(account, service, method, uri string, body []byte) [32]byte {
+func digest(account, service, method, uri string, body [][]byte) [32]byte {
 	sum := sha256.New()
 	for _, part := range []string{account, service, method, uri} {
 		fmt.Fprintf(sum, "%d:%s,", len(part), part)
 	}
-	sum.Write(body)
+	for _, chunk := range body {
+		sum.Write(chunk)
+	}
 	return [32]byte(sum.Sum(nil))
 }
 
--- a/internal/edge/caller/stream.go
+++ b/internal/edge/caller/stream.go
@@ -48,7 +48,7 @@
 		return err
 	}
 	s := &stream{exchange: x, slot: slot, delivered: noPosition}
-	defer func() { slot.Release(Usage{Tokens: promptTokens(x.info.Prompt) + int(s.delivered) + 1}) }()
+	defer func() { slot.Release(Usage{Tokens: x.chat.Messages.tokens() + int(s.delivered) + 1}) }()
 	x.Retrier.RecordFirstAttempt(&x.info)
 	var lastErr error
 	for {
--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -57,11 +57,12 @@
 
 // Dispatch is one attempt of a request at one upstream.
 type Dispatch struct {
-	Target    Target
-	Method    string
-	URI       string
-	Header    http.Header
-	Body      []byte
+	Target Target
+	Method string
+	URI    string
+	Header http.Header
+	// Body is nil for a request without one.
+	Body      Body
 	RequestID string
 	Attempt   int
 	Priority  string
@@ -72,6 +73,21 @@
 	Once bool
 }
 
+// Body is the body of a request. Each attempt reads it anew.
+type Body interface {
+	Reader() io.Reader
+	Size() int64
+}
+
+// Bytes is a Body in one piece.
+type Bytes []byte
+
+// Reader implements Body.
+func (b Bytes) Reader() io.Reader { return bytes.NewReader(b) }
+
+// Size implements Body.
+func (b Bytes) Size() int64 { return int64(len(b)) }
+
 // Client sends requests, orders and probes to upstreams.
 type Client struct {
 	dial   DialFunc
@@ -215,14 +231,14 @@
 // newRequest builds the HTTP request. GetBody is nil, so that the transport cannot
 // resend the body.
 func (d *Dispatch) newRequest(ctx context.Context) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, d.Method, "http://"+d.Target.Address+d.URI, bytes.NewReader(d.Body))
+	req, err := http.NewRequestWithContext(ctx, d.Method, "http://"+d.Target.Address+d.URI, http.NoBody)
 	if err != nil {
 		return nil, err
 	}
 	KeepRequestURI(req.URL, d.URI)
 	req.GetBody = nil
-	if len(d.Body) == 0 {
-		req.Body = http.NoBody
+	if d.Body != nil && d.Body.Size() > 0 {
+		req.Body, req.ContentLength = io.NopCloser(d.Body.Reader()), d.Body.Size()
 	}
 	if d.Header != nil {
 		req.Header = d.Header.Clone()
@@ -255,7 +271,7 @@
 	}
 	// An order must not reach the engine after its deadline, so the transport
 	// must not resend it.
-	d := Dispatch{Target: target, Method: http.MethodPost, URI: PathOrders, Body: body, RequestID: order.ID, Attempt: 1, Once: true}
+	d := Dispatch{Target: target, Method: http.MethodPost, URI: PathOrders, Body: Bytes(body), RequestID: order.ID, Attempt: 1, Once: true}
 	if bearer != "" {
 		d.Header = http.Header{"Authorization": {"Bearer " + bearer}}
 	}
--- a/internal/edge/upstream/client_test.go
+++ b/internal/edge/upstream/client_test.go
@@ -128,7 +128,7 @@
 
 func postTo(s *rawServer, once bool) Dispatch {
 	return Dispatch{
-		Target: Target{ID: "u", Address: s.address}, Method: http.MethodPost, URI: "/order", Body: []byte("cut the rug"),
+		Target: Target{ID: "u", Address: s.address}, Method: http.MethodPost, URI: "/order", Body: Bytes("cut the rug"),
 		RequestID: "r", Attempt: 1, Once: once,
 	}
 }
@@ -283,9 +283,9 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		d := Dispatch{
 			Method: http.MethodPost, URI: "/", RequestID: "r", Attempt: 1, Once: rapid.Bool().Draw(rt, "once"),
-			Body: []byte(strings.Repeat("x", rapid.SampledFrom([]int{1, 100, 5000, 70_000}).Draw(rt, "body"))),
+			Body: Bytes(strings.Repeat("x", rapid.SampledFrom([]int{1, 100, 5000, 70_000}).Draw(rt, "body"))),
 		}
-		cut := rapid.IntRange(0, len(d.Body)+300).Draw(rt, "cut")
+		cut := rapid.IntRange(0, int(d.Body.Size())+300).Draw(rt, "cut")
 		closeConn := rapid.SampledFrom([]func(*net.TCPConn){reset, func(c *net.TCPConn) { c.Close() }}).Draw(rt, "break")
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(rt, err)
--- a/internal/processtest/clients_test.go
+++ b/internal/processtest/clients_test.go
@@ -1,7 +1,9 @@
 package processtest
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,3 +43,23 @@
 		}
 	}
 }
+
+// Guards against chats that take many times the memory of their bodies: each of the
+// tiny messages became a structure, and the whole text was kept once more.
+func TestChatsOfTinyMessages(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(300 * time.Millisecond)
+		serve(w, r)
+	}
+	s := startChatDaemon(t, buildDaemon(t), crowdLimits, http.HandlerFunc(slow))
+	const message = `{},`
+	body := `{"model":"model","messages":[` + strings.Repeat(message, crowdLimits.maxBodyBytes/len(message)-20) + `{}]}`
+	c := startCrowd(s, upload{framing: fmt.Sprintf("Content-Length: %d", len(body)), pieces: [][]byte{[]byte(body)}}, crowdSize)
+	time.Sleep(crowdTime)
+	besideCrowd := s.ordinaryRequest(ordinaryBodyBytes)
+	c.leave()
+	t.Log(c.summary())
+	requireWithin(t, s, crowdLimits)
+	require.True(t, besideCrowd, "an ordinary request beside the crowd is served")
+	require.True(t, s.ordinaryRequest(ordinaryBodyBytes), "an ordinary request afterwards is served")
+}
