upstream: an answer is complete only if its request was written

Cause: after a reset only the first system call on the connection gets the error. The write of the upload took it, and the read saw an orderly end, which ends an answer without a length.

At such an end, the reader waits until the request is written. If it was not, the answer is cut off.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/bluebellfield/bluebellfield/internal/edge/operator"
+	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/fault"
 )
 
@@ -69,7 +70,7 @@
 		}
 		o.Servers[i] = strings.TrimSuffix(s, "/")
 	}
-	return &Client{ClientOptions: o, http: &http.Client{Transport: transport}}, nil
+	return &Client{ClientOptions: o, http: &http.Client{Transport: upstream.NewAnswerChecker(transport)}}, nil
 }
 
 // APIError is an error response of a daemon.
--- a/internal/edge/caller/attempt.go
+++ b/internal/edge/caller/attempt.go
@@ -142,7 +142,7 @@
 // complete. The connections of a process that ends are closed like those of one
 // that has sent everything.
 func (a *attempt) checkEnd() error {
-	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+	framed := upstream.Framed(a.resp)
 	if !framed && a.choice.Ended() {
 		return errCutOff
 	}
--- /dev/null
+++ b/internal/edge/upstream/answer.go
@@ -0,0 +1,166 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// The HTTP library is lenient with the answers that it reads. The functions of this
+// file decide whether an answer is a message by RFC 9110 and RFC 9112, and whether it is
+// complete. All answers of others are read through Exchange or an AnswerChecker.
+
+// errRequestNotWritten is returned for an answer that ends with its connection before
+// the request was written. After a reset only the first system call on the connection
+// gets the error. If that is a write, a read sees an orderly end.
+var errRequestNotWritten = errors.New("the connection ended before the request was written")
+
+// checkHead returns an error if an answer has no valid status.
+func checkHead(status int) error {
+	if !isFinal(status) {
+		return fmt.Errorf("the upstream answered with the status %d", status)
+	}
+	return nil
+}
+
+// isFinal reports whether a status may end a request. After an unsolicited 101, the
+// transport would hand over the connection, on which no deadline holds; a status out
+// of range could not be sent to the caller.
+func isFinal(status int) bool { return status >= http.StatusOK && status <= 599 }
+
+// requestWrite is the writing of one request, which may go on after the head of the
+// answer has arrived.
+type requestWrite struct {
+	ctx  context.Context
+	once sync.Once
+	// done is closed when the request was handed to its connection, or has failed
+	// with err.
+	done chan struct{}
+	err  error
+
+	mu   sync.Mutex
+	conn *trackedConn
+}
+
+func newRequestWrite(ctx context.Context) *requestWrite {
+	return &requestWrite{ctx: ctx, done: make(chan struct{})}
+}
+
+// trace returns ctx with hooks that observe the request and check the heads before the
+// final one.
+func (w *requestWrite) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.conn, _ = info.Conn.(*trackedConn)
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			w.once.Do(func() {
+				w.err = info.Err
+				close(w.done)
+			})
+		},
+	})
+}
+
+// await waits until the request was written, and returns an error if it was not.
+func (w *requestWrite) await() error {
+	select {
+	case <-w.done:
+	case <-w.ctx.Done():
+		return context.Cause(w.ctx)
+	}
+	if w.err != nil {
+		return errors.Join(errRequestNotWritten, w.err)
+	}
+	w.mu.Lock()
+	conn := w.conn
+	w.mu.Unlock()
+	if conn == nil {
+		// Connections with TLS show by themselves whether they ended in order.
+		return nil
+	}
+	if err := conn.awaitWrite(); err != nil {
+		return errors.Join(errRequestNotWritten, err)
+	}
+	return nil
+}
+
+// checkBody makes the body of an answer end with an error unless it is complete.
+func checkBody(resp *http.Response, written *requestWrite) {
+	resp.Body = &checkedBody{ReadCloser: resp.Body, resp: resp, written: written}
+}
+
+// checkedBody is the body of an answer.
+type checkedBody struct {
+	io.ReadCloser
+	resp    *http.Response
+	written *requestWrite
+	// end is the result of the check at the end.
+	end error
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.end = b.check()
+		err = b.end
+	}
+	return n, err
+}
+
+// check returns io.EOF if the answer is complete.
+func (b *checkedBody) check() error {
+	if Framed(b.resp) {
+		return io.EOF
+	}
+	if err := b.written.await(); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// Framed reports whether an answer states its end, by a length or by chunks.
+func Framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// AnswerChecker is a transport for requests that are not sent by a Client. It returns
+// an error for an answer that is no valid message, and in place of the end of one that
+// is not complete.
+type AnswerChecker struct{ transport *http.Transport }
+
+// NewAnswerChecker returns a checker of the answers of a transport, whose DialContext
+// must be set.
+func NewAnswerChecker(transport *http.Transport) *AnswerChecker {
+	dial := transport.DialContext
+	transport.DialContext = dialTracked(func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) })
+	return &AnswerChecker{transport: transport}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *AnswerChecker) RoundTrip(req *http.Request) (*http.Response, error) {
+	written := newRequestWrite(req.Context())
+	resp, err := c.transport.RoundTrip(req.WithContext(written.trace(req.Context())))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp.StatusCode); err != nil {
+		return nil, errors.Join(err, resp.Body.Close())
+	}
+	checkBody(resp, written)
+	return resp, nil
+}
+
+// CloseIdleConnections closes the connections without a request.
+func (c *AnswerChecker) CloseIdleConnections() { c.transport.CloseIdleConnections() }
--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -179,17 +179,19 @@
 	// under it. It ends with the caller's.
 	ctx, cancel := context.WithCancelCause(req.Context())
 	tracker := &writeTracker{cancel: cancel}
-	req = req.WithContext(tracker.withTrace(ctx))
+	written := newRequestWrite(ctx)
+	req = req.WithContext(written.trace(tracker.withTrace(ctx)))
 	resp, err := c.transport(once).RoundTrip(req)
-	if err == nil && isFinal(resp.StatusCode) {
-		return resp, nil
-	}
-	defer cancel(nil)
 	if err == nil {
-		_ = resp.Body.Close()
-		err = fmt.Errorf("the upstream answered with the status %d", resp.StatusCode)
+		if err = checkHead(resp.StatusCode); err == nil {
+			checkBody(resp, written)
+			return resp, nil
+		}
+		err = errors.Join(err, resp.Body.Close())
+		cancel(nil)
 		return nil, fault.Wrap(err, fault.UpstreamFailed, at, fault.Unknown)
 	}
+	defer cancel(nil)
 	if tracker.notSent() {
 		return nil, fault.Wrap(err, fault.UpstreamUnreachable, at, fault.NotRun)
 	}
@@ -208,11 +210,6 @@
 	u.Opaque, u.RawQuery, u.ForceQuery = path, query, hasQuery && query == ""
 }
 
-// isFinal reports whether a status may end a request. After an unsolicited 101, the
-// transport would hand over the connection, on which no deadline holds; a status out
-// of range could not be sent to the caller.
-func isFinal(status int) bool { return status >= http.StatusOK && status <= 599 }
-
 // failureCode returns the fault code of a request that failed in transit.
 func failureCode(err error) fault.Code {
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/internal/edge/upstream/conn.go
+++ b/internal/edge/upstream/conn.go
@@ -18,6 +18,10 @@
 	mu            sync.Mutex
 	written       int64
 	writesBlocked bool
+	// writing is held while bytes are written; writeErr is the first error of a
+	// write and guarded by it.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // Write counts the bytes before it passes them to the kernel, since a failed
@@ -30,7 +34,21 @@
 	}
 	c.written += int64(len(p))
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// awaitWrite waits for the end of a write in progress, and returns the error of the
+// writes so far. A write ends at the latest when the connection is closed.
+func (c *trackedConn) awaitWrite() error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr
 }
 
 // bytesWritten returns the number of bytes of all writes so far.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -323,16 +323,11 @@
 // upstream has ended.
 var errBodyCutOff = errors.New("the upstream ended with the connection")
 
-// framed reports whether a response states its end, by a length or by chunks.
-func framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 // checkEnd returns an error if a response that ended with its connection is not
 // complete. The connections of a process that ends are closed like those of one
 // that has sent everything.
 func (x *exchange) checkEnd(t *target, resp *http.Response) error {
-	if !framed(resp) && x.e.hasCrashed(t) {
+	if !upstream.Framed(resp) && x.e.hasCrashed(t) {
 		return errBodyCutOff
 	}
 	return nil
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 	"github.com/bluebellfield/bluebellfield/internal/sse"
 	"github.com/bluebellfield/bluebellfield/quarantine"
 )
@@ -46,7 +47,7 @@
 // and chunks only the end of the connection shows the end of a stream, so that one
 // without events is no answer unless it resumes an earlier one.
 func (x *exchange) streamCutOff(a *upstreamAttempt, resp *http.Response) bool {
-	if framed(resp) {
+	if upstream.Framed(resp) {
 		return false
 	}
 	return a.firstEvent.IsZero() && x.position.Load() < 0 && x.request.ResumePosition < 0 || x.e.hasCrashed(a.target)
