upstream: fields with invalid names make an answer a failure

Callers got answers with a body that was not the worker's: the worker was in trouble and had written a blank into the name of a field.

Cause: the HTTP library accepts names with blanks, in the head, in heads before the final one and in trailers. It doesn't recognize the framing by such a name, so that a body with 'Transfer-Encoding : chunked' was passed on with its chunk sizes, and one with 'Content-Length : 4' until the end of the connection.

All three are checked where answers are read; such an answer is a failure of the worker, as are those with NUL or a line break in a value. Names with control bytes and a status out of range, as 000, were failures before.

--- a/internal/edge/upstream/answer.go
+++ b/internal/edge/upstream/answer.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
+	"strings"
 	"sync"
 )
 
@@ -20,14 +22,42 @@
 // gets the error. If that is a write, a read sees an orderly end.
 var errRequestNotWritten = errors.New("the connection ended before the request was written")
 
-// checkHead returns an error if an answer has no valid status.
-func checkHead(status int) error {
+// checkHead returns an error if the head of an answer is no valid message.
+func checkHead(status int, header http.Header) error {
 	if !isFinal(status) {
 		return fmt.Errorf("the upstream answered with the status %d", status)
 	}
+	return checkFields(header)
+}
+
+// checkFields returns an error for a field whose name is no token, or whose value
+// contains bytes that a recipient must not pass on. The library accepts names with
+// blanks, and does not recognize the framing of a message by them.
+func checkFields(header http.Header) error {
+	for name, values := range header {
+		if !isToken(name) {
+			return fmt.Errorf("the upstream answered with the field name %q", name)
+		}
+		for _, value := range values {
+			if strings.ContainsAny(value, "\x00\r\n") {
+				return fmt.Errorf("the upstream answered with a line break or NUL in the field %s", name)
+			}
+		}
+	}
 	return nil
 }
 
+// isToken reports whether a name is a token of RFC 9110.
+func isToken(name string) bool {
+	const symbols = "!#$%&'*+-.^_`|~"
+	for _, c := range []byte(name) {
+		if (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && strings.IndexByte(symbols, c) < 0 {
+			return false
+		}
+	}
+	return name != ""
+}
+
 // isFinal reports whether a status may end a request. After an unsolicited 101, the
 // transport would hand over the connection, on which no deadline holds; a status out
 // of range could not be sent to the caller.
@@ -66,6 +96,7 @@
 				close(w.done)
 			})
 		},
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkFields(http.Header(header)) },
 	})
 }
 
@@ -121,6 +152,9 @@
 
 // check returns io.EOF if the answer is complete.
 func (b *checkedBody) check() error {
+	if err := checkFields(b.resp.Trailer); err != nil {
+		return err
+	}
 	if Framed(b.resp) {
 		return io.EOF
 	}
@@ -155,7 +189,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp.StatusCode); err != nil {
+	if err := checkHead(resp.StatusCode, resp.Header); err != nil {
 		return nil, errors.Join(err, resp.Body.Close())
 	}
 	checkBody(resp, written)
--- a/internal/edge/upstream/answer_test.go
+++ b/internal/edge/upstream/answer_test.go
@@ -52,6 +52,7 @@
 		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", inOrder, 0, true},
 		{"ends with its connection", "HTTP/1.1 200 OK\r\n\r\nbody", inOrder, 0, true},
 		{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody", inOrder, 0, false},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX Note: a\r\nContent-Length: 4\r\n\r\nbody", inOrder, 0, false},
 		{"reset during the upload", "HTTP/1.1 200 OK\r\n\r\nbody", reset, 16 << 20, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -76,3 +77,12 @@
 		})
 	}
 }
+
+// Guards against names of fields that the library accepts and RFC 9110 does not.
+func TestIsToken(t *testing.T) {
+	for name, want := range map[string]bool{
+		"Content-Type": true, "x_1.~": true, "": false, "a b": false, "a ": false, "a\x01": false, "a\x7f": false, "a\xe9": false, "a:": false, "a(": false,
+	} {
+		require.Equal(t, want, isToken(name), "%q", name)
+	}
+}
--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -183,7 +183,7 @@
 	req = req.WithContext(written.trace(tracker.withTrace(ctx)))
 	resp, err := c.transport(once).RoundTrip(req)
 	if err == nil {
-		if err = checkHead(resp.StatusCode); err == nil {
+		if err = checkHead(resp.StatusCode, resp.Header); err == nil {
 			checkBody(resp, written)
 			return resp, nil
 		}
--- a/internal/processtest/answers_test.go
+++ b/internal/processtest/answers_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bluebellfield/bluebellfield/internal/edge/upstream"
 )
 
 // answerLimits bound no test of answers.
@@ -83,3 +85,53 @@
 		})
 	}
 }
+
+// Guards against bytes that are no answer by RFC 9110 and RFC 9112 and reach the
+// caller as one, or with a body that the upstream has not sent so.
+func TestBytesThatAreNoAnswer(t *testing.T) {
+	const size = ordinaryBodyBytes + 1
+	binary := buildDaemon(t)
+	for _, serving := range servingPaths {
+		var head string
+		s := serving.start(t, binary, answerLimits, raw(func(conn *net.TCPConn, identity string) {
+			_, _ = io.WriteString(conn, strings.ReplaceAll(head, "{id}", strings.TrimSuffix(identity, "\r\n")))
+		}))
+		for _, c := range []struct{ name, head string }{
+			{"status 000", "HTTP/1.1 000 Unknown\r\n{id}\r\nContent-Length: 4\r\n\r\nbody"},
+			{"status 099", "HTTP/1.1 099 Unknown\r\n{id}\r\nContent-Length: 4\r\n\r\nbody"},
+			{"status 600", "HTTP/1.1 600 Unknown\r\n{id}\r\nContent-Length: 4\r\n\r\nbody"},
+			{"status 999", "HTTP/1.1 999 Unknown\r\n{id}\r\nContent-Length: 4\r\n\r\nbody"},
+			{"blank before the colon", "HTTP/1.1 200 OK\r\n{id}\r\nX-Note : a\r\nContent-Length: 4\r\n\r\nbody"},
+			{"blank in a name", "HTTP/1.1 200 OK\r\n{id}\r\nX Note: a\r\nContent-Length: 4\r\n\r\nbody"},
+			{"blank in the name of the framing", "HTTP/1.1 200 OK\r\n{id}\r\nTransfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+			{"blank in the name of the length", "HTTP/1.1 200 OK\r\n{id}\r\nContent-Length : 4\r\n\r\nbody of more bytes"},
+			{"control byte in a name", "HTTP/1.1 200 OK\r\n{id}\r\nX\x01Note: a\r\nContent-Length: 4\r\n\r\nbody"},
+			{"NUL in a name", "HTTP/1.1 200 OK\r\n{id}\r\nX\x00Note: a\r\nContent-Length: 4\r\n\r\nbody"},
+			{"tab in a name", "HTTP/1.1 200 OK\r\n{id}\r\nX\tNote: a\r\nContent-Length: 4\r\n\r\nbody"},
+			{"byte over 127 in a name", "HTTP/1.1 200 OK\r\n{id}\r\nX\xe9Note: a\r\nContent-Length: 4\r\n\r\nbody"},
+			{"no name", "HTTP/1.1 200 OK\r\n{id}\r\n: a\r\nContent-Length: 4\r\n\r\nbody"},
+			{"NUL in a value", "HTTP/1.1 200 OK\r\n{id}\r\nX-Note: a\x00b\r\nContent-Length: 4\r\n\r\nbody"},
+			{"CR in a value", "HTTP/1.1 200 OK\r\n{id}\r\nX-Note: a\rb\r\nContent-Length: 4\r\n\r\nbody"},
+			{"blank in a name of an earlier head", "HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\nHTTP/1.1 200 OK\r\n{id}\r\nContent-Length: 4\r\n\r\nbody"},
+			{"blank in a name of a trailer", "HTTP/1.1 200 OK\r\n{id}\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX Note: a\r\n\r\n"},
+		} {
+			t.Run(serving.name+"/"+strings.ReplaceAll(c.name, " ", "_"), func(t *testing.T) {
+				head = c.head
+				status, body, header, err := s.answer(t, size)
+				if err != nil {
+					return // The connection was closed.
+				}
+				require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, status, "%s", body)
+				require.NotContains(t, body, "body")
+				require.Empty(t, header.Get("Bluebellfield-Server-Seal"))
+				require.Empty(t, header.Get("X-Note"))
+				require.Empty(t, header.Get(upstream.HeaderAttempt))
+			})
+		}
+		head = "HTTP/1.1 103 Early Hints\r\nX-Note: a\r\n\r\nHTTP/1.1 200 OK\r\n{id}\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + served + "\r\n0\r\nX-Note: a\r\n\r\n"
+		status, body, _, err := s.answer(t, size)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status, body)
+		require.True(t, s.ordinaryRequest(ordinaryBodyBytes))
+	}
+}
