bodybudget: a body whose sender is silent gives its memory up

Callers saw refusals for as long as other clients stayed connected short of the end of their bodies: a minute at daemons, and for small bodies at entries without an end.

Cause: a body kept its memory until its deadline, however long its sender was silent, and entries read bodies of up to 64 KiB without a deadline.

When a body needs memory, the body that has got no byte for longest, and none for 500 ms, is refused with 503, as not run. All bodies have a deadline. The metric bodies.stalled counts them.

--- a/internal/edge/bodybudget/bodybudget.go
+++ b/internal/edge/bodybudget/bodybudget.go
@@ -7,6 +7,7 @@
 //     large ones leave a part to them.
 //   - The oldest body that is still being read can always read on, or the newest one
 //     is refused until it can. Bodies therefore never wait for each other for good.
+//   - A body whose sender is silent gives its memory up for one that needs it.
 package bodybudget
 
 import (
@@ -37,6 +38,9 @@
 	// retryInterval is the time after which a body that waits for others to give up
 	// their memory asks one more of them.
 	retryInterval = 100 * time.Millisecond
+	// stallTime is the time without a byte after which a body gives its memory up if
+	// another one needs it.
+	stallTime = 500 * time.Millisecond
 	// maxWait is how long a body waits for memory. A caller learns more from a refusal
 	// than from a longer wait.
 	maxWait = time.Second
@@ -62,11 +66,15 @@
 	byAccount map[string]int64
 	// reading holds the large bodies that are being read, the oldest first.
 	reading []*Body
+	// receiving holds the bodies that wait for bytes of their senders.
+	receiving map[*Body]bool
 	// changed is closed and replaced when memory is released.
 	changed chan struct{}
 
 	usedGauge metrics.Gauge
 	refused   metrics.Counter
+	// stalled counts the bodies that have given up their memory.
+	stalled metrics.Counter
 }
 
 // New returns a budget of a number of bytes, or nil for 0, which means no limit.
@@ -74,8 +82,9 @@
 	if limit <= 0 {
 		return nil
 	}
-	b := &Budget{limit: limit, large: int64(float64(limit) * (1 - smallShare)), byAccount: map[string]int64{}, changed: make(chan struct{}),
-		usedGauge: metrics.GetOrRegisterGauge("bodies.bytes", registry), refused: metrics.GetOrRegisterCounter("bodies.refused", registry)}
+	b := &Budget{limit: limit, large: int64(float64(limit) * (1 - smallShare)), byAccount: map[string]int64{}, receiving: map[*Body]bool{}, changed: make(chan struct{}),
+		usedGauge: metrics.GetOrRegisterGauge("bodies.bytes", registry), refused: metrics.GetOrRegisterCounter("bodies.refused", registry),
+		stalled: metrics.GetOrRegisterCounter("bodies.stalled", registry)}
 	metrics.GetOrRegisterGauge("bodies.limit_bytes", registry).Update(limit)
 	return b
 }
@@ -89,8 +98,11 @@
 	// held is the reserved memory, promised the size that it may reach. Small bodies
 	// promise nothing.
 	held, promised int64
-	// refusedWhileReading is set if the body has to make room for older ones.
+	// refusedWhileReading is set if the body has to make room for others.
 	refusedWhileReading bool
+	// receivedAt is the time of the last byte, interrupt ends a read in progress.
+	receivedAt time.Time
+	interrupt  func()
 }
 
 // Options describes a body that is to be read.
@@ -102,6 +114,9 @@
 	// Account is the client account. While others have large bodies too, it gets at
 	// most half of the budget once more than half is in use.
 	Account string
+	// Interrupt ends a read in progress, so that a body whose sender is silent can
+	// give up its memory. It must not block. Nil means that it cannot be ended.
+	Interrupt func()
 }
 
 // Read reads a body. It waits for memory that other bodies are about to release, for
@@ -110,11 +125,14 @@
 	if o.Declared > o.Limit {
 		return nil, ErrTooLarge
 	}
-	body := &Body{budget: b, account: o.Account}
-	if err := b.admit(body, o.Declared); err != nil {
+	body := &Body{budget: b, account: o.Account, receivedAt: time.Now(), interrupt: o.Interrupt}
+	if err := b.admit(ctx, body, o.Declared); err != nil {
 		return nil, err
 	}
 	if err := body.read(ctx, r, o); err != nil {
+		if body.gaveWay() {
+			err = ErrFull
+		}
 		body.Release()
 		return nil, err
 	}
@@ -132,7 +150,7 @@
 			return err
 		}
 		chunk := make([]byte, size)
-		n, err := readFull(r, chunk)
+		n, err := body.receive(r, chunk)
 		body.size += int64(n)
 		if n > 0 {
 			body.chunks = append(body.chunks, chunk[:n])
@@ -151,13 +169,15 @@
 	}
 }
 
-// readFull reads until the chunk is full or the reader fails. It returns io.EOF only at
+// receive reads until the chunk is full or the reader fails. It returns io.EOF only at
 // the end of the body: a body that was cut off must not look complete, which
 // io.ReadFull does not tell apart.
-func readFull(r io.Reader, chunk []byte) (int, error) {
+func (body *Body) receive(r io.Reader, chunk []byte) (int, error) {
 	n := 0
 	for n < len(chunk) {
+		body.startReceiving()
 		read, err := r.Read(chunk[n:])
+		body.endReceiving()
 		n += read
 		if err != nil && (n < len(chunk) || !errors.Is(err, io.EOF)) {
 			return n, err
@@ -166,6 +186,57 @@
 	return n, nil
 }
 
+func (body *Body) startReceiving() {
+	b := body.budget
+	if b == nil || body.interrupt == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.receiving[body] = true
+}
+
+func (body *Body) endReceiving() {
+	b := body.budget
+	if b == nil || body.interrupt == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.receiving, body)
+	body.receivedAt = time.Now()
+}
+
+// gaveWay reports whether the body had to make room for others.
+func (body *Body) gaveWay() bool {
+	b := body.budget
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return body.refusedWhileReading
+}
+
+// reclaim makes the body whose sender has been silent longest give up its memory. It
+// reports whether a body does so. The caller holds mu.
+func (b *Budget) reclaim() bool {
+	var found *Body
+	limit := time.Now().Add(-stallTime)
+	for body := range b.receiving {
+		if !body.refusedWhileReading && body.receivedAt.Before(limit) && (found == nil || body.receivedAt.Before(found.receivedAt)) {
+			found = body
+		}
+	}
+	if found == nil {
+		return false
+	}
+	found.refusedWhileReading = true
+	b.stalled.Inc(1)
+	found.interrupt()
+	return true
+}
+
 // nextChunk returns the size of the next chunk, which is zero at the end of a declared
 // length.
 func (body *Body) nextChunk(o Options) int64 {
@@ -187,17 +258,19 @@
 
 // admit accepts a body that is to be read, unless the large bodies that are admitted
 // may take all memory.
-func (b *Budget) admit(body *Body, declared int64) error {
+func (b *Budget) admit(ctx context.Context, body *Body, declared int64) error {
 	if b == nil || declared <= SmallBytes {
 		return nil
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.promise(body, declared) {
-		b.refused.Inc(1)
-		return ErrFull
-	}
-	return nil
+	return b.awaitMemory(ctx, func() (bool, error) {
+		switch {
+		case b.promise(body, declared):
+			return true, nil
+		case !b.reclaim():
+			return false, ErrFull
+		}
+		return false, nil
+	})
 }
 
 // promise adds to the size that a large body may reach, and makes a small body a large
@@ -223,10 +296,16 @@
 	if b == nil {
 		return nil
 	}
+	return b.awaitMemory(ctx, func() (bool, error) { return b.tryReserve(body, size) })
+}
+
+// awaitMemory calls try, which holds mu, until it succeeds or fails, for maxWait at
+// most and until ctx ends.
+func (b *Budget) awaitMemory(ctx context.Context, try func() (bool, error)) error {
 	var waitEnd time.Time
 	b.mu.Lock()
 	for {
-		ok, err := b.tryReserve(body, size)
+		ok, err := try()
 		if !ok && err == nil && !waitEnd.IsZero() && time.Now().After(waitEnd) {
 			err = ErrFull
 		}
@@ -266,16 +345,22 @@
 // holds mu.
 func (b *Budget) tryReserve(body *Body, size int64) (bool, error) {
 	if body.promised == 0 && body.held+size <= SmallBytes {
-		if b.used+size > b.limit {
-			return false, ErrFull
+		switch {
+		case b.used+size <= b.limit:
+			b.hold(body, size)
+			return true, nil
+		case b.reclaim():
+			return false, nil
 		}
-		b.hold(body, size)
-		return true, nil
+		return false, ErrFull
 	}
 	if body.refusedWhileReading {
 		return false, ErrFull
 	}
 	if body.held+size > body.promised && !b.promise(body, body.held+size-body.promised) {
+		if b.reclaim() {
+			return false, nil
+		}
 		return false, ErrFull
 	}
 	oldest := b.reading[0]
@@ -287,6 +372,9 @@
 		b.hold(body, size)
 		return true, nil
 	}
+	if b.reclaim() {
+		return false, nil
+	}
 	if oldest == body && !b.completeBodies() {
 		return false, b.refuseNewest(body)
 	}
@@ -348,9 +436,7 @@
 	b.used -= body.held - size
 	body.held = size
 	b.usedGauge.Update(b.used)
-	if len(b.reading) > 0 {
-		b.notify()
-	}
+	b.notify()
 	if body.promised == 0 {
 		return
 	}
--- a/internal/edge/bodybudget/bodybudget_test.go
+++ b/internal/edge/bodybudget/bodybudget_test.go
@@ -90,7 +90,7 @@
 	admit := func(account string) (bodies []*Body) {
 		for {
 			body := &Body{budget: b, account: account}
-			if b.admit(body, 4*mib) != nil {
+			if b.admit(t.Context(), body, 4*mib) != nil {
 				return bodies
 			}
 			bodies = append(bodies, body)
@@ -168,3 +168,85 @@
 		require.Eventually(t, func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.used == 0 && b.promised == 0 }, time.Second, time.Millisecond)
 	}
 }
+
+// stalledReader delivers some bytes and then none until it is interrupted.
+type stalledReader struct {
+	data        []byte
+	interrupted chan struct{}
+	interrupt   func()
+}
+
+func newStalledReader(size int) *stalledReader {
+	r := &stalledReader{data: content(size), interrupted: make(chan struct{})}
+	r.interrupt = sync.OnceFunc(func() { close(r.interrupted) })
+	return r
+}
+
+func (r *stalledReader) Read(p []byte) (int, error) {
+	if len(r.data) > 0 {
+		n := copy(p, r.data)
+		r.data = r.data[n:]
+		return n, nil
+	}
+	<-r.interrupted
+	return 0, io.ErrClosedPipe
+}
+
+// Guards against stalled bodies that hold all memory for as long as they like, and
+// against more of them that give up their memory than needed.
+func TestStalledBodiesGiveWay(t *testing.T) {
+	const limit = 2 * mib
+	for _, test := range []struct {
+		name                  string
+		stalled, needed, most int64
+	}{
+		{"small bodies for a small one", SmallBytes, 1000, 1},
+		{"large bodies for a large one", 512 << 10, mib, 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			registry := metrics.NewRegistry()
+			b := New(limit, registry)
+			locked := func(f func() bool) bool { b.mu.Lock(); defer b.mu.Unlock(); return f() }
+			results := make(chan error, 100)
+			full := func() bool { return b.used+chunkBytes > b.limit || b.promised+test.stalled > b.large*overcommit }
+			for n := 1; !locked(full) && n < cap(results); n++ {
+				reader := newStalledReader(int(test.stalled) - 1)
+				t.Cleanup(reader.interrupt)
+				go func() {
+					_, err := b.Read(context.Background(), reader, Options{Declared: test.stalled, Limit: 4 * mib, Interrupt: reader.interrupt})
+					results <- err
+				}()
+				// A body that gets no memory for all of its bytes is refused.
+				require.Eventually(t, func() bool { return len(results) > 0 || locked(func() bool { return len(b.receiving) == n }) }, 2*maxWait, time.Millisecond)
+				if len(results) > 0 {
+					<-results
+					break
+				}
+			}
+			time.Sleep(stallTime)
+			read(t, b, int(test.needed), test.needed).Release()
+			require.ErrorIs(t, <-results, ErrFull)
+			gave := registry.Get("bodies.stalled").(metrics.Counter).Count()
+			require.Positive(t, gave)
+			require.LessOrEqual(t, gave, test.most)
+		})
+	}
+}
+
+// Guards against a body that gives up its memory although its bytes arrive.
+func TestArrivingBodyKeepsItsMemory(t *testing.T) {
+	b := New(2*mib, metrics.NewRegistry())
+	arrived := make(chan error, 1)
+	go func() {
+		reader := &slowReader{content(mib + 512<<10), 20 * time.Millisecond}
+		body, err := b.Read(context.Background(), reader, Options{Declared: mib + 512<<10, Limit: 2 * mib, Interrupt: func() {}})
+		body.Release()
+		arrived <- err
+	}()
+	time.Sleep(stallTime)
+	for range 3 {
+		_, err := b.Read(t.Context(), bytes.NewReader(content(mib)), Options{Declared: mib, Limit: 2 * mib})
+		require.True(t, err == nil || errors.Is(err, ErrFull))
+	}
+	require.NoError(t, <-arrived)
+}
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -280,7 +280,8 @@
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	callerconn.WaitForBody(ctx)
-	body, err := x.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: limit, Account: x.info.Account.ID})
+	body, err := x.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: limit, Account: x.info.Account.ID,
+		Interrupt: func() { _ = in.SetReadDeadline(time.Now()) }})
 	if err != nil {
 		// The read deadline stays in place because the server drains the rest
 		// of the body before it closes the connection.
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -27,18 +27,19 @@
 		limit = defaultMaxBodyBytes
 	}
 	connection := http.NewResponseController(x.w)
-	limitTime := x.r.ContentLength < 0 || x.r.ContentLength > bodybudget.SmallBytes
-	if limitTime {
+	hasBody := x.r.ContentLength != 0
+	if hasBody {
 		// A body that never arrives must not hold its memory for longer than its
 		// caller waits. An error means that the connection is closed. After a failure
 		// the deadline stays, because the server drains the rest of the body.
 		_ = connection.SetReadDeadline(x.deadline)
 	}
 	callerconn.WaitForBody(x.r.Context())
-	body, err := x.e.opts.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: int64(limit), Account: x.accountName()})
+	body, err := x.e.opts.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: int64(limit), Account: x.accountName(),
+		Interrupt: func() { _ = connection.SetReadDeadline(time.Now()) }})
 	if err == nil {
 		callerconn.BodyArrived(x.r.Context())
-		if limitTime {
+		if hasBody {
 			_ = connection.SetReadDeadline(time.Time{})
 		}
 		x.body = body
--- a/internal/processtest/clients_test.go
+++ b/internal/processtest/clients_test.go
@@ -63,3 +63,31 @@
 	require.True(t, besideCrowd, "an ordinary request beside the crowd is served")
 	require.True(t, s.ordinaryRequest(ordinaryBodyBytes), "an ordinary request afterwards is served")
 }
+
+// Guards against stalled bodies that hold all memory for bodies for as long as they
+// like: large ones hold the part for large ones, small ones the rest. Both crowds stay
+// below the limit of connections.
+func TestStalledBodiesLeaveRoom(t *testing.T) {
+	const largeClients, smallClients, smallBytes = 60, 100, 64 << 10
+	binary := buildDaemon(t)
+	for _, serving := range servingPaths {
+		t.Run(serving.name, func(t *testing.T) {
+			s := serving.start(t, binary, crowdLimits, http.HandlerFunc(serve))
+			stalled := func(size, clients int) *crowd {
+				body := s.body(size)
+				return startCrowd(s, upload{framing: fmt.Sprintf("Content-Length: %d", size), pieces: [][]byte{body[:size-1]}, missing: body[size-1:], neverComplete: true}, clients)
+			}
+			small := stalled(smallBytes, smallClients)
+			large := stalled(crowdLimits.maxBodyBytes, largeClients)
+			time.Sleep(crowdTime)
+			for n := range 20 {
+				require.True(t, s.ordinaryRequest(ordinaryBodyBytes), "ordinary request %d beside the crowd is served", n)
+			}
+			require.True(t, s.ordinaryRequest(crowdLimits.maxBodyBytes), "a large request beside the crowd is served")
+			small.leave()
+			large.leave()
+			t.Log(small.summary(), "; ", large.summary())
+			requireWithin(t, s, crowdLimits)
+		})
+	}
+}
--- a/internal/processtest/crowd_test.go
+++ b/internal/processtest/crowd_test.go
@@ -79,6 +79,8 @@
 	missing []byte
 	// endless repeats the last piece until the connection is closed.
 	endless bool
+	// neverComplete makes all clients keep back the end.
+	neverComplete bool
 }
 
 // piecePause is the pause between the pieces of a body.
@@ -188,7 +190,7 @@
 		conn, err := net.DialTimeout("tcp", c.s.address, 5*time.Second)
 		if err == nil {
 			c.connected.Add(1)
-			c.serveConn(conn, n%completing == 0)
+			c.serveConn(conn, n%completing == 0 && !c.upload.neverComplete)
 		}
 		select {
 		case <-c.stop:
