entry, control: nothing starts while an instance waits for its goroutines

Only the end of a process was touched.

Cause: a sync.WaitGroup must not be added to while another goroutine waits for it to become zero, and messages arrive until the network is closed.

background.Group starts nothing after Wait was called. Entries and control instances use it, the latter for verdicts and orders, which have the same form.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,6 +23,7 @@
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/deploymentstate"
 	"github.com/bluebellfield/bluebellfield/fleet"
+	"github.com/bluebellfield/bluebellfield/internal/background"
 	"github.com/bluebellfield/bluebellfield/internal/mesh"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
 	"github.com/bluebellfield/bluebellfield/internal/replica"
@@ -127,7 +128,7 @@
 	tickQueued atomic.Bool
 	ctx        context.Context
 	cancel     context.CancelFunc
-	wg         sync.WaitGroup
+	wg         background.Group
 }
 
 // sourceState identifies the last update that was received from a control
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 
 	"github.com/bluebellfield/bluebellfield/catalog"
 	"github.com/bluebellfield/bluebellfield/fleet"
+	"github.com/bluebellfield/bluebellfield/internal/background"
 	"github.com/bluebellfield/bluebellfield/internal/crashreport"
 	"github.com/bluebellfield/bluebellfield/internal/edge/bodybudget"
 	"github.com/bluebellfield/bluebellfield/internal/edge/callerconn"
@@ -95,7 +96,7 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	wg     background.Group
 }
 
 // Start starts an entry instance. It refuses callers until a catalog is in
--- a/internal/entry/subscription.go
+++ b/internal/entry/subscription.go
@@ -308,7 +308,8 @@
 	}
 	e.fetches[id] = now
 	current := e.activeCatalog == nil && time.Since(e.started) < currentCatalogTimeout
-	e.wg.Go(func() {
+	// An entry that ends needs no catalog.
+	_ = e.wg.Go(func() {
 		err := e.fetchCatalog(id, current)
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/internal/entry/subscription_test.go
+++ b/internal/entry/subscription_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"testing"
@@ -112,3 +113,22 @@
 	e.mu.Unlock()
 	require.True(t, requested)
 }
+
+// Guards against an update that starts a fetch of the catalog while the entry ends and
+// waits for its goroutines.
+func TestUpdatesWhileClosing(t *testing.T) {
+	for range 20 {
+		e, _ := newEntry(t)
+		payload, err := proto.Marshal(&mesh.Update{Source: 7, Number: 1, Complete: true, CatalogVersion: 99})
+		require.NoError(t, err)
+		updated := make(chan struct{})
+		go func() {
+			defer close(updated)
+			for range 200 {
+				_, _ = e.serveUpdate(context.Background(), "10.0.0.1", payload)
+			}
+		}()
+		e.Close()
+		<-updated
+	}
+}
