callerconn: large bodies get a larger receive buffer while they are read

The small receive buffer that bounds unread bytes limits what a client can send in one round trip, so that a body of several megabytes may miss its deadline.

A body that may reach 1 MiB gets a buffer of 128 KiB once memory for it is reserved, until it has arrived or is refused.

TestReceiveBufferOfBulk shows both changes. The effect on callers far away is computed, not measured.

--- a/internal/edge/bodybudget/bodybudget.go
+++ b/internal/edge/bodybudget/bodybudget.go
@@ -117,6 +117,9 @@
 	// Interrupt ends a read in progress, so that a body whose sender is silent can
 	// give up its memory. It must not block. Nil means that it cannot be ended.
 	Interrupt func()
+	// Bulk, if set, is called when the body may reach BulkBytes and is admitted.
+	Bulk      func()
+	BulkBytes int64
 }
 
 // Read reads a body. It waits for memory that other bodies are about to release, for
@@ -149,6 +152,10 @@
 		if err := body.budget.reserve(ctx, body, size); err != nil {
 			return err
 		}
+		if o.Bulk != nil && max(o.Declared, body.size+size) >= o.BulkBytes {
+			o.Bulk()
+			o.Bulk = nil
+		}
 		chunk := make([]byte, size)
 		n, err := body.receive(r, chunk)
 		body.size += int64(n)
--- a/internal/edge/callerconn/listener.go
+++ b/internal/edge/callerconn/listener.go
@@ -46,6 +46,13 @@
 // may hold twice as many bytes.
 const receiveBufferBytes = 16 << 10
 
+// bodyReceiveBufferBytes is the receive buffer while a body of BulkBytes or more is
+// read. The small one limits a client with a round trip of 10 ms to 3 MB a second.
+const bodyReceiveBufferBytes = 128 << 10
+
+// BulkBytes is the size from which on a body gets a larger receive buffer.
+const BulkBytes = 1 << 20
+
 // Listener accepts connections of callers.
 type Listener struct {
 	net.Listener
@@ -202,6 +209,8 @@
 	listener *Listener
 	waiting  waiting
 	since    time.Time
+	// bulk is set while the connection has the larger receive buffer.
+	bulk bool
 }
 
 // SetReadDeadline implements net.Conn.
@@ -238,6 +247,31 @@
 // if the body is refused, since the rest of it may still be under way.
 func WaitForBody(ctx context.Context) { setWaiting(ctx, forBody) }
 
+// ReceiveBulk gives the connection of a request a larger receive buffer until its body
+// has arrived or is refused. Memory for the body must be reserved before.
+func ReceiveBulk(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.listener.mu.Lock()
+		defer c.listener.mu.Unlock()
+		c.setReceiveBuffer(true)
+	}
+}
+
+// setReceiveBuffer sets the receive buffer. The caller holds mu.
+func (c *conn) setReceiveBuffer(bulk bool) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || bulk == c.bulk {
+		return
+	}
+	c.bulk = bulk
+	size := receiveBufferBytes
+	if bulk {
+		size = bodyReceiveBufferBytes
+	}
+	// An error means that the connection is closed.
+	_ = tcp.SetReadBuffer(size)
+}
+
 // BodyArrived marks the connection of a request as waiting for nothing.
 func BodyArrived(ctx context.Context) { setWaiting(ctx, forNothing) }
 
@@ -251,6 +285,7 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.waiting, c.since = w, time.Now()
+	c.setReceiveBuffer(false)
 }
 
 // applyLimits sets the deadline of a connection that waits. The caller holds mu.
--- a/internal/edge/callerconn/listener_test.go
+++ b/internal/edge/callerconn/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 const maxTestConnections = 6
@@ -167,3 +169,31 @@
 	_, err = served.in.ReadByte()
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "a request that is served keeps its connection")
 }
+
+// Guards against a receive buffer that slows the upload of a large body down, and
+// against one that stays large.
+func TestReceiveBufferOfBulk(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", Options{MaxConnections: 2, Registry: metrics.NewRegistry()})
+	require.NoError(t, err)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	defer accepted.Close()
+	size := func() (n int) {
+		raw, err := accepted.(*conn).Conn.(*net.TCPConn).SyscallConn()
+		require.NoError(t, err)
+		require.NoError(t, raw.Control(func(fd uintptr) { n, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF) }))
+		require.NoError(t, err)
+		return n / 2 // The kernel doubles the size that is set.
+	}
+	ctx := context.WithValue(t.Context(), connKey{}, accepted)
+	require.Equal(t, receiveBufferBytes, size(), "inherited from the listener")
+	WaitForBody(ctx)
+	ReceiveBulk(ctx)
+	require.Equal(t, bodyReceiveBufferBytes, size())
+	BodyArrived(ctx)
+	require.Equal(t, receiveBufferBytes, size())
+}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -36,7 +36,8 @@
 	}
 	callerconn.WaitForBody(x.r.Context())
 	body, err := x.e.opts.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: int64(limit), Account: x.accountName(),
-		Interrupt: func() { _ = connection.SetReadDeadline(time.Now()) }})
+		Interrupt: func() { _ = connection.SetReadDeadline(time.Now()) },
+		Bulk:      func() { callerconn.ReceiveBulk(x.r.Context()) }, BulkBytes: callerconn.BulkBytes})
 	if err == nil {
 		callerconn.BodyArrived(x.r.Context())
 		if hasBody {
