--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,8 +46,8 @@
 	TLS               TLS        `json:"tls"`
 	Drain             Drain      `json:"drain"`
 	LogLevel          string     `json:"logLevel"`
-	// MemoryMB is the memory that the process may use, in megabytes; 0 means no
-	// limit. Request bodies get a part of it.
+	// MemoryMB is the memory that the process may use, in megabytes; 0 means what the
+	// machine or the control group has, less a reserve.
 	MemoryMB float64 `json:"memoryMb"`
 	// MaxDescriptors is the number of descriptors that the process may open; 0 means
 	// as many as the system allows.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -124,7 +124,8 @@
 		return err
 	}
 	d.runAll()
-	d.logger.Info("daemon started", zap.String("id", d.cfg.ID), zap.String("caller", d.cfg.Listen.Caller))
+	d.logger.Info("daemon started", zap.String("id", d.cfg.ID), zap.String("caller", d.cfg.Listen.Caller),
+		zap.Int64("memoryBytes", d.limit.MemoryBytes), zap.Int("descriptors", d.limit.Descriptors), zap.Int("maxConnections", d.limit.Connections()))
 	return nil
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -105,7 +105,7 @@
 		return nil, errors.Join(err, i.Close(context.Background()))
 	}
 	i.logger.Info("instance started", zap.String("id", s.ID), zap.String("failureDomain", s.FailureDomain), zap.Bool("bootstrap", s.Bootstrap),
-		zap.Strings("seeds", s.Seeds), zap.Bool("entry", i.entry != nil), zap.Bool("control", i.control != nil))
+		zap.Strings("seeds", s.Seeds), zap.Int64("memoryBytes", limits.MemoryBytes), zap.Int("descriptors", limits.Descriptors), zap.Int("maxConnections", limits.Connections()), zap.Bool("entry", i.entry != nil), zap.Bool("control", i.control != nil))
 	return i, nil
 }
 
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -36,8 +36,8 @@
 	// StallMS is the time from the loss of a member until the head of the stalled
 	// group gives up, in milliseconds.
 	StallMS float64 `json:"stallMs"`
-	// MemoryMB is the memory that the process may use, in megabytes; 0 means no
-	// limit.
+	// MemoryMB is the memory that the process may use, in megabytes; 0 means what the
+	// machine or the control group has, less a reserve.
 	MemoryMB float64 `json:"memoryMb"`
 	// MaxDescriptors is the number of descriptors that the process may open; 0 means
 	// as many as the system allows.
--- a/internal/processlimit/processlimit.go
+++ b/internal/processlimit/processlimit.go
@@ -4,6 +4,7 @@
 package processlimit
 
 import (
+	"os"
 	"runtime/debug"
 
 	"golang.org/x/sys/unix"
@@ -40,16 +41,19 @@
 
 // Limits are the limits of a process.
 type Limits struct {
-	// MemoryBytes is the memory that the process may use; 0 means no limit.
+	// MemoryBytes is the memory that the process may use; 0 means that it is unknown.
 	MemoryBytes int64
 	// Descriptors is the number of descriptors that the process may open.
 	Descriptors int
 }
 
-// New returns the limits of a process that may use a number of megabytes, where 0
-// means no limit, and of descriptors, where 0 means as many as the system allows.
+// New returns the limits of a process that may use a number of megabytes and of
+// descriptors. For 0 it takes what the system allows, less a reserve of memory.
 func New(megabytes float64, descriptors int) Limits {
 	l := Limits{MemoryBytes: int64(megabytes * (1 << 20)), Descriptors: descriptors}
+	if megabytes <= 0 {
+		l.MemoryBytes = machineMemory(os.DirFS("/"))
+	}
 	var allowed unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &allowed); err == nil && (descriptors <= 0 || allowed.Cur < uint64(descriptors)) {
 		const most = 1 << 20 // a limit of the system may be "infinite"
@@ -73,6 +77,9 @@
 
 // BodyBytes returns the memory for the bodies of requests; 0 means no limit.
 func (l Limits) BodyBytes() int64 {
+	if l.MemoryBytes <= 0 {
+		return 0
+	}
 	return int64(max(bodyShare*float64(l.MemoryBytes-baseBytes), minBodyShare*float64(l.MemoryBytes)))
 }
 
