callerconn: the limit of a header holds while the header is read

Clients that sent 900 KB of a header and not its end took an entry over its memory: the server reads up to 1 MiB before the limit of the catalog is applied.

Cause: the limit of an http.Server cannot change while it serves, and the one of the catalog can.

The connection counts the bytes of a header, and answers 431 beyond the limit in force and 8 KiB. The metric headers.refused counts them.

--- a/internal/edge/callerconn/listener.go
+++ b/internal/edge/callerconn/listener.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,8 +19,10 @@
 	"golang.org/x/sys/unix"
 )
 
-// Limits are the timeouts of a connection. Zero means no timeout.
+// Limits are the limits of a connection. Zero means no limit.
 type Limits struct {
+	// HeaderBytes limits the header of a request while it is read.
+	HeaderBytes int
 	// Header limits the time to read the header of a request.
 	Header time.Duration
 	// Idle limits the time between two requests.
@@ -61,6 +64,7 @@
 	maxConns  int
 	evicted   metrics.Counter
 	refused   metrics.Counter
+	tooLarge  metrics.Counter
 
 	mu     sync.Mutex
 	limits Limits
@@ -92,7 +96,8 @@
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
 	l := &Listener{Listener: inner, maxConns: o.MaxConnections, limits: o.Limits, conns: map[*conn]struct{}{},
-		evicted: metrics.GetOrRegisterCounter("connections.evicted", o.Registry), refused: metrics.GetOrRegisterCounter("connections.refused", o.Registry)}
+		evicted: metrics.GetOrRegisterCounter("connections.evicted", o.Registry), refused: metrics.GetOrRegisterCounter("connections.refused", o.Registry),
+		tooLarge: metrics.GetOrRegisterCounter("headers.refused", o.Registry)}
 	metrics.GetOrRegisterGauge("connections.limit", o.Registry).Update(int64(o.MaxConnections))
 	_ = o.Registry.Register("connections.open", metrics.NewFunctionalGauge(func() int64 {
 		l.mu.Lock()
@@ -209,6 +214,10 @@
 	listener *Listener
 	waiting  waiting
 	since    time.Time
+	// inHeader is set while the connection waits for a header, of which headerBytes
+	// have been read. A connection has one reader.
+	inHeader    atomic.Bool
+	headerBytes atomic.Int64
 	// bulk is set while the connection has the larger receive buffer.
 	bulk bool
 }
@@ -219,6 +228,8 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	next := waitingFor(now, t)
+	c.headerBytes.Store(0)
+	c.inHeader.Store(next == forHeader)
 	if next == forNothing {
 		if c.waiting != forBody && c.waiting != forClose {
 			c.waiting, c.since = forNothing, now
@@ -305,6 +316,37 @@
 	return c.Conn.SetReadDeadline(c.since.Add(limit))
 }
 
+// headerSlack is what may be read beyond the limit of a header: the request line, the
+// end of the header, and the start of the body, which the server reads into the same
+// buffer of 4 KiB.
+const headerSlack = 8 << 10
+
+// headerTooLarge is the answer to a header over the limit.
+const headerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// errHeaderTooLarge ends the reading of a header over the limit.
+var errHeaderTooLarge = errors.New("the header exceeds the limit")
+
+// Read implements net.Conn. It bounds a header while it is read: a server knows only
+// MaxHeaderBytes, which cannot change.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !c.inHeader.Load() {
+		return n, err
+	}
+	read := c.headerBytes.Add(int64(n))
+	c.listener.mu.Lock()
+	limit := c.listener.limits.HeaderBytes
+	c.listener.mu.Unlock()
+	if limit <= 0 || read <= int64(limit+headerSlack) {
+		return n, err
+	}
+	c.listener.tooLarge.Inc(1)
+	// A client that has left needs no answer.
+	_, _ = io.WriteString(c.Conn, headerTooLarge)
+	return 0, errHeaderTooLarge
+}
+
 // CloseWrite lets the server close a connection without a reset of the last
 // response.
 func (c *conn) CloseWrite() error {
--- a/internal/edge/callerconn/listener_test.go
+++ b/internal/edge/callerconn/listener_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -197,3 +199,30 @@
 	BodyArrived(ctx)
 	require.Equal(t, receiveBufferBytes, size())
 }
+
+// Guards against a header that is read far beyond the limit in force, on a first and a
+// later request, and against one within the limit that is refused with its body.
+func TestHeaderLimitWhileReading(t *testing.T) {
+	const limit = 16 << 10
+	l := serve(t, Limits{HeaderBytes: limit})
+	status := func(c client, text string) int {
+		go func() { _, _ = io.WriteString(c, text) }()
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+		resp, err := http.ReadResponse(c.in, nil)
+		require.NoError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode
+	}
+	header := func(size int) string { return "POST / HTTP/1.1\r\nHost: h\r\nX-Filler: " + strings.Repeat("x", size) }
+	for range 2 {
+		require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status(connect(t, l), header(2*limit)))
+		c := connect(t, l)
+		for range 2 {
+			body := strings.Repeat("y", 3*limit)
+			require.Equal(t, http.StatusOK, status(c, header(limit-100)+"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body))
+		}
+		require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status(c, header(2*limit)))
+	}
+	l.SetLimits(Limits{HeaderBytes: 4 * limit})
+	require.Equal(t, http.StatusOK, status(connect(t, l), header(3*limit)+"\r\nContent-Length: 0\r\n\r\n"))
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -158,7 +158,7 @@
 		return err
 	}
 	setLimits := func(l catalog.Limits) {
-		listener.SetLimits(callerconn.Limits{Header: l.HeaderTimeout, Idle: l.IdleTimeout})
+		listener.SetLimits(callerconn.Limits{HeaderBytes: l.MaxHeaderBytes, Header: l.HeaderTimeout, Idle: l.IdleTimeout})
 	}
 	i.entry = entry.Start(entry.Options{ID: s.ID, FailureDomain: s.FailureDomain, Seeds: s.seedIDs(), Network: i.network,
 		Decode: i.adapter.Decode, OnLimits: setLimits, Protocol: i.adapter.Protocol, Client: i.client, Logger: i.logger, Registry: i.registry,
--- a/internal/processtest/clients_test.go
+++ b/internal/processtest/clients_test.go
@@ -91,3 +91,24 @@
 		})
 	}
 }
+
+// Guards against heads that take the memory: a head was read up to 1 MiB before the
+// limit in force was applied to it.
+func TestHeadsWithoutEnd(t *testing.T) {
+	const headBytes = 900 << 10
+	binary := buildDaemon(t)
+	for _, serving := range servingPaths {
+		t.Run(serving.name, func(t *testing.T) {
+			s := serving.start(t, binary, crowdLimits, http.HandlerFunc(serve))
+			framing := "Content-Length: 0\r\n" + strings.Repeat("X-Filler: "+strings.Repeat("x", 1000)+"\r\n", headBytes/1000) + "X-Last: no end"
+			c := startCrowd(s, upload{framing: framing, neverComplete: true, openHead: true}, crowdSize)
+			time.Sleep(crowdTime)
+			besideCrowd := s.ordinaryRequest(ordinaryBodyBytes)
+			c.leave()
+			t.Log(c.summary())
+			requireWithin(t, s, crowdLimits)
+			require.True(t, besideCrowd, "an ordinary request beside the crowd is served")
+			require.True(t, s.ordinaryRequest(ordinaryBodyBytes), "an ordinary request afterwards is served")
+		})
+	}
+}
--- a/internal/processtest/crowd_test.go
+++ b/internal/processtest/crowd_test.go
@@ -81,6 +81,8 @@
 	endless bool
 	// neverComplete makes all clients keep back the end.
 	neverComplete bool
+	// openHead leaves out the end of the head.
+	openHead bool
 }
 
 // piecePause is the pause between the pieces of a body.
@@ -223,7 +225,11 @@
 			c.statuses[resp.StatusCode%1000].Add(1)
 		}
 	}()
-	_, err := conn.Write(c.s.head(nextID(), c.upload.framing))
+	head := c.s.head(nextID(), c.upload.framing)
+	if c.upload.openHead {
+		head = bytes.TrimRight(head, "\r\n")
+	}
+	_, err := conn.Write(head)
 	for n := 0; err == nil && n < len(c.upload.pieces); n++ {
 		if n > 0 {
 			time.Sleep(piecePause)
