fault: callers see no addresses of upstreams

Callers got 502 with a body such as 'answer cut off: read tcp ...', with both addresses of a connection to an upstream.

Cause: the reason for the log was sent to the caller as it was.

Both serving paths remove addresses from what they send; logs keep them.

--- a/internal/edge/caller/errors.go
+++ b/internal/edge/caller/errors.go
@@ -54,8 +54,8 @@
 	at := fault.LocationOf(err)
 	// Marshalling a struct of strings cannot fail.
 	data, _ := json.Marshal(errorBody{errorDetail{
-		Code: fault.CodeOf(err), Type: "bluebellfield_error", Message: err.Error(), Outcome: fault.OutcomeOf(err),
-		Step: at.Step, Peer: at.Peer, RequestID: requestID,
+		Code: fault.CodeOf(err), Type: "bluebellfield_error", Message: fault.Public(err.Error()), Outcome: fault.OutcomeOf(err),
+		Step: at.Step, Peer: fault.Public(at.Peer), RequestID: requestID,
 	}})
 	return data
 }
--- a/internal/edge/upstream/answer.go
+++ b/internal/edge/upstream/answer.go
@@ -108,7 +108,7 @@
 		return context.Cause(w.ctx)
 	}
 	if w.err != nil {
-		return errors.Join(errRequestNotWritten, w.err)
+		return fmt.Errorf("%w: %w", errRequestNotWritten, w.err)
 	}
 	w.mu.Lock()
 	conn := w.conn
@@ -118,7 +118,7 @@
 		return nil
 	}
 	if err := conn.awaitWrite(); err != nil {
-		return errors.Join(errRequestNotWritten, err)
+		return fmt.Errorf("%w: %w", errRequestNotWritten, err)
 	}
 	return nil
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -466,7 +466,7 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	x.e.opts.Protocol.WriteErrorHeaders(h, x.request.ID, retryAfter)
 	x.w.WriteHeader(status)
-	if _, err := io.WriteString(x.w, reason+"\n"); err != nil {
+	if _, err := io.WriteString(x.w, fault.Public(reason)+"\n"); err != nil {
 		x.e.opts.Logger.Debug("response not written", zap.String("request", x.request.ID), zap.Error(err))
 	}
 }
--- a/internal/processtest/answers_test.go
+++ b/internal/processtest/answers_test.go
@@ -76,9 +76,11 @@
 			}))
 			complete := 0
 			for range repetitions {
-				if status, _, _, err := s.answer(t, uploadBytes); err == nil && status == http.StatusOK {
+				status, body, _, err := s.answer(t, uploadBytes)
+				if err == nil && status == http.StatusOK {
 					complete++
 				}
+				require.NotContains(t, body, "127.", "callers see no addresses")
 			}
 			require.Zero(t, complete, "successes that the upstream has not completed")
 			require.True(t, s.ordinaryRequest(ordinaryBodyBytes))
