callerconn, bodybudget: sending clients keep their connections, kernel buffers are reserved

At the limit of connections, a body that was arriving could be closed before one whose sender was silent, and a new connection before its header was read. And the larger receive buffers were in no budget: with them an entry reached 99 of 96 MiB (bodies over the limit just sent).

The connection whose client has been silent longest is closed, after those that are answered or idle. A larger buffer needs a declared length and free memory of the budget, which is reserved while the body is read.

--- a/internal/edge/bodybudget/bodybudget.go
+++ b/internal/edge/bodybudget/bodybudget.go
@@ -98,6 +98,8 @@
 	// held is the reserved memory, promised the size that it may reach. Small bodies
 	// promise nothing.
 	held, promised int64
+	// buffer is the memory that is reserved for the kernel while the body is read.
+	buffer int64
 	// refusedWhileReading is set if the body has to make room for others.
 	refusedWhileReading bool
 	// receivedAt is the time of the last byte, interrupt ends a read in progress.
@@ -117,9 +119,10 @@
 	// Interrupt ends a read in progress, so that a body whose sender is silent can
 	// give up its memory. It must not block. Nil means that it cannot be ended.
 	Interrupt func()
-	// Bulk, if set, is called when the body may reach BulkBytes and is admitted.
-	Bulk      func()
-	BulkBytes int64
+	// Bulk, if set, is called if the declared length is BulkBytes or more and there is
+	// memory for BulkBuffer bytes, which the kernel may then hold for the body.
+	Bulk                  func()
+	BulkBytes, BulkBuffer int64
 }
 
 // Read reads a body. It waits for memory that other bodies are about to release, for
@@ -132,6 +135,9 @@
 	if err := b.admit(ctx, body, o.Declared); err != nil {
 		return nil, err
 	}
+	if o.Bulk != nil && o.Declared >= o.BulkBytes && b.holdBuffer(body, o.BulkBuffer) {
+		o.Bulk()
+	}
 	if err := body.read(ctx, r, o); err != nil {
 		if body.gaveWay() {
 			err = ErrFull
@@ -152,10 +158,6 @@
 		if err := body.budget.reserve(ctx, body, size); err != nil {
 			return err
 		}
-		if o.Bulk != nil && max(o.Declared, body.size+size) >= o.BulkBytes {
-			o.Bulk()
-			o.Bulk = nil
-		}
 		chunk := make([]byte, size)
 		n, err := body.receive(r, chunk)
 		body.size += int64(n)
@@ -393,7 +395,7 @@
 func (b *Budget) completeBodies() bool {
 	reading := int64(0)
 	for _, body := range b.reading {
-		reading += body.held
+		reading += body.held + body.buffer
 	}
 	return b.used > reading
 }
@@ -415,6 +417,22 @@
 	return nil
 }
 
+// holdBuffer reserves memory for the kernel while a body is read, if it is free.
+func (b *Budget) holdBuffer(body *Body, size int64) bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used+size > b.large/2 {
+		// A larger buffer must not keep a body out.
+		return false
+	}
+	body.buffer = size
+	b.used += size
+	return true
+}
+
 func (b *Budget) hold(body *Body, size int64) {
 	body.held += size
 	b.used += size
@@ -440,8 +458,8 @@
 
 // shrink reduces the reserved memory of a body to size. The caller holds mu.
 func (b *Budget) shrink(body *Body, size int64) {
-	b.used -= body.held - size
-	body.held = size
+	b.used -= body.held + body.buffer - size
+	body.held, body.buffer = size, 0
 	b.usedGauge.Update(b.used)
 	b.notify()
 	if body.promised == 0 {
--- a/internal/edge/bodybudget/bodybudget_test.go
+++ b/internal/edge/bodybudget/bodybudget_test.go
@@ -250,3 +250,32 @@
 	}
 	require.NoError(t, <-arrived)
 }
+
+// Guards against buffers of the kernel that are in no budget, or stay in it.
+func TestBulkBufferIsReserved(t *testing.T) {
+	b := New(8*mib, metrics.NewRegistry())
+	calls := 0
+	o := Options{Declared: mib, Limit: 4 * mib, BulkBytes: mib, BulkBuffer: mib / 2, Bulk: func() {
+		calls++
+		require.EqualValues(t, mib/2, b.used)
+	}}
+	body, err := b.Read(t.Context(), bytes.NewReader(content(mib)), o)
+	require.NoError(t, err)
+	require.Equal(t, 1, calls)
+	require.EqualValues(t, mib, b.used, "the buffer is free again")
+	body.Release()
+	_, err = b.Read(t.Context(), bytes.NewReader(nil), o)
+	require.Error(t, err)
+	require.Zero(t, b.used)
+	require.Equal(t, 2, calls)
+	b.used = b.large / 2
+	body, err = b.Read(t.Context(), bytes.NewReader(content(mib)), o)
+	require.NoError(t, err)
+	body.Release()
+	o.Declared = -1
+	b.used = 0
+	body, err = b.Read(t.Context(), bytes.NewReader(content(mib)), o)
+	require.NoError(t, err)
+	body.Release()
+	require.Equal(t, 2, calls, "without free memory, or a declared length")
+}
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -282,7 +282,7 @@
 	callerconn.WaitForBody(ctx)
 	body, err := x.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: limit, Account: x.info.Account.ID,
 		Interrupt: func() { _ = in.SetReadDeadline(time.Now()) },
-		Bulk:      func() { callerconn.ReceiveBulk(ctx) }, BulkBytes: callerconn.BulkBytes})
+		Bulk:      func() { callerconn.ReceiveBulk(ctx) }, BulkBytes: callerconn.BulkBytes, BulkBuffer: callerconn.BulkBuffer})
 	if err != nil {
 		// The read deadline stays in place because the server drains the rest
 		// of the body before it closes the connection.
--- a/internal/edge/callerconn/conn.go
+++ b/internal/edge/callerconn/conn.go
@@ -27,11 +27,15 @@
 // read. The small one limits a client with a round trip of 10 ms to 3 MB a second.
 const bodyReceiveBufferBytes = 128 << 10
 
-// BulkBytes is the size from which on a body gets a larger receive buffer.
-const BulkBytes = 1 << 20
+const (
+	// BulkBytes is the length from which on a body gets a larger receive buffer.
+	BulkBytes = 1 << 20
+	// BulkBuffer is the memory that this buffer may take: the kernel lets it hold
+	// twice its size.
+	BulkBuffer = 2 * bodyReceiveBufferBytes
+)
 
-// waiting is what a connection waits for from its client. The client loses less by the
-// end of a connection that waits for an earlier of these.
+// waiting is what a connection waits for from its client.
 type waiting uint8
 
 const (
@@ -54,6 +58,8 @@
 	// have been read. A connection has one reader.
 	inHeader    atomic.Bool
 	headerBytes atomic.Int64
+	// receivedAt is the time of the last bytes, in nanoseconds since 1970.
+	receivedAt atomic.Int64
 	// bulk is set while the connection has the larger receive buffer.
 	bulk bool
 }
@@ -95,7 +101,7 @@
 func WaitForBody(ctx context.Context) { setWaiting(ctx, forBody) }
 
 // ReceiveBulk gives the connection of a request a larger receive buffer until its body
-// has arrived or is refused. Memory for the body must be reserved before.
+// has arrived or is refused. Memory for it must be reserved before.
 func ReceiveBulk(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*conn); ok {
 		c.listener.mu.Lock()
@@ -167,6 +173,9 @@
 // MaxHeaderBytes, which cannot change.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.receivedAt.Store(time.Now().UnixNano())
+	}
 	if !c.inHeader.Load() {
 		return n, err
 	}
--- a/internal/edge/callerconn/listener.go
+++ b/internal/edge/callerconn/listener.go
@@ -134,17 +134,24 @@
 	return victim, true
 }
 
-// victim returns the connection to close for a new one: one that waits for its client,
-// in the order of waiting, and of these the one that has waited longest. The caller
-// holds mu.
+// victim returns the connection to close for a new one, or nil if all are served: one
+// that is answered, else an idle one, else one without a whole header or body. Of these
+// it is the one that has waited longest for its client. The caller holds mu.
 func (l *Listener) victim() *conn {
 	var found *conn
+	var rank waiting
+	var since time.Time
 	for c := range l.conns {
 		if c.waiting == forNothing {
 			continue
 		}
-		if found == nil || c.waiting < found.waiting || c.waiting == found.waiting && c.since.Before(found.since) {
-			found = c
+		// A client that sends a body slowly is kept rather than a silent one.
+		r, s := min(c.waiting, forHeader), c.since
+		if at := time.Unix(0, c.receivedAt.Load()); r == forHeader && at.After(s) {
+			s = at
+		}
+		if found == nil || r < rank || r == rank && s.Before(since) {
+			found, rank, since = c, r, s
 		}
 	}
 	return found
--- a/internal/edge/callerconn/listener_test.go
+++ b/internal/edge/callerconn/listener_test.go
@@ -140,28 +140,26 @@
 		var timeout net.Error
 		require.False(t, errors.As(err, &timeout) && timeout.Timeout(), reason)
 	}
-	served := send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
-	body := send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx")
-	laterBody := send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx")
+	const slow, bodyStart = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx"
+	served := send(slow)
+	sending := send(bodyStart)
+	silent := send(bodyStart)
 	head := send("POST / HTTP/1.1\r\nHo")
+	_, err := io.WriteString(sending, "y")
+	require.NoError(t, err)
 	idle := connect(t, l)
 	idle.request(t)
-	closing := send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
-	// The server has answered and waits for the client to close its side.
-	connect(t, l).request(t)
-	_ = closing
+	answered := connect(t, l)
+	answered.request(t)
 	require.Equal(t, maxTestConnections, l.open())
-	connect(t, l).request(t)
-	requireClosed(idle, "an idle connection is missed least")
-	for range 2 {
-		send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	for _, closed := range []struct {
+		conn   client
+		reason string
+	}{{idle, "an idle connection is missed least"}, {answered, "the next idle one"}, {silent, "then the one that has been silent longest"},
+		{head, "then the next one"}, {sending, "then the one that has sent last"}} {
+		send(slow)
+		requireClosed(closed.conn, closed.reason)
 	}
-	send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
-	requireClosed(head, "then one without a whole head")
-	send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
-	requireClosed(body, "then the oldest without a whole body")
-	send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
-	requireClosed(laterBody, "then the next one")
 	refused := connect(t, l)
 	resp, err := http.ReadResponse(refused.in, nil)
 	require.NoError(t, err)
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -37,7 +37,7 @@
 	callerconn.WaitForBody(x.r.Context())
 	body, err := x.e.opts.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: int64(limit), Account: x.accountName(),
 		Interrupt: func() { _ = connection.SetReadDeadline(time.Now()) },
-		Bulk:      func() { callerconn.ReceiveBulk(x.r.Context()) }, BulkBytes: callerconn.BulkBytes})
+		Bulk:      func() { callerconn.ReceiveBulk(x.r.Context()) }, BulkBytes: callerconn.BulkBytes, BulkBuffer: callerconn.BulkBuffer})
 	if err == nil {
 		callerconn.BodyArrived(x.r.Context())
 		if hasBody {
