callerconn: a rejected request does not hold its connection

Ordinary callers were refused while 400 clients sent requests with an unknown key or route and kept back the rest of the body.

Cause: the server reads up to 256 KiB of a body that the handler has not read, without a deadline. Such a connection counted as serving a request, which is never closed for a new one.

A request with a body counts as waiting for it from its start, and the body of one that is answered without it has 500 ms. A body that had to wait for memory is not taken for a silent one when it reads on.

--- a/internal/edge/bodybudget/bodybudget.go
+++ b/internal/edge/bodybudget/bodybudget.go
@@ -102,8 +102,9 @@
 	buffer int64
 	// refusedWhileReading is set if the body has to make room for others.
 	refusedWhileReading bool
-	// receivedAt is the time of the last byte, interrupt ends a read in progress.
-	receivedAt time.Time
+	// waitsSince is the time since which the body waits for bytes, interrupt ends a
+	// read in progress.
+	waitsSince time.Time
 	interrupt  func()
 }
 
@@ -131,7 +132,7 @@
 	if o.Declared > o.Limit {
 		return nil, ErrTooLarge
 	}
-	body := &Body{budget: b, account: o.Account, receivedAt: time.Now(), interrupt: o.Interrupt}
+	body := &Body{budget: b, account: o.Account, interrupt: o.Interrupt}
 	if err := b.admit(ctx, body, o.Declared); err != nil {
 		return nil, err
 	}
@@ -203,6 +204,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.receiving[body] = true
+	body.waitsSince = time.Now()
 }
 
 func (body *Body) endReceiving() {
@@ -213,7 +215,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.receiving, body)
-	body.receivedAt = time.Now()
 }
 
 // gaveWay reports whether the body had to make room for others.
@@ -233,7 +234,7 @@
 	var found *Body
 	limit := time.Now().Add(-stallTime)
 	for body := range b.receiving {
-		if !body.refusedWhileReading && body.receivedAt.Before(limit) && (found == nil || body.receivedAt.Before(found.receivedAt)) {
+		if !body.refusedWhileReading && body.waitsSince.Before(limit) && (found == nil || body.waitsSince.Before(found.waitsSince)) {
 			found = body
 		}
 	}
--- a/internal/edge/caller/handler.go
+++ b/internal/edge/caller/handler.go
@@ -139,9 +139,11 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	requestID := newRequestID()
+	callerconn.WaitForBody(r)
 	if !h.beginRequest() {
 		err := fault.New(fault.Draining, fault.Location{Step: StepRead}, fault.NotRun, "this entry instance is shutting down")
 		w.Header().Set("Connection", "close")
+		callerconn.LimitUnreadBody(w, r)
 		writeError(w, requestID, err)
 		return
 	}
@@ -279,13 +281,10 @@
 	_ = in.SetReadDeadline(end)
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	callerconn.WaitForBody(ctx)
 	body, err := x.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: limit, Account: x.info.Account.ID,
 		Interrupt: func() { _ = in.SetReadDeadline(time.Now()) },
 		Bulk:      func() { callerconn.ReceiveBulk(ctx) }, BulkBytes: callerconn.BulkBytes, BulkBuffer: callerconn.BulkBuffer})
 	if err != nil {
-		// The read deadline stays in place because the server drains the rest
-		// of the body before it closes the connection.
 		x.w.Header().Set("Connection", "close")
 		return bodyError(err, limit)
 	}
@@ -345,6 +344,9 @@
 	x.finished.Outcome = fault.OutcomeOf(err)
 	x.finished.Status = fault.Status(fault.CodeOf(err))
 	if !x.wroteHeader {
+		if x.body == nil {
+			callerconn.LimitUnreadBody(x.w, x.r)
+		}
 		writeError(x.w, x.info.RequestID, err)
 		x.wroteHeader = true
 		return
--- a/internal/edge/callerconn/conn.go
+++ b/internal/edge/callerconn/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 )
@@ -96,9 +97,26 @@
 // connKey is the key of a connection in the contexts of its requests.
 type connKey struct{}
 
-// WaitForBody marks the connection of a request as waiting for its body. It stays so
-// if the body is refused, since the rest of it may still be under way.
-func WaitForBody(ctx context.Context) { setWaiting(ctx, forBody) }
+// WaitForBody marks the connection of a request as waiting for its body, if it has one.
+// It stays so if the request is rejected, since the body may still be under way.
+func WaitForBody(r *http.Request) {
+	if r.ContentLength != 0 {
+		setWaiting(r.Context(), forBody)
+	}
+}
+
+// unreadBodyTime is how long the rest of a body may take that is not read. The server
+// reads up to 256 KiB of it, to keep the connection for the next request.
+const unreadBodyTime = 500 * time.Millisecond
+
+// LimitUnreadBody limits the time for the body of a request that is answered without
+// it. A client that keeps it back would hold its connection for good.
+func LimitUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		// An error means that the connection is closed.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTime))
+	}
+}
 
 // ReceiveBulk gives the connection of a request a larger receive buffer until its body
 // has arrived or is refused. Memory for it must be reserved before.
--- a/internal/edge/callerconn/listener_test.go
+++ b/internal/edge/callerconn/listener_test.go
@@ -24,7 +24,7 @@
 	l, err := Listen("127.0.0.1:0", Options{Limits: limits, MaxConnections: maxTestConnections, Registry: metrics.NewRegistry()})
 	require.NoError(t, err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		WaitForBody(r.Context())
+		WaitForBody(r)
 		_, _ = io.Copy(io.Discard, r.Body)
 		BodyArrived(r.Context())
 		if r.URL.Path == "/slow" {
@@ -191,7 +191,7 @@
 	}
 	ctx := context.WithValue(t.Context(), connKey{}, accepted)
 	require.Equal(t, receiveBufferBytes, size(), "inherited from the listener")
-	WaitForBody(ctx)
+	WaitForBody((&http.Request{ContentLength: 1}).WithContext(ctx))
 	ReceiveBulk(ctx)
 	require.Equal(t, bodyReceiveBufferBytes, size())
 	BodyArrived(ctx)
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -30,11 +30,9 @@
 	hasBody := x.r.ContentLength != 0
 	if hasBody {
 		// A body that never arrives must not hold its memory for longer than its
-		// caller waits. An error means that the connection is closed. After a failure
-		// the deadline stays, because the server drains the rest of the body.
+		// caller waits. An error means that the connection is closed.
 		_ = connection.SetReadDeadline(x.deadline)
 	}
-	callerconn.WaitForBody(x.r.Context())
 	body, err := x.e.opts.Bodies.Read(ctx, x.r.Body, bodybudget.Options{Declared: x.r.ContentLength, Limit: int64(limit), Account: x.accountName(),
 		Interrupt: func() { _ = connection.SetReadDeadline(time.Now()) },
 		Bulk:      func() { callerconn.ReceiveBulk(x.r.Context()) }, BulkBytes: callerconn.BulkBytes, BulkBuffer: callerconn.BulkBuffer})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -174,6 +174,7 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{e: e, w: w, r: r, started: time.Now(), view: e.view.Load(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	x.position.Store(-1)
+	callerconn.WaitForBody(r)
 	defer x.finish()
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/processtest/clients_test.go
+++ b/internal/processtest/clients_test.go
@@ -112,3 +112,24 @@
 		})
 	}
 }
+
+// Guards against requests that are rejected before their body is read and hold their
+// connection for as long as their client keeps back the rest of the body.
+func TestRejectedRequestsWithUnfinishedBodies(t *testing.T) {
+	binary := buildDaemon(t)
+	for _, serving := range servingPaths {
+		t.Run(serving.name, func(t *testing.T) {
+			s := serving.start(t, binary, crowdLimits, http.HandlerFunc(serve))
+			rejected := *s
+			rejected.path, rejected.fields = "/none/x", "Host: h.example\r\nAuthorization: Bearer none\r\n"
+			c := startCrowd(&rejected, upload{framing: "Content-Length: 200000", pieces: [][]byte{[]byte("x")}, neverComplete: true}, crowdSize)
+			time.Sleep(crowdTime)
+			besideCrowd := s.ordinaryRequest(ordinaryBodyBytes)
+			c.leave()
+			t.Log(c.summary())
+			requireWithin(t, s, crowdLimits)
+			require.True(t, besideCrowd, "an ordinary request beside the crowd is served")
+			require.True(t, s.ordinaryRequest(ordinaryBodyBytes), "an ordinary request afterwards is served")
+		})
+	}
+}
