--- a/internal/edge/upstream/answer.go
+++ b/internal/edge/upstream/answer.go
@@ -77,6 +77,10 @@
 	conn *trackedConn
 }
 
+// maxEarlyHeads is the number of heads before the final one that are read. The library
+// has such a limit only without a hook.
+const maxEarlyHeads = 5
+
 func newRequestWrite(ctx context.Context) *requestWrite {
 	return &requestWrite{ctx: ctx, done: make(chan struct{})}
 }
@@ -84,6 +88,7 @@
 // trace returns ctx with hooks that observe the request and check the heads before the
 // final one.
 func (w *requestWrite) trace(ctx context.Context) context.Context {
+	earlyHeads := 0
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			w.mu.Lock()
@@ -96,7 +101,12 @@
 				close(w.done)
 			})
 		},
-		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkFields(http.Header(header)) },
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			if earlyHeads++; earlyHeads > maxEarlyHeads {
+				return errors.New("the upstream sent too many heads before the final one")
+			}
+			return checkFields(http.Header(header))
+		},
 	})
 }
 
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -223,6 +223,8 @@
 func (x *exchange) startWatchdog(a *upstreamAttempt) *watchdog {
 	w := &watchdog{x: x, t: a.target, cancel: a.cancel, started: a.started, lastEvent: a.started,
 		idleTimeout: streamIdleTimeout + queueWaitFactor*a.expectedWait}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(suspectTimeout, w.check)
 	return w
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -95,7 +95,7 @@
 
 // Start starts an instance. The settings must be valid.
 func Start(s *Settings, a Adapter, logger *zap.Logger) (*Instance, error) {
-	limits := processlimit.New(s.MemoryMB, s.MaxDescriptors)
+	limits := processlimit.New(s.MemoryMB, int(s.MaxDescriptors))
 	limits.LimitRuntime()
 	i := &Instance{settings: s, limits: limits, adapter: a, logger: logger.With(zap.String("instance", s.Name)), registry: metrics.NewRegistry(),
 		system:   actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.DiscardHandler) })),
--- a/internal/instance/settings.go
+++ b/internal/instance/settings.go
@@ -41,7 +41,7 @@
 	MemoryMB float64 `json:"memoryMb"`
 	// MaxDescriptors is the number of descriptors that the process may open; 0 means
 	// as many as the system allows.
-	MaxDescriptors int         `json:"maxDescriptors"`
+	MaxDescriptors float64     `json:"maxDescriptors"`
 	Drain          Drain       `json:"drain"`
 	RetryBudget    RetryBudget `json:"retryBudget"`
 	LogLevel       string      `json:"logLevel"`
@@ -123,7 +123,7 @@
 	require(s.Listen.Control == "" || s.DataFolder != "", "dataFolder: required for a control instance")
 	require(s.HeartbeatMS > 0, "heartbeatMs: %v is not positive", s.HeartbeatMS)
 	require(s.StallMS >= 0, "stallMs: %v is negative", s.StallMS)
-	require(s.MaxDescriptors >= 0, "maxDescriptors: %d is negative", s.MaxDescriptors)
+	require(s.MaxDescriptors >= 0, "maxDescriptors: %v is negative", s.MaxDescriptors)
 	require(s.Drain.GraceMS > 0, "drain.graceMs: %v is not positive", s.Drain.GraceMS)
 	require(s.RetryBudget.Ratio >= 0 && s.RetryBudget.Allowance >= 0, "retryBudget: ratio and allowance must not be negative")
 	require(s.RetryBudget.WindowMS > 0, "retryBudget.windowMs: %v is not positive", s.RetryBudget.WindowMS)
--- a/internal/instance/settings_test.go
+++ b/internal/instance/settings_test.go
@@ -61,14 +61,14 @@
 	require.NoError(t, err)
 	for _, fractional := range []bool{false, true} {
 		values := map[string]string{"ip": `"10.1.0.40"`, "node_name": `"n"`, "zone": `"z"`, "internal_ports.0": "7340", "bootstrap": "true",
-			"heartbeat_ms": "1200", "bounds.stall_ms": "6000", "limits.memory_mb": "284", "bounds.grace_s": "8",
+			"heartbeat_ms": "1200", "bounds.stall_ms": "6000", "limits.memory_mb": "284", "limits.max_fds": "4100", "bounds.grace_s": "8",
 			"bounds.retry_budget_ratio": "0.2", "bounds.budget_slack": "132", "bounds.budget_window_s": "10"}
 		if fractional {
-			for _, name := range []string{"heartbeat_ms", "bounds.stall_ms", "limits.memory_mb", "bounds.grace_s", "bounds.budget_slack", "bounds.budget_window_s"} {
+			for _, name := range []string{"heartbeat_ms", "bounds.stall_ms", "limits.memory_mb", "limits.max_fds", "bounds.grace_s", "bounds.budget_slack", "bounds.budget_window_s"} {
 				values[name] += ".5"
 			}
 		}
-		text := string(template)
+		text := strings.NewReplacer("{{#limits.max_fds}}", "", "{{/limits.max_fds}}", "").Replace(string(template))
 		for name, value := range values {
 			text = strings.ReplaceAll(text, "{{"+name+"|json}}", value)
 		}
@@ -83,6 +83,7 @@
 		if fractional {
 			grace, window = 8500*time.Millisecond, 10500*time.Millisecond
 		}
+		require.InDelta(t, 4100, s.MaxDescriptors, 0.5)
 		require.Equal(t, grace, milliseconds(s.Drain.GraceMS))
 		require.Equal(t, window, milliseconds(s.RetryBudget.WindowMS))
 	}
