callerconn: TestConnectionLimit waits for states instead of a time

It now waits until the connection is in the state and has sent its bytes. The order of closing that it checks is the same.

--- a/internal/edge/callerconn/listener_test.go
+++ b/internal/edge/callerconn/listener_test.go
@@ -125,12 +125,29 @@
 // Guards against clients that take all connections and keep ordinary ones out, and
 // against the end of a connection whose request is served.
 func TestConnectionLimit(t *testing.T) {
+	const slow, bodyStart = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx"
 	l := serve(t, Limits{})
-	send := func(text string) client {
+	start := time.Now()
+	// await waits until a number of connections wait for something and have sent
+	// their bytes after a time.
+	await := func(w waiting, count int, after time.Time) {
+		require.Eventually(t, func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			n := 0
+			for c := range l.conns {
+				if c.waiting == w && c.receivedAt.Load() > after.UnixNano() {
+					n++
+				}
+			}
+			return n == count
+		}, 10*time.Second, time.Millisecond)
+	}
+	send := func(text string, w waiting, count int) client {
 		c := connect(t, l)
 		_, err := io.WriteString(c, text)
 		require.NoError(t, err)
-		time.Sleep(50 * time.Millisecond)
+		await(w, count, start)
 		return c
 	}
 	requireClosed := func(c client, reason string) {
@@ -140,24 +157,27 @@
 		var timeout net.Error
 		require.False(t, errors.As(err, &timeout) && timeout.Timeout(), reason)
 	}
-	const slow, bodyStart = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx"
-	served := send(slow)
-	sending := send(bodyStart)
-	silent := send(bodyStart)
-	head := send("POST / HTTP/1.1\r\nHo")
+	served := send(slow, forNothing, 1)
+	sending := send(bodyStart, forBody, 1)
+	silent := send(bodyStart, forBody, 2)
+	head := send("POST / HTTP/1.1\r\nHo", forHeader, 1)
+	before := time.Now()
 	_, err := io.WriteString(sending, "y")
 	require.NoError(t, err)
+	await(forBody, 1, before)
 	idle := connect(t, l)
 	idle.request(t)
+	await(forRequest, 1, start)
 	answered := connect(t, l)
 	answered.request(t)
+	await(forRequest, 2, start)
 	require.Equal(t, maxTestConnections, l.open())
-	for _, closed := range []struct {
+	for n, closed := range []struct {
 		conn   client
 		reason string
 	}{{idle, "an idle connection is missed least"}, {answered, "the next idle one"}, {silent, "then the one that has been silent longest"},
 		{head, "then the next one"}, {sending, "then the one that has sent last"}} {
-		send(slow)
+		send(slow, forNothing, 2+n)
 		requireClosed(closed.conn, closed.reason)
 	}
 	refused := connect(t, l)
