balance, entry: a group is reserved for long answers where they would time out

Cause: a group that mixes short answers with long ones reads a prompt for most of its events, so that an answer of 74 events takes up to 11 s of a limit of 8 s.

Change: entries keep the mix of the latest requests for each model. If long answers may not end within their limit in a full group of this mix, the last group, the same at all entries, takes only the longest answers while it is loaded, and the others take these only while they are not. No slot is left empty and nothing more is refused by itself.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -47,6 +47,11 @@
 	// the first event or to the whole answer. It is negative if the objective
 	// has already been missed.
 	Objective time.Duration
+	// Ranked is set if a group is reserved for long answers. AnswerRank is then the
+	// fraction of the model's work that is for shorter answers, and the candidates
+	// have the same order at all entries.
+	Ranked     bool
+	AnswerRank float64
 	// PartlyRun is set if another upstream has run part of the request. Delivering
 	// is set if the caller has received part of the answer and waits for the rest.
 	PartlyRun, Delivering bool
@@ -136,6 +141,9 @@
 		}
 		return Decision{Index: -1, RetryAfter: maxRetryAfter, Reason: ReasonNoUpstream}
 	}
+	if r.Ranked && !r.PartlyRun {
+		usable = reserve(r.AnswerRank, usable, candidates)
+	}
 	if r.Objective > 0 {
 		if best, wait, ok := chooseTimely(random, costs, &r, usable, candidates); ok {
 			return Decision{Index: best, Wait: wait}
--- a/balance/sizes_test.go
+++ b/balance/sizes_test.go
@@ -95,6 +95,7 @@
 		trackers[i], reports[i] = make([]Tracker, s.groups), make([]int, s.groups)
 	}
 	var all []*sizedRequest
+	mixes := make([]Mix, s.entries)
 	returning := map[time.Duration][]*sizedRequest{}
 	pending := 0.0
 	for now := time.Duration(0); now < s.duration; now += simTickInterval {
@@ -124,7 +125,10 @@
 					candidates[g].Deferred = estimate.Running * float64(deferred[r.entry][g]) / float64(n)
 				}
 			}
-			d := Choose(random, c, Request{PromptTokens: r.prompt, AnswerTokens: r.answer, Remaining: s.timeout - elapsed, Objective: s.objective - elapsed}, candidates)
+			rank := mixes[r.entry].Rank(random, r.answer)
+			mixes[r.entry].Observe(e, c.Model, r.prompt, r.answer)
+			d := Choose(random, c, Request{PromptTokens: r.prompt, AnswerTokens: r.answer,
+				Ranked: mixes[r.entry].NeedsReservedGroup(e, c.Model, s.timeout), AnswerRank: rank, Remaining: s.timeout - elapsed, Objective: s.objective - elapsed}, candidates)
 			switch {
 			case d.Index >= 0:
 				r.deferred = d.Deferred
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,7 @@
 	stop       *callerconn.Stop
 	demand     demandCounter
 	baselines  baselineLatencies
+	mixes      mixes
 	stats      *stats
 	started    time.Time
 	crashes    *crashreport.Reporter
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -60,6 +60,10 @@
 	// elapsed is the time that the caller has spent on its earlier attempts.
 	elapsed time.Duration
 
+	// answerRank ranks the answer among those of the model, if ranked is set.
+	ranked     bool
+	answerRank float64
+
 	// attempts lists the finished attempts at upstreams; tried holds their
 	// targets and that of an attempt in progress.
 	attempts []attemptRecord
@@ -160,6 +164,7 @@
 	defer x.body.Release()
 	if model := x.knownModel(); model != "" {
 		x.e.demand.add(x.service.Name, model, &x.request)
+		x.ranked, x.answerRank = x.e.mixes.add(x.random, x.service, model, &x.request, x.route.Timeout)
 	}
 	x.tried = map[*target]bool{}
 	x.digest, x.parts = x.requestDigest(), x.sharedParts()
@@ -286,7 +291,7 @@
 		candidates[i] = c
 	}
 	decision := balance.Choose(x.random, x.costs(), balance.Request{
-		PromptTokens: x.request.PromptTokens, AnswerTokens: x.request.expectedAnswerTokens(),
+		PromptTokens: x.request.PromptTokens, AnswerTokens: x.request.expectedAnswerTokens(), Ranked: x.ranked, AnswerRank: x.answerRank,
 		Remaining: x.remaining(now), Objective: x.route.LatencyObjective - x.elapsed - now.Sub(x.started), PartlyRun: x.runs > 0 || x.delivering(), Delivering: x.delivering(),
 	}, candidates)
 	if decision.Index < 0 {
