--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -144,6 +144,7 @@
 	}{
 		{"to the large model", map[string]float64{"large": 7, "small": 1.5}, "large", 6},
 		{"to the small model", map[string]float64{"large": 1, "small": 9}, "small", 9},
+		{"to the large model, although the small one is loaded as well", map[string]float64{"large": 7.5, "small": 4.4}, "large", 6},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := newSimulation(t, 20, 4, 12)
