--- a/internal/entry/crash_cluster_test.go
+++ b/internal/entry/crash_cluster_test.go
@@ -64,6 +64,8 @@
 	severed map[string]bool
 	// links are the connections between entries.
 	links []*entryLink
+	// cuts are the connections of entries to upstreams.
+	cuts map[string]*upstreamCut
 }
 
 // entryLink is a connection from one entry to another.
@@ -93,7 +95,7 @@
 
 func newEntryCluster(t *testing.T, size int, severed ...string) *entryCluster {
 	c := &entryCluster{t: t, addresses: map[string]string{}, severed: map[string]bool{}, members: make([]*entryMember, size), upstreams: map[string]fleet.Upstream{},
-		renewed: map[string]time.Time{}, verdicts: map[string]*mesh.Verdict{}}
+		renewed: map[string]time.Time{}, verdicts: map[string]*mesh.Verdict{}, cuts: map[string]*upstreamCut{}}
 	for _, id := range severed {
 		c.sever(id)
 	}
@@ -108,6 +110,7 @@
 	listeners := make([]net.Listener, size)
 	for n := range size {
 		c.ids = append(c.ids, fmt.Sprint("entry-", n))
+		c.cuts[c.ids[n]] = &upstreamCut{}
 		listeners[n] = listen(c.ids[n])
 	}
 	c.control = peer.Listen(listen(controlID), peer.Options{ID: controlID, Addresses: c.addresses, Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
@@ -250,7 +253,7 @@
 func (c *entryCluster) start(n int, listener net.Listener) {
 	content := testCatalog(c.t)
 	network := peer.Listen(listener, peer.Options{ID: c.ids[n], Addresses: c.addresses, Dial: c.dialFrom(c.ids[n]), Logger: zap.NewNop(), Registry: metrics.NewRegistry()})
-	e := Start(Options{ID: c.ids[n], FailureDomain: "z", Seeds: []string{controlID}, Network: network, Protocol: testProtocol{}, Client: upstream.NewClient(nil),
+	e := Start(Options{ID: c.ids[n], FailureDomain: "z", Seeds: []string{controlID}, Network: network, Protocol: testProtocol{}, Client: upstream.NewClient(c.cuts[c.ids[n]].dial),
 		Decode: func([]byte) (*catalog.Catalog, error) { return content, nil }, Logger: zap.NewNop(), Registry: metrics.NewRegistry(),
 		RetryBudget: RetryBudget{Ratio: 0.2, Allowance: 500, Window: 10 * time.Second}})
 	m := &entryMember{entry: e, network: network, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
@@ -296,6 +299,16 @@
 	c.publish()
 }
 
+// waitUpstreams waits until all entries use the given number of upstreams of each service.
+func (c *entryCluster) waitUpstreams(count int) {
+	for n := range c.ids {
+		require.Eventually(c.t, func() bool {
+			v := c.member(n).entry.view.Load()
+			return v.services["app"] != nil && len(v.services["app"].plain) == count && v.services["model"] != nil && len(v.services["model"].groups["m"]) == count
+		}, 10*time.Second, 10*time.Millisecond)
+	}
+}
+
 // chat sends a request through an entry on an open connection. It returns false
 // if the entry is down.
 func (c *entryCluster) chat(n int, id, body, parts string) (status int, whole, sent bool) {
