peer: streams between daemons that carry something else than messages

OpenStream opens a stream of the shared connection, which the other daemon serves with the handler of its channel. A daemon that does not know the channel answers the first message with an error, as it does for calls, so that one of an earlier build can be told apart at once. Bytes on such a stream keep the connection from counting as idle.

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -49,6 +49,10 @@
 // and discarded for messages from Send.
 type Handler func(ctx context.Context, from string, payload []byte) ([]byte, error)
 
+// StreamHandler serves a stream that another daemon opened. The stream ends when it
+// returns, ctx with the connection.
+type StreamHandler func(ctx context.Context, from string, stream net.Conn)
+
 // Options configures a Network.
 type Options struct {
 	// ID of this daemon.
@@ -87,6 +91,9 @@
 
 	handlersMu sync.RWMutex
 	handlers   map[string]Handler
+	// streamHandlers holds the handlers of channels whose streams carry something else
+	// than Frames.
+	streamHandlers map[string]StreamHandler
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -133,7 +140,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Network{
 		opts: o, listener: listener, ctx: ctx, cancel: cancel,
-		handlers: map[string]Handler{}, links: map[string]*link{}, sessions: map[*yamux.Session]time.Time{},
+		handlers: map[string]Handler{}, streamHandlers: map[string]StreamHandler{}, links: map[string]*link{}, sessions: map[*yamux.Session]time.Time{},
 		sentBytes:     metrics.GetOrRegisterCounter("peer.sent_bytes", o.Registry),
 		receivedBytes: metrics.GetOrRegisterCounter("peer.received_bytes", o.Registry),
 		dropped:       metrics.GetOrRegisterCounter("peer.dropped_messages", o.Registry),
@@ -212,6 +219,63 @@
 	return n.handlers[channel]
 }
 
+// HandleStreams sets the handler of a channel whose streams are opened by OpenStream.
+func (n *Network) HandleStreams(channel string, h StreamHandler) {
+	n.handlersMu.Lock()
+	defer n.handlersMu.Unlock()
+	n.streamHandlers[channel] = h
+}
+
+func (n *Network) streamHandler(channel string) StreamHandler {
+	n.handlersMu.RLock()
+	defer n.handlersMu.RUnlock()
+	return n.streamHandlers[channel]
+}
+
+// OpenStream opens a stream to a daemon, which serves it with the handler of the
+// channel. A daemon without one sends a Reply with an error after the first message.
+func (n *Network) OpenStream(ctx context.Context, to, channel string) (net.Conn, error) {
+	l := n.link(to)
+	if l == nil {
+		return nil, errors.New("unknown peer")
+	}
+	session, err := l.session(ctx)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	n.recordMessage(session)
+	_ = stream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := writeMessage(stream, &StreamHeader{Channel: channel, Call: true}); err != nil {
+		return nil, errors.Join(err, stream.Close())
+	}
+	_ = stream.SetWriteDeadline(time.Time{})
+	return &countedStream{Stream: stream, in: stream, network: n}, nil
+}
+
+// countedStream is a stream whose bytes keep its connection from being idle.
+type countedStream struct {
+	*yamux.Stream
+	in      io.Reader
+	network *Network
+}
+
+// Read implements net.Conn.
+func (s *countedStream) Read(p []byte) (int, error) {
+	read, err := s.in.Read(p)
+	s.network.recordMessage(s.Session())
+	return read, err
+}
+
+// Write implements net.Conn.
+func (s *countedStream) Write(p []byte) (int, error) {
+	s.network.recordMessage(s.Session())
+	return s.Stream.Write(p)
+}
+
 // Send queues a message. It never blocks; it reports false when the queue of
 // the peer's channel is full or the peer is unknown.
 func (n *Network) Send(to, channel string, payload []byte) bool {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -348,3 +348,34 @@
 		require.True(t, connected("c"))
 	}
 }
+
+// Guards against bytes of a stream that are lost behind its header, and against waiting
+// for a daemon that does not know the channel.
+func TestOpenStream(t *testing.T) {
+	n := newTestNet(t, "a", "b")
+	n.networks["b"].HandleStreams("shout", func(_ context.Context, from string, stream net.Conn) {
+		var frame Frame
+		if readMessage(stream, &frame) == nil {
+			_ = writeMessage(stream, &Frame{Payload: []byte(from + " " + string(frame.Payload) + "!")})
+		}
+	})
+	stream, err := n.networks["a"].OpenStream(t.Context(), "b", "shout")
+	require.NoError(t, err)
+	require.NoError(t, writeMessage(stream, &Frame{Payload: []byte("hello")}))
+	var frame Frame
+	require.NoError(t, readMessage(stream, &frame))
+	require.Equal(t, "a hello!", string(frame.Payload))
+	require.Error(t, readMessage(stream, &frame), "the handler has returned")
+	require.NoError(t, stream.Close())
+
+	stream, err = n.networks["a"].OpenStream(t.Context(), "b", "unknown")
+	require.NoError(t, err)
+	require.NoError(t, writeMessage(stream, &Frame{Payload: []byte("hello")}))
+	var reply Reply
+	require.NoError(t, readMessage(stream, &reply))
+	require.Equal(t, string(fault.NotFound), reply.Code)
+	require.NoError(t, stream.Close())
+
+	_, err = n.networks["a"].OpenStream(t.Context(), "c", "shout")
+	require.Error(t, err)
+}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -57,6 +57,10 @@
 	if unmarshal.UnmarshalFrom(in, &header) != nil {
 		return
 	}
+	if h := n.streamHandler(header.Channel); h != nil {
+		h(ctx, from, &countedStream{Stream: stream, in: in, network: n})
+		return
+	}
 	for {
 		var frame Frame
 		if unmarshal.UnmarshalFrom(in, &frame) != nil {
