--- a/internal/edge/upstream/answer.go
+++ b/internal/edge/upstream/answer.go
@@ -188,7 +188,8 @@
 // must be set.
 func NewAnswerChecker(transport *http.Transport) *AnswerChecker {
 	dial := transport.DialContext
-	transport.DialContext = dialTracked(func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) })
+	conns := &connTable{peers: map[string]*peerConns{}}
+	transport.DialContext = dialTracked(func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }, conns)
 	return &AnswerChecker{transport: transport}
 }
 
--- a/internal/edge/upstream/client.go
+++ b/internal/edge/upstream/client.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -90,12 +91,26 @@
 
 // Client sends requests, orders and probes to upstreams.
 type Client struct {
-	dial   DialFunc
+	// direct opens a connection as the options say; via, if set, replaces it.
+	direct DialFunc
+	via    atomic.Pointer[Via]
+	conns  connTable
 	pooled *http.Transport
 	// singleUse opens a new connection for each request.
 	singleUse *http.Transport
 }
 
+// Via opens connections in a way that may differ from the direct one.
+type Via struct {
+	Dial DialFunc
+	// Silent, if set, is called when an upstream has sent no byte for silenceTime while
+	// a request waits for its answer. It must return at once.
+	Silent func(address string)
+}
+
+// silenceTime is longer than most upstreams need to begin an answer, also under load.
+const silenceTime = 800 * time.Millisecond
+
 // DialFunc opens a TCP connection to an address.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
@@ -125,8 +140,9 @@
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
+	c := &Client{direct: dial, conns: connTable{peers: map[string]*peerConns{}}}
 	pooled := &http.Transport{
-		DialContext:         dialTracked(dial),
+		DialContext:         dialTracked(c.dial, &c.conns),
 		MaxIdleConns:        o.MaxIdle,
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     cmp.Or(o.IdleTimeout, idleConnTimeout),
@@ -136,7 +152,26 @@
 	}
 	singleUse := pooled.Clone()
 	singleUse.DisableKeepAlives = true
-	return &Client{dial: dial, pooled: pooled, singleUse: singleUse}
+	c.pooled, c.singleUse = pooled, singleUse
+	return c
+}
+
+// Direct opens a connection without the Via that is set.
+func (c *Client) Direct(ctx context.Context, address string) (net.Conn, error) {
+	return c.direct(ctx, address)
+}
+
+// SetVia sets the way in which connections are opened from now on.
+func (c *Client) SetVia(v Via) { c.via.Store(&v) }
+
+// Retire closes the open connections to an address once no request uses them.
+func (c *Client) Retire(address string) { c.conns.retire(address) }
+
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	if v := c.via.Load(); v != nil {
+		return v.Dial(ctx, address)
+	}
+	return c.direct(ctx, address)
 }
 
 // Listening reports whether a process accepts connections at an address. Only a
@@ -181,23 +216,55 @@
 	tracker := &writeTracker{cancel: cancel}
 	written := newRequestWrite(ctx)
 	req = req.WithContext(written.trace(tracker.withTrace(ctx)))
+	silence := c.watchSilence(tracker)
 	resp, err := c.transport(once).RoundTrip(req)
+	silence.Stop()
 	if err == nil {
 		if err = checkHead(resp.StatusCode, resp.Header); err == nil {
 			checkBody(resp, written)
+			resp.Body = &releasingBody{ReadCloser: resp.Body, release: tracker.release}
 			return resp, nil
 		}
 		err = errors.Join(err, resp.Body.Close())
+		tracker.release()
 		cancel(nil)
 		return nil, fault.Wrap(err, fault.UpstreamFailed, at, fault.Unknown)
 	}
 	defer cancel(nil)
+	defer tracker.release()
 	if tracker.notSent() {
 		return nil, fault.Wrap(err, fault.UpstreamUnreachable, at, fault.NotRun)
 	}
 	return nil, fault.Wrap(err, failureCode(err), at, fault.Unknown)
 }
 
+// watchSilence reports the upstream of a request that is silent until the timer is
+// stopped.
+func (c *Client) watchSilence(tracker *writeTracker) *time.Timer {
+	return time.AfterFunc(silenceTime, func() {
+		v, conn := c.via.Load(), tracker.current()
+		if v == nil || v.Silent == nil || conn == nil {
+			return
+		}
+		if time.Since(time.Unix(0, conn.peer.lastRead.Load())) >= silenceTime {
+			v.Silent(conn.peer.address)
+		}
+	})
+}
+
+// releasingBody ends the use of a connection when it is closed.
+type releasingBody struct {
+	io.ReadCloser
+	release func()
+}
+
+// Close implements io.Closer.
+func (b *releasingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.release()
+	return err
+}
+
 // KeepRequestURI makes a request carry the path and query of a caller as they were
 // sent. Parsing and formatting a URL escapes characters that a URL must not contain,
 // such as "|", and cuts off a part after "#".
--- a/internal/edge/upstream/client_test.go
+++ b/internal/edge/upstream/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -560,3 +561,88 @@
 		require.Equal(t, uri, <-got)
 	}
 }
+
+// Guards against requests on connections that were opened before the way to their
+// upstream was cut, and against requests that are interrupted for that reason.
+func TestRetire(t *testing.T) {
+	release := make(chan struct{})
+	s := startRawServer(t, func(s *rawServer, conn *net.TCPConn, _ int) {
+		in := bufio.NewReader(conn)
+		for {
+			r, err := s.readRequest(in)
+			if err != nil {
+				return
+			}
+			if r.URL.Path == "/slow" {
+				<-release
+			}
+			_, _ = io.WriteString(conn, okReply)
+		}
+	})
+	dialed := atomic.Int32{}
+	client := NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+		dialed.Add(1)
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	})
+	t.Cleanup(client.Close)
+	get := func(uri string) error {
+		resp, err := client.Do(t.Context(), Dispatch{Target: Target{ID: "u", Address: s.address}, Method: http.MethodGet, URI: uri, RequestID: "r"})
+		if err != nil {
+			return err
+		}
+		_, err = io.ReadAll(resp.Body)
+		return errors.Join(err, resp.Body.Close())
+	}
+	for range 3 {
+		require.NoError(t, get("/"))
+	}
+	require.EqualValues(t, 1, dialed.Load(), "the connection is kept")
+	client.Retire(s.address)
+	require.NoError(t, get("/"))
+	require.EqualValues(t, 2, dialed.Load(), "another connection after it was retired")
+	slow := make(chan error, 1)
+	go func() { slow <- get("/slow") }()
+	require.Eventually(t, func() bool { return s.requests.Load() == 5 }, 10*time.Second, time.Millisecond)
+	client.Retire(s.address)
+	close(release)
+	require.NoError(t, <-slow, "a request in progress is not interrupted")
+	require.NoError(t, get("/"))
+	require.EqualValues(t, 3, dialed.Load())
+}
+
+// Guards against an upstream out of reach that is not noticed because requests go over
+// kept connections, and against one that counts as silent although it sends.
+func TestSilence(t *testing.T) {
+	release := make(chan struct{})
+	s := startRawServer(t, func(s *rawServer, conn *net.TCPConn, number int) {
+		in := bufio.NewReader(conn)
+		for {
+			if _, err := s.readRequest(in); err != nil {
+				return
+			}
+			if number == 1 {
+				<-release
+			}
+			_, _ = io.WriteString(conn, okReply)
+		}
+	})
+	client := NewClient(nil)
+	t.Cleanup(client.Close)
+	silent := make(chan string, 10)
+	client.SetVia(Via{Dial: client.Direct, Silent: func(address string) { silent <- address }})
+	get := func() error {
+		resp, err := client.Do(t.Context(), Dispatch{Target: Target{ID: "u", Address: s.address}, Method: http.MethodGet, URI: "/", RequestID: "r"})
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	}
+	result := make(chan error, 1)
+	go func() { result <- get() }()
+	require.Equal(t, s.address, <-silent)
+	go func() { result <- get() }()
+	require.NoError(t, <-result)
+	close(release)
+	require.NoError(t, <-result)
+	require.Empty(t, silent, "an answer ends the silence")
+}
