entry, daemon: an instance that is cut off from upstreams serves through others

Cause: an instance knew of no way to an upstream but its own, so that each request found anew that none accepted connections. The detector of crashes took the same refusals for the ends of 14 upstreams.

Change: entries and daemons open their connections to upstreams through a relay, and help others. Requests stay at the instance that has the caller, with their deadline, account, cancellation, retry budget, limits and proof that nothing was sent. Connections that are held for others have their part of the descriptors and of the memory, and are finished in a planned stop.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/limitreport"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
 	"github.com/bluebellfield/bluebellfield/internal/processlimit"
+	"github.com/bluebellfield/bluebellfield/internal/relay"
 	"github.com/bluebellfield/bluebellfield/internal/tlsfiles"
 	"github.com/bluebellfield/bluebellfield/internal/tracing"
 	"github.com/bluebellfield/bluebellfield/quarantine"
@@ -62,6 +63,7 @@
 	system   *actor.ActorSystem
 	network  *peer.Network
 	client   *upstream.Client
+	relay    *relay.Relay
 	logs     *hostedLogs
 	shared   *sharedState
 	members  *members
@@ -161,6 +163,7 @@
 	// more than the time in between.
 	incarnation := uint64(time.Now().UnixNano())
 	d.members = newMembers(d.cfg, incarnation, d.network, d.client, d.logger)
+	d.startRelay()
 	d.shared = newSharedState(d.cfg, d.network, d.logs, d.logger, func(t *settings.Tree) {
 		d.logger.Info("settings in force", zap.Uint64("revision", t.Revision()))
 	}, func(stored *quarantine.Stored) { d.verdicts.setStored(stored) })
@@ -314,6 +317,7 @@
 func (d *Daemon) Shutdown(ctx context.Context) error {
 	d.probe.SetReady(false)
 	d.members.Stop()
+	d.relay.Drain()
 	wait(ctx, nil, d.cfg.BalancerWait())
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.DrainTimeout())
 	defer cancel()
@@ -330,6 +334,9 @@
 		case <-time.After(answerReserve):
 		}
 	}
+	if err := d.relay.Wait(ctx); err != nil {
+		unfinished = errors.Join(unfinished, fmt.Errorf("stopped while others used its connections: %w", err))
+	}
 	transferCtx, cancelTransfer := context.WithTimeout(context.Background(), leadershipTransferTimeout)
 	defer cancelTransfer()
 	d.logs.transferLeadership(transferCtx)
@@ -343,6 +350,9 @@
 	for _, server := range d.servers {
 		errs = append(errs, server.Close())
 	}
+	if d.relay != nil {
+		d.relay.Close()
+	}
 	if d.network != nil {
 		errs = append(errs, d.network.Close())
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -153,6 +153,7 @@
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		slowConnect.Stop()
 		reused = info.Reused
+		a.record.through = upstream.Through(info.Conn)
 	}}))
 	resp, err := x.e.opts.Client.Exchange(req, fault.Location{Step: upstream.StepDispatch, Peer: t.upstream.ID}, false)
 	if err != nil {
--- a/internal/entry/crash_soak_test.go
+++ b/internal/entry/crash_soak_test.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// soakSeeds names the variable that holds the number of seeds of TestCrashSoak
-	// for a run by hand.
+	// soakSeeds names the variable that holds the number of seeds of a soak for a run
+	// by hand.
 	soakSeeds    = "BLUEBELLFIELD_SOAK_SEEDS"
 	soakDuration = 11 * time.Second
 )
@@ -36,16 +36,7 @@
 // other heads end by themselves. Clients of sound requests use open connections
 // until the entry is gone.
 func TestCrashSoak(t *testing.T) {
-	seeds := ciSeeds
-	if text := os.Getenv(soakSeeds); text != "" {
-		count, err := strconv.ParseUint(text, 10, 16)
-		require.NoError(t, err)
-		seeds = nil
-		for seed := range count {
-			seeds = append(seeds, seed)
-		}
-	}
-	for _, seed := range seeds {
+	for _, seed := range seedsOf(t, ciSeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			runCrashSoak(t, seed)
@@ -53,6 +44,21 @@
 	}
 }
 
+// seedsOf returns the seeds of a soak: those for CI, or as many as a run by hand names.
+func seedsOf(t *testing.T, ci []uint64) []uint64 {
+	text := os.Getenv(soakSeeds)
+	if text == "" {
+		return ci
+	}
+	count, err := strconv.ParseUint(text, 10, 16)
+	require.NoError(t, err)
+	var seeds []uint64
+	for seed := range count {
+		seeds = append(seeds, seed)
+	}
+	return seeds
+}
+
 func runCrashSoak(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	c := newEntryCluster(t, 3+random.IntN(4))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/bluebellfield/bluebellfield/internal/limitreport"
 	"github.com/bluebellfield/bluebellfield/internal/mesh"
 	"github.com/bluebellfield/bluebellfield/internal/peer"
+	"github.com/bluebellfield/bluebellfield/internal/relay"
 	"github.com/bluebellfield/bluebellfield/quarantine"
 )
 
@@ -45,9 +46,12 @@
 	Client      *upstream.Client
 	RetryBudget RetryBudget
 	// Bodies bounds the memory of request bodies. Nil means no limit.
-	Bodies   *bodybudget.Budget
-	Logger   *zap.Logger
-	Registry metrics.Registry
+	Bodies *bodybudget.Budget
+	// MaxHelped is the number of connections to upstreams that are held for other
+	// entries; 0 selects a default.
+	MaxHelped int
+	Logger    *zap.Logger
+	Registry  metrics.Registry
 }
 
 // Entry is a running entry instance.
@@ -65,6 +69,7 @@
 	started    time.Time
 	crashes    *crashreport.Reporter
 	limits     *limitreport.Reporter
+	relay      *relay.Relay
 	// lastRun is the number of the last attempt, by which quarantine identifies
 	// it.
 	lastRun atomic.Uint64
@@ -109,6 +114,7 @@
 	e.crashes = newCrashReporter(&e.opts, e.reachableEntries)
 	e.limits = limitreport.New(limitreport.Options{Self: o.ID, Incarnation: uint64(e.started.UnixNano()), Network: o.Network,
 		LiveEntries: e.reachableEntries, Logger: o.Logger})
+	e.startRelay()
 	o.Network.Handle(mesh.ChannelUpdate, e.serveUpdate)
 	e.wg.Go(func() { e.crashes.Run(ctx) })
 	e.wg.Go(func() { e.limits.Run(ctx) })
@@ -130,7 +136,10 @@
 
 // Drain makes the instance report that it is not ready. It continues to serve
 // requests.
-func (e *Entry) Drain() { e.draining.Store(true) }
+func (e *Entry) Drain() {
+	e.draining.Store(true)
+	e.relay.Drain()
+}
 
 // Stop returns the state of the planned stop of this instance.
 func (e *Entry) Stop() *callerconn.Stop { return e.stop }
@@ -139,6 +148,7 @@
 func (e *Entry) Close() {
 	e.cancel()
 	e.wg.Wait()
+	e.relay.Close()
 }
 
 // retryLimiter returns the retry limiter of a service.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -97,9 +97,11 @@
 // attemptRecord describes one attempt in the request's log line.
 type attemptRecord struct {
 	upstream, group, result string
-	at, took                time.Duration
-	load                    float64
-	deferred                bool
+	// through is the entry over which the upstream was reached, empty for none.
+	through  string
+	at, took time.Duration
+	load     float64
+	deferred bool
 	// broken is set if the connection broke while the request was in flight;
 	// begun is set if the response header had arrived.
 	broken, begun bool
@@ -112,6 +114,9 @@
 	if r.group != "" {
 		enc.AddString("group", r.group)
 	}
+	if r.through != "" {
+		enc.AddString("through", r.through)
+	}
 	enc.AddString("result", r.result)
 	enc.AddInt64("atMs", r.at.Milliseconds())
 	enc.AddInt64("ms", r.took.Milliseconds())
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -162,7 +162,7 @@
 	}
 	i.entry = entry.Start(entry.Options{ID: s.ID, FailureDomain: s.FailureDomain, Seeds: s.seedIDs(), Network: i.network,
 		Decode: i.adapter.Decode, OnLimits: setLimits, Protocol: i.adapter.Protocol, Client: i.client, Logger: i.logger, Registry: i.registry,
-		Bodies:      bodybudget.New(i.limits.BodyBytes(), i.registry),
+		Bodies: bodybudget.New(i.limits.BodyBytes(), i.registry), MaxHelped: i.limits.HelpedConnections(),
 		RetryBudget: entry.RetryBudget{Ratio: s.RetryBudget.Ratio, Allowance: int(s.RetryBudget.Allowance), Window: milliseconds(s.RetryBudget.WindowMS)}})
 	if err := i.serve(s.Listen.Ready, i.adapter.Ready(i.entry.Ready)); err != nil {
 		return errors.Join(err, listener.Close())
@@ -231,7 +231,7 @@
 		timer := time.AfterFunc(time.Until(end)-answerReserve, i.entry.Stop().CancelRequests)
 		defer timer.Stop()
 	}
-	return errors.Join(closeErr, i.activeCallers.Wait(ctx))
+	return errors.Join(closeErr, i.activeCallers.Wait(ctx), i.entry.WaitHelped(ctx))
 }
 
 func sleepContext(ctx context.Context, d time.Duration) {
--- a/internal/processlimit/processlimit.go
+++ b/internal/processlimit/processlimit.go
@@ -20,6 +20,14 @@
 	callerDescriptorShare = 0.45
 	// idleUpstreamShare is the part for idle connections to upstreams.
 	idleUpstreamShare = 0.1
+	// helpedShare is the part for connections to upstreams that are held for other
+	// instances, and helpedBytes the memory of one: its goroutines, its buffers and
+	// what waits on its stream.
+	helpedShare = 0.06
+	helpedBytes = 96 << 10
+	// helpedMemoryShare is the part of the memory for them.
+	helpedMemoryShare = 0.08
+	minHelped         = 4
 	// connectionBytes is the memory of a connection of a caller: its goroutine and
 	// buffers, and the bytes in its receive buffer.
 	connectionBytes = 48 << 10
@@ -75,6 +83,16 @@
 // kept open without a request.
 func (l Limits) IdleUpstreamConnections() int { return max(l.share(idleUpstreamShare), 1) }
 
+// HelpedConnections returns the number of connections to upstreams that are held for
+// other instances.
+func (l Limits) HelpedConnections() int {
+	n := l.share(helpedShare)
+	if l.MemoryBytes > 0 {
+		n = min(n, int(helpedMemoryShare*float64(l.MemoryBytes)/helpedBytes))
+	}
+	return max(n, minHelped)
+}
+
 // BodyBytes returns the memory for the bodies of requests; 0 means no limit.
 func (l Limits) BodyBytes() int64 {
 	if l.MemoryBytes <= 0 {
