relay: an instance is not left out because another one was faster

The attempts that are given up after the first connection ended with the same code as an instance that cannot help, so that slower ones were not asked for a second. TestSlowerHelperIsNotBlamed. A connection that is ready when the process goes on after a pause is now used before others are asked; the questions to other instances have a type of their own.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -169,6 +169,15 @@
 		return nil, d.err
 	case <-headStart.C:
 	}
+	select {
+	case d := <-direct:
+		// The process itself may have stood still.
+		if d.err == nil {
+			return d.conn, nil
+		}
+		direct <- d
+	default:
+	}
 	return r.race(ctx, address, direct)
 }
 
@@ -286,67 +295,91 @@
 	ids := r.reach.Order(began, random, r.opts.FailureDomain, r.opts.Helpers())
 	ids = ids[:min(len(ids), maxAsked)]
 	ctx, cancel := context.WithCancel(ctx)
-	answers := make(chan dialed, len(ids))
-	asked, waiting, refusals, failures := 0, 0, 0, 0
-	askNext := func() {
-		if asked == len(ids) {
-			return
-		}
-		id := ids[asked]
-		if !r.tasks.Go(func() { answers <- r.open(ctx, id, address) }) {
-			return
-		}
-		asked++
-		waiting++
-	}
-	defer func() {
-		cancel()
-		late := waiting
-		r.tasks.Go(func() {
-			for range late {
-				if d := <-answers; d.conn != nil {
-					_ = d.conn.Close()
-				}
-			}
-		})
-	}()
-	var unable []string
-	askNext()
-	for waiting > 0 {
+	q := &inquiry{relay: r, ctx: ctx, address: address, ids: ids, answers: make(chan dialed, len(ids))}
+	defer q.closeLate()
+	defer cancel()
+	q.askNext()
+	for q.waiting > 0 {
 		next := time.NewTimer(helperHeadStart)
 		select {
-		case d := <-answers:
+		case d := <-q.answers:
 			next.Stop()
-			waiting--
+			q.waiting--
 			switch {
 			case d.err == nil:
-				r.connectedThrough(began, address, d, unable)
+				r.connectedThrough(began, address, d, q.unable)
 				return d
 			case ctx.Err() != nil:
 				return dialed{err: ctx.Err()}
-			case fault.CodeOf(d.err) == fault.NoUpstream:
-				refusals++
-				failures++
-			case fault.CodeOf(d.err) != fault.Unavailable:
-				failures++
-			}
-			unable = append(unable, d.helper)
-			if refusals < maxRefusals && failures < maxFailures {
-				askNext()
 			}
+			q.recordFailure(d)
+			q.askNext()
 		case <-next.C:
-			if waiting+failures < maxFailures {
-				askNext()
-			}
+			q.askNext()
 		}
 	}
 	r.failed.Inc(1)
-	if failures > 0 && ctx.Err() == nil {
+	if q.failures > 0 {
 		r.reach.Gone(time.Now(), address)
 	}
 	return dialed{err: fault.Wrap(errNoHelper, fault.UpstreamUnreachable, fault.Location{Step: StepRelay, Peer: address}, fault.NotRun)}
 }
 
+// inquiry asks other instances for a connection to one upstream.
+type inquiry struct {
+	relay   *Relay
+	ctx     context.Context
+	address string
+	// ids are the instances to ask; asked is the number of those that were, and waiting
+	// that of those that have not answered.
+	ids            []string
+	asked, waiting int
+	answers        chan dialed
+	// unable are those that could not connect. failures counts those of them that tried,
+	// and refusals those that found no process at the address.
+	unable             []string
+	failures, refusals int
+}
+
+// askNext asks one more instance, if there is one that might reach the upstream.
+func (q *inquiry) askNext() {
+	if q.asked == len(q.ids) || q.refusals >= maxRefusals || q.waiting+q.failures >= maxFailures {
+		return
+	}
+	id := q.ids[q.asked]
+	if q.relay.tasks.Go(func() { q.answers <- q.relay.open(q.ctx, id, q.address) }) {
+		q.asked++
+		q.waiting++
+	}
+}
+
+func (q *inquiry) recordFailure(d dialed) {
+	q.unable = append(q.unable, d.helper)
+	switch fault.CodeOf(d.err) {
+	case fault.Unavailable:
+	case fault.NoUpstream:
+		q.refusals++
+		q.failures++
+	default:
+		q.failures++
+	}
+}
+
+// closeLate closes the connections that are opened after the inquiry has ended.
+func (q *inquiry) closeLate() {
+	late := q.waiting
+	if late == 0 {
+		return
+	}
+	q.relay.tasks.Go(func() {
+		for range late {
+			if d := <-q.answers; d.conn != nil {
+				_ = d.conn.Close()
+			}
+		}
+	})
+}
+
 // connectedThrough records a connection through another instance. Those that failed
 // for the same upstream are as cut off as this one.
 func (r *Relay) connectedThrough(began time.Time, address string, d dialed, unable []string) {
@@ -379,7 +412,7 @@
 		return dialed{conn: conn, helper: id}
 	}
 	_ = stream.Close()
-	if fault.CodeOf(err) == fault.Unavailable {
+	if fault.CodeOf(err) == fault.Unavailable && ctx.Err() == nil {
 		r.reach.Blame(time.Now(), id)
 	}
 	return dialed{err: err, helper: id}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -214,6 +215,20 @@
 	}
 }
 
+// Guards against an instance that is left out because another one was faster.
+func TestSlowerHelperIsNotBlamed(t *testing.T) {
+	all := startInstances(t, nil, "a", "b", "c")
+	address, _ := serveLines(t, echo)
+	all["a"].refuse.Store(true)
+	ctx, cancel := context.WithCancel(t.Context())
+	all["b"].hang.Store(true)
+	time.AfterFunc(20*time.Millisecond, cancel)
+	d := all["a"].relay.open(ctx, "b", address)
+	require.Error(t, d.err)
+	order := all["a"].relay.reach.Order(time.Now(), rand.New(rand.NewPCG(1, 2)), "z", []reach.Helper{{ID: "b", FailureDomain: "z"}})
+	require.Equal(t, []string{"b"}, order)
+}
+
 // Guards against connections that an instance opens to anyone's address for others, or
 // without a bound, and against a chain of instances.
 func TestHelpIsBounded(t *testing.T) {
