relay: nothing is written after the upstream has ended the connection

The other instance drops what arrives then, so that a request could count as written whole, and an answer that ends with its connection as complete, although the upstream had closed before. On a direct connection that write fails. The test now waits for the first byte of the request, and checks writes after the end; that check fails without the change.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/encoding/protowire"
@@ -49,6 +50,8 @@
 
 	mu   sync.Mutex
 	sent int64
+	// ended is set when the upstream has ended the connection.
+	ended bool
 	// leaving is set when the other instance stops; onLeaving is called then.
 	leaving   bool
 	onLeaving func()
@@ -117,6 +120,7 @@
 func (c *throughConn) checkEnd(end *End) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.ended = true
 	if end.Written < c.sent {
 		return fmt.Errorf("the connection ended after %d of %d bytes were written", end.Written, c.sent)
 	}
@@ -128,9 +132,9 @@
 	written := 0
 	for len(p) > 0 {
 		n := min(len(p), maxChunkBytes)
-		c.mu.Lock()
-		c.sent += int64(n)
-		c.mu.Unlock()
+		if !c.addSent(n) {
+			return written, syscall.EPIPE
+		}
 		if err := writeMessage(c.Conn, &ToUpstream{Data: p[:n]}); err != nil {
 			return written, err
 		}
@@ -140,6 +144,17 @@
 	return written, nil
 }
 
+// addSent counts bytes that are about to be sent. It reports false after the end of the
+// connection, when the other instance would drop them.
+func (c *throughConn) addSent(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ended {
+		c.sent += int64(n)
+	}
+	return !c.ended
+}
+
 // OnLeaving sets the function that is called, once, when the connection should not be
 // used for further requests.
 func (c *throughConn) OnLeaving(f func()) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -286,6 +286,7 @@
 			_ = conn.SetLinger(0)
 		}, 0, false},
 		{"ended before the request was written", func(conn *net.TCPConn) {
+			_, _ = conn.Read(make([]byte, 1))
 			_, _ = io.WriteString(conn, "answer")
 			_ = conn.CloseWrite()
 			time.Sleep(100 * time.Millisecond)
@@ -299,12 +300,13 @@
 			require.NoError(t, err)
 			if c.send > 0 {
 				go func() { _, _ = conn.Write(make([]byte, c.send)) }()
-				time.Sleep(20 * time.Millisecond)
 			}
 			data, err := io.ReadAll(conn)
 			require.Equal(t, c.orderly, err == nil, "%v", err)
 			if c.orderly {
 				require.Equal(t, "answer", string(data))
+				_, err = conn.Write([]byte("more of the request"))
+				require.Error(t, err, "nobody gets it")
 			}
 			require.NoError(t, conn.Close())
 		})
