--- a/placement/rebalance.go
+++ b/placement/rebalance.go
@@ -29,7 +29,7 @@
 	// per copy of the donors' model must stay below. The margin covers the requests
 	// that the donor groups break off, and keeps engines from being moved back and
 	// forth.
-	transferGain = 0.8
+	transferGain = 0.65
 	// transferTimeout is the time after which the engines of a transfer are
 	// released for any model. It covers the drain of the donors and the forming of
 	// the new group.
